--- /dev/null
+++ b/core/dispatch/dispatch.go
@@ -0,0 +1,280 @@
+// Package dispatch is Fela's fetching, in our words: one inbox of released
+// tasks per worker and a map of entries that says which worker runs a task and
+// which holds its output. A worker whose end report or free room comes in pulls
+// its next task: from its own inbox first, the deepest released step first,
+// then by locality_score, then the smallest number; with its own inbox empty it
+// helps the straggler with the fewest helpers and the slowest progress. All of
+// it is built from a copy of the ledger, decides nothing that the ledger does
+// not check again, and is lost without harm.
+package dispatch
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"sorrelloom/core/code"
+	"sorrelloom/core/ledger"
+)
+
+// Ref is a task by job and place in it.
+type Ref struct {
+	Job  string
+	Task int
+}
+
+// Counters show which rules the ordinary path used.
+type Counters struct {
+	Releases, Own, Helped, Deepest, Locality, Smallest, Gangs, PushOuts, Reserved uint64
+}
+
+const (
+	runs  = "runs"
+	holds = "holds"
+)
+
+type Dispatch struct {
+	inbox    map[string]map[Ref]bool
+	place    map[Ref]string
+	unplaced map[Ref]bool
+	entries  map[string]map[Ref]string
+	helping  map[Ref]string
+	ran      map[Ref]string
+	done     map[string]int
+	Counters Counters
+	Central  bool
+}
+
+// Patience is how long a task may wait in the inbox of a worker that has room
+// for it before others may take it: its scheduler may be gone.
+const Patience = 300 * time.Millisecond
+
+func New() *Dispatch {
+	d := &Dispatch{}
+	d.clear()
+	return d
+}
+
+func (d *Dispatch) clear() {
+	d.inbox, d.place, d.unplaced = map[string]map[Ref]bool{}, map[Ref]string{}, map[Ref]bool{}
+	d.entries, d.helping, d.ran, d.done = map[string]map[Ref]string{}, map[Ref]string{}, map[Ref]string{}, map[string]int{}
+}
+
+// Update takes what changed in the ledger.
+func (d *Dispatch) Update(l *ledger.Ledger, changes []ledger.Changed) {
+	for _, c := range changes {
+		switch {
+		case c.All:
+			d.rebuild(l)
+		case c.Worker != "":
+			d.worker(l, c.Worker)
+		case c.Task < 0:
+			if _, ok := l.Job(c.Job); !ok {
+				d.forget(c.Job)
+			}
+		default:
+			d.task(l, Ref{c.Job, c.Task})
+		}
+	}
+}
+
+func (d *Dispatch) rebuild(l *ledger.Ledger) {
+	done := d.done
+	d.clear()
+	d.done = done
+	for _, job := range l.Active() {
+		for i := range job.Tasks {
+			d.task(l, Ref{job.Spec.ID, i})
+		}
+	}
+}
+
+func (d *Dispatch) forget(job string) {
+	for _, entries := range d.entries {
+		for at := range entries {
+			if at.Job == job {
+				delete(entries, at)
+			}
+		}
+	}
+	for at := range d.place {
+		if at.Job == job {
+			d.remove(at)
+		}
+	}
+	for at := range d.unplaced {
+		if at.Job == job {
+			delete(d.unplaced, at)
+		}
+	}
+}
+
+func (d *Dispatch) remove(at Ref) {
+	if w, ok := d.place[at]; ok {
+		delete(d.inbox[w], at)
+		delete(d.place, at)
+	}
+	delete(d.unplaced, at)
+}
+
+func (d *Dispatch) enter(worker string, at Ref, what string) {
+	if d.entries[worker] == nil {
+		d.entries[worker] = map[Ref]string{}
+	}
+	d.entries[worker][at] = what
+}
+
+func (d *Dispatch) task(l *ledger.Ledger, at Ref) {
+	job, ok := l.Job(at.Job)
+	if !ok {
+		return
+	}
+	t := job.Tasks[at.Task]
+	if was, ok := d.ran[at]; ok && (!t.Turn.Held() || t.Turn.Worker != was) {
+		delete(d.entries[was], at)
+		delete(d.ran, at)
+		delete(d.helping, at)
+	}
+	switch {
+	case t.State == ledger.Done:
+		if d.entries[t.Holder][at] != holds {
+			d.done[t.Holder]++
+		}
+		d.enter(t.Holder, at, holds)
+		d.remove(at)
+	case t.Turn.Held():
+		if from := d.place[at]; from != "" && from != t.Turn.Worker {
+			d.helping[at] = from
+		}
+		d.enter(t.Turn.Worker, at, runs)
+		d.ran[at] = t.Turn.Worker
+		d.remove(at)
+	case t.State == ledger.Open:
+		if _, placed := d.place[at]; !placed {
+			d.Counters.Releases++
+			d.seed(l, job, at)
+		}
+	default:
+		d.remove(at)
+	}
+}
+
+// worker moves tasks away from a worker that can no longer take them, and
+// tries those for whom no worker was found before.
+func (d *Dispatch) worker(l *ledger.Ledger, id string) {
+	w, known := l.Worker(id)
+	for _, at := range d.sorted(l, d.inbox[id]) {
+		if job, ok := l.Job(at.Job); !known || !ok || l.Fits(job, at.Task, w) != code.OK {
+			d.remove(at)
+			if ok {
+				d.seed(l, job, at)
+			}
+		}
+	}
+	if len(d.unplaced) == 0 {
+		return
+	}
+	for _, at := range d.sorted(l, d.unplaced) {
+		if job, ok := l.Job(at.Job); ok && l.Fits(job, at.Task, w) == code.OK && w.Capacity.Holds(job.Spec.Tasks[at.Task].Room) {
+			d.put(at, id)
+		}
+	}
+}
+
+// Sweep moves tasks out of the inboxes of workers that have gone silent.
+func (d *Dispatch) Sweep(l *ledger.Ledger) {
+	for id, inbox := range d.inbox {
+		if w, ok := l.Worker(id); len(inbox) > 0 && (!ok || !l.Live(w)) {
+			d.worker(l, id)
+		}
+	}
+}
+
+func (d *Dispatch) put(at Ref, worker string) {
+	delete(d.unplaced, at)
+	if d.inbox[worker] == nil {
+		d.inbox[worker] = map[Ref]bool{}
+	}
+	d.inbox[worker][at] = true
+	d.place[at] = worker
+}
+
+// seed puts a released task into the inbox of the fitting worker that holds
+// most of its inputs; among equals the least busy one, by waiting and running
+// slots against its capacity, then the smallest identity.
+func (d *Dispatch) seed(l *ledger.Ledger, job ledger.Job, at Ref) {
+	best, bestLocality, bestBusyness := "", -1.0, 0.0
+	for _, w := range l.Workers() {
+		if l.Fits(job, at.Task, w) != code.OK || !w.Capacity.Holds(job.Spec.Tasks[at.Task].Room) {
+			continue
+		}
+		locality, busyness := d.Locality(job, at, w.ID()), d.busyness(l, w)
+		if locality > bestLocality || locality == bestLocality && busyness < bestBusyness {
+			best, bestLocality, bestBusyness = w.ID(), locality, busyness
+		}
+	}
+	if best == "" {
+		d.unplaced[at] = true
+		return
+	}
+	d.put(at, best)
+}
+
+func (d *Dispatch) busyness(l *ledger.Ledger, w ledger.Worker) float64 {
+	slots := 0
+	for at := range d.inbox[w.ID()] {
+		if job, ok := l.Job(at.Job); ok {
+			slots += job.Spec.Tasks[at.Task].Room.Slots
+		}
+	}
+	slots += w.Capacity.Slots - l.Room(w.ID()).Slots
+	return float64(slots) / math.Max(1, float64(w.Capacity.Slots))
+}
+
+// Locality is |H ∩ D| / |D|: of what the task depends on, the part that the
+// worker has completed. Without dependencies it is 0 for every worker.
+func (d *Dispatch) Locality(job ledger.Job, at Ref, worker string) float64 {
+	after := job.Spec.Tasks[at.Task].After
+	if len(after) == 0 {
+		return 0
+	}
+	held := 0
+	for i, other := range job.Spec.Tasks {
+		for _, dep := range after {
+			if dep == other.ID && d.entries[worker][Ref{at.Job, i}] == holds {
+				held++
+			}
+		}
+	}
+	return float64(held) / float64(len(after))
+}
+
+func (d *Dispatch) sorted(l *ledger.Ledger, set map[Ref]bool) []Ref {
+	out := make([]Ref, 0, len(set))
+	for at := range set {
+		out = append(out, at)
+	}
+	sort.Slice(out, func(i, j int) bool { return number(l, out[i]) < number(l, out[j]) })
+	return out
+}
+
+func number(l *ledger.Ledger, at Ref) uint64 {
+	if job, ok := l.Job(at.Job); ok {
+		return job.Tasks[at.Task].Number
+	}
+	return math.MaxUint64
+}
+
+// Inboxes gives, per worker, what waits in its inbox by number.
+func (d *Dispatch) Inboxes(l *ledger.Ledger) map[string][]Ref {
+	out := map[string][]Ref{}
+	for w, set := range d.inbox {
+		if len(set) > 0 {
+			out[w] = d.sorted(l, set)
+		}
+	}
+	return out
+}
+
+// Unplaced gives the tasks that no present worker could take.
+func (d *Dispatch) Unplaced(l *ledger.Ledger) []Ref { return d.sorted(l, d.unplaced) }
--- /dev/null
+++ b/core/dispatch/pick.go
@@ -0,0 +1,355 @@
+// How a worker's pull is answered. Classes come first: a quick task stands
+// before all others, then the larger result of the order policy. Within one
+// tier Fela decides. A gang is answered whole, over several workers, or not at
+// all.
+package dispatch
+
+import (
+	"math"
+	"time"
+
+	"sorrelloom/core/code"
+	"sorrelloom/core/ledger"
+	"sorrelloom/core/plan"
+)
+
+// Held is what the caller has asked the ledger for and not heard of yet, or
+// was refused a moment ago.
+type Held struct {
+	Tasks map[Ref]bool
+	Room  map[string]ledger.Room
+}
+
+type tier struct {
+	quick bool
+	order float64
+}
+
+func (t tier) less(o tier) bool {
+	if t.quick != o.quick {
+		return !t.quick
+	}
+	return t.order < o.order
+}
+
+type candidate struct {
+	at       Ref
+	job      ledger.Job
+	tier     tier
+	level    int
+	locality float64
+	number   uint64
+}
+
+// better is the order within one inbox; it counts the rule that decided.
+func (d *Dispatch) better(a, b candidate) bool {
+	switch {
+	case a.tier != b.tier:
+		return b.tier.less(a.tier)
+	case a.level != b.level:
+		return a.level > b.level
+	case a.locality != b.locality:
+		return a.locality > b.locality
+	}
+	return a.number < b.number
+}
+
+func (d *Dispatch) tierOf(l *ledger.Ledger, job ledger.Job, i int) tier {
+	class := l.Plan().Services[job.Spec.Service].Classes[job.Spec.Class]
+	usedSlots, shareSlots := l.ClassUse(job.Spec.Service, job.Spec.Class)
+	order := l.Rules().Order(plan.OrderNames{
+		Priority: class.Priority, Level: job.Tasks[i].Level, Waited: (l.At() - job.Tasks[i].ReleasedAt).Seconds(),
+		Share: shareSlots, Used: usedSlots, Class: job.Spec.Class, Service: job.Spec.Service, Slots: job.Spec.Tasks[i].Room.Slots,
+	})
+	return tier{class.Quick, math.Floor(order)}
+}
+
+// Choice is the answer to one pull.
+type Choice struct {
+	Picks  []ledger.Pick
+	Refs   []Ref
+	Helped string
+}
+
+type best struct {
+	candidate
+	found              bool
+	from               string
+	helpers            int
+	progress           float64
+	sawShallow, sawFar bool
+	sawLater           bool
+}
+
+// Next answers the pull of one worker. Helping is asked for only once no worker
+// of the pass found anything of its own.
+func (d *Dispatch) Next(l *ledger.Ledger, worker string, held Held, help bool) (Choice, bool) {
+	w, ok := l.Worker(worker)
+	if !ok {
+		return Choice{}, false
+	}
+	free := l.Room(worker).Less(held.Room[worker])
+	skip := map[Ref]bool{}
+	for {
+		chosen := d.bestOf(l, w, worker, free, held, skip)
+		if help {
+			chosen = d.bestHelp(l, w, free, held, skip, chosen)
+		}
+		if !chosen.found {
+			return Choice{}, false
+		}
+		choice, ok := d.complete(l, chosen, worker, held)
+		if !ok {
+			skip[chosen.at] = true
+			continue
+		}
+		d.note(chosen, worker, len(choice.Picks))
+		return choice, true
+	}
+}
+
+func (d *Dispatch) note(b best, worker string, picks int) {
+	if b.from == worker {
+		d.Counters.Own++
+	} else {
+		d.Counters.Helped++
+	}
+	if picks > 1 {
+		d.Counters.Gangs++
+	}
+	switch {
+	case b.sawShallow:
+		d.Counters.Deepest++
+	case b.sawFar:
+		d.Counters.Locality++
+	case b.sawLater:
+		d.Counters.Smallest++
+	}
+}
+
+// bestOf looks through one inbox with the eyes of one worker.
+func (d *Dispatch) bestOf(l *ledger.Ledger, w ledger.Worker, inbox string, free ledger.Room, held Held, skip map[Ref]bool) best {
+	var out best
+	own := inbox == w.ID()
+	owner, _ := l.Worker(inbox)
+	ownerRoom := l.Room(inbox).Less(held.Room[inbox])
+	for at := range d.inbox[inbox] {
+		job, ok := l.Job(at.Job)
+		if !ok || held.Tasks[at] || skip[at] {
+			continue
+		}
+		spec := job.Spec.Tasks[at.Task]
+		if !free.Holds(spec.Room) || l.Fits(job, at.Task, w) != code.OK {
+			continue
+		}
+		ownerTakes := ownerRoom.Holds(spec.Room) && l.Fits(job, at.Task, owner) == code.OK
+		if !own && ownerTakes && l.At()-job.Tasks[at.Task].ReleasedAt < Patience {
+			continue
+		}
+		if allowed, _ := l.Allowed(job.Spec.Service, job.Spec.Class, gangSlots(job, at.Task)); !allowed {
+			continue
+		}
+		c := candidate{at, job, d.tierOf(l, job, at.Task), job.Tasks[at.Task].Level, d.Locality(job, at, w.ID()), job.Tasks[at.Task].Number}
+		if !out.found || d.better(c, out.candidate) {
+			if out.found {
+				out.mark(c, out.candidate)
+			}
+			out.candidate, out.found, out.from = c, true, inbox
+		} else {
+			out.mark(out.candidate, c)
+		}
+	}
+	return out
+}
+
+func (b *best) mark(won, lost candidate) {
+	switch {
+	case won.tier != lost.tier:
+	case won.level != lost.level:
+		b.sawShallow = true
+	case won.locality != lost.locality:
+		b.sawFar = true
+	default:
+		b.sawLater = true
+	}
+}
+
+// bestHelp looks for a straggler, unless its own inbox has as good a tier.
+func (d *Dispatch) bestHelp(l *ledger.Ledger, w ledger.Worker, free ledger.Room, held Held, skip map[Ref]bool, own best) best {
+	helpers := map[string]int{}
+	for _, from := range d.helping {
+		helpers[from]++
+	}
+	out := own
+	for _, other := range l.Workers() {
+		if other.ID() == w.ID() || len(d.inbox[other.ID()]) == 0 {
+			continue
+		}
+		b := d.bestOf(l, w, other.ID(), free, held, skip)
+		if !b.found {
+			continue
+		}
+		b.helpers, b.progress = helpers[other.ID()], d.Progress(other.ID())
+		switch {
+		case !out.found || out.tier.less(b.tier):
+			out = b
+		case out.from == w.ID() || b.tier.less(out.tier):
+		case b.helpers != out.helpers:
+			if b.helpers < out.helpers {
+				out = b
+			}
+		case b.progress < out.progress:
+			out = b
+		}
+	}
+	return out
+}
+
+// Progress is the part of a worker's work that is done: completed against
+// completed, running and waiting.
+func (d *Dispatch) Progress(worker string) float64 {
+	left := len(d.inbox[worker])
+	for _, what := range d.entries[worker] {
+		if what == runs {
+			left++
+		}
+	}
+	if left == 0 {
+		return 1
+	}
+	return float64(d.done[worker]) / float64(d.done[worker]+left)
+}
+
+func gangSlots(job ledger.Job, i int) int {
+	gang := job.Spec.Tasks[i].Gang
+	if gang == "" {
+		return job.Spec.Tasks[i].Room.Slots
+	}
+	slots := 0
+	for j, spec := range job.Spec.Tasks {
+		if spec.Gang == gang && job.Tasks[j].State != ledger.Done {
+			slots += spec.Room.Slots
+		}
+	}
+	return slots
+}
+
+// complete turns the best task into picks; for a gang it finds room for every
+// member at once, the asking worker first, then by free room.
+func (d *Dispatch) complete(l *ledger.Ledger, b best, worker string, held Held) (Choice, bool) {
+	choice := Choice{Helped: b.from}
+	if b.from == worker {
+		choice.Helped = ""
+	}
+	add := func(i int, to string) {
+		choice.Refs = append(choice.Refs, Ref{b.at.Job, i})
+		choice.Picks = append(choice.Picks, ledger.Pick{Job: b.at.Job, Task: b.job.Spec.Tasks[i].ID, Worker: to})
+	}
+	gang := b.job.Spec.Tasks[b.at.Task].Gang
+	if gang == "" {
+		add(b.at.Task, worker)
+		return choice, true
+	}
+	free := map[string]ledger.Room{}
+	for _, w := range l.Workers() {
+		free[w.ID()] = l.Room(w.ID()).Less(held.Room[w.ID()])
+	}
+	for i, spec := range b.job.Spec.Tasks {
+		t := b.job.Tasks[i]
+		if spec.Gang != gang || t.State == ledger.Done {
+			continue
+		}
+		if t.State != ledger.Open || t.Turn.Held() || held.Tasks[Ref{b.at.Job, i}] {
+			return Choice{}, false
+		}
+		to := ""
+		for _, w := range l.Workers() {
+			if l.Fits(b.job, i, w) != code.OK || !free[w.ID()].Holds(spec.Room) {
+				continue
+			}
+			if to == "" || w.ID() == worker || to != worker && free[w.ID()].Slots > free[to].Slots {
+				to = w.ID()
+			}
+		}
+		if to == "" {
+			return Choice{}, false
+		}
+		free[to] = free[to].Less(spec.Room)
+		add(i, to)
+	}
+	return choice, true
+}
+
+// PushOut finds borrowed turns to ask back on a site's workers: for a waiting
+// task whose class is within its share and for which no fitting worker has
+// room, not even with the turns that are being stopped already.
+func (d *Dispatch) PushOut(l *ledger.Ledger, site string, held Held) (ledger.Pick, bool) {
+	for _, w := range l.Workers() {
+		if w.Site != site {
+			continue
+		}
+		for _, at := range d.sorted(l, d.inbox[w.ID()]) {
+			job, ok := l.Job(at.Job)
+			if !ok || held.Tasks[at] || job.Spec.Tasks[at.Task].Gang != "" || l.At()-job.Tasks[at.Task].ReleasedAt < 20*time.Millisecond {
+				continue
+			}
+			usedSlots, shareSlots := l.ClassUse(job.Spec.Service, job.Spec.Class)
+			if usedSlots+job.Spec.Tasks[at.Task].Room.Slots > shareSlots || d.comes(l, job, at.Task) {
+				continue
+			}
+			if pick, ok := d.victim(l, job, at.Task, site, held); ok {
+				d.Counters.PushOuts++
+				return pick, true
+			}
+		}
+	}
+	return ledger.Pick{}, false
+}
+
+// comes says whether a fitting worker has, or is about to have, the room.
+func (d *Dispatch) comes(l *ledger.Ledger, job ledger.Job, i int) bool {
+	for _, w := range l.Workers() {
+		if l.Fits(job, i, w) != code.OK {
+			continue
+		}
+		room := l.Room(w.ID())
+		for _, p := range l.TurnsOn(w.ID()) {
+			if p.Turn.Stop != "" {
+				room = room.Add(p.Start.Room)
+			}
+		}
+		if room.Holds(job.Spec.Tasks[i].Room) {
+			return true
+		}
+	}
+	return false
+}
+
+// victim is the borrowed turn granted last on a worker where giving back all
+// that is borrowed would make the room.
+func (d *Dispatch) victim(l *ledger.Ledger, job ledger.Job, i int, site string, held Held) (ledger.Pick, bool) {
+	var pick ledger.Pick
+	var newest time.Duration
+	for _, w := range l.Workers() {
+		if w.Site != site || l.Fits(job, i, w) != code.OK {
+			continue
+		}
+		room := l.Room(w.ID())
+		turns := l.TurnsOn(w.ID())
+		for _, p := range turns {
+			if p.Turn.Borrowed {
+				room = room.Add(p.Start.Room)
+			}
+		}
+		if !room.Holds(job.Spec.Tasks[i].Room) {
+			continue
+		}
+		for _, p := range turns {
+			other, _ := l.Job(p.Job)
+			if p.Turn.Borrowed && p.Turn.Stop == "" && p.Turn.GrantedAt >= newest && other.Spec.Class != job.Spec.Class {
+				newest, pick = p.Turn.GrantedAt, ledger.Pick{Job: p.Job, Task: p.Task, Worker: w.ID()}
+			}
+		}
+	}
+	return pick, pick.Job != ""
+}
--- /dev/null
+++ b/core/keeper/keeper.go
@@ -0,0 +1,467 @@
+// Package keeper is the trusted daemon round the ledger. The primary stamps
+// commands, and answers each only once its own disk and the backup's have it
+// synced, in the epoch that the witnesses decided; it never answers alone. The
+// third keeper follows, ready to be backup. Reads wait for the same proof, so a
+// primary that was replaced without knowing cannot answer from the past.
+package keeper
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"sorrelloom/core/code"
+	"sorrelloom/core/ledger"
+	"sorrelloom/core/machine"
+	"sorrelloom/core/register"
+	"sorrelloom/core/wire"
+)
+
+type Env struct {
+	Address  string
+	Site     string
+	Founders []string
+	FreshID  string
+	Boot     uint64
+}
+
+const (
+	heartbeat = 150 * time.Millisecond
+	suspect   = 1500 * time.Millisecond
+	vanished  = 6 * time.Second
+	tailMax   = 4096
+	followFor = 3 * time.Second
+	inFlight  = 4096
+)
+
+const (
+	bucketSelf  = "keeper"
+	keyIdentity = "identity"
+	keyRegister = "register"
+)
+
+// Buckets are all that a keeper's data file holds.
+var Buckets = append([]string{bucketSelf}, ledger.Buckets...)
+
+type peer struct {
+	heardAt  time.Duration
+	at       ledger.Position
+	synced   bool
+	token    uint64
+	resentAt time.Duration
+}
+
+type pending struct {
+	to       string
+	body     wire.CommandBackBody
+	sequence uint64
+	token    uint64
+}
+
+type ack struct {
+	to       string
+	body     wire.ReplicateAckBody
+	sequence uint64
+}
+
+type after struct {
+	sends    []machine.Send
+	sequence uint64
+}
+
+type follower struct {
+	at    ledger.Position
+	until time.Duration
+}
+
+type Keeper struct {
+	env      Env
+	seat     wire.Seat
+	witness  register.State
+	proposal register.Proposal
+	asked    wire.Ballot
+	triedAt  time.Duration
+
+	ledger    *ledger.Ledger
+	base      ledger.Position
+	tail      []ledger.Command
+	sent      ledger.Position
+	committed uint64
+	synced    uint64
+	token     uint64
+
+	serving   bool
+	startAt   time.Duration
+	leadingAt time.Duration
+	beganAt   time.Duration
+	beatAt    time.Duration
+	soughtAt  time.Duration
+	peers     map[string]peer
+	answers   []pending
+	acks      []ack
+	records   []machine.Record
+	wipe      bool
+	sends     []machine.Send
+	writing   map[uint64]after
+	nextWrite uint64
+	wroteAt   time.Duration
+	followers map[string]follower
+	told      uint64
+	found     map[string]wire.FoundBody
+	nodes     []wire.Node
+	stopping  bool
+	wakeAt    time.Duration
+}
+
+// New rebuilds a keeper from its data file. Without an identity on the disk it
+// is a new keeper, whatever stood at its address before.
+func New(env Env, records []machine.Record) (*Keeper, error) {
+	k := &Keeper{env: env, peers: map[string]peer{}, writing: map[uint64]after{}, followers: map[string]follower{}, found: map[string]wire.FoundBody{}}
+	k.seat = wire.Seat{Address: env.Address, Site: env.Site}
+	var rest []machine.Record
+	for _, r := range records {
+		var err error
+		switch {
+		case r.Bucket != bucketSelf:
+			rest = append(rest, r)
+		case r.Key == keyIdentity:
+			err = json.Unmarshal(r.Value, &k.seat.ID)
+		case r.Key == keyRegister:
+			err = json.Unmarshal(r.Value, &k.witness)
+		}
+		if err != nil {
+			return nil, fmt.Errorf("record %s/%s: %w", r.Bucket, r.Key, err)
+		}
+	}
+	l, err := ledger.Load(rest)
+	if err != nil {
+		return nil, err
+	}
+	k.ledger = l
+	k.reset()
+	k.synced = k.ledger.Position().Sequence
+	if k.seat.ID == "" {
+		if len(rest) > 0 || k.witness.Known.Epoch > 0 {
+			return nil, fmt.Errorf("the data file has records but no identity")
+		}
+		k.seat.ID = env.FreshID
+		k.put(keyIdentity, k.seat.ID)
+	}
+	return k, nil
+}
+
+// reset forgets the tail: a copy begins where the ledger stands.
+func (k *Keeper) reset() {
+	k.base, k.tail, k.sent = k.ledger.Position(), nil, k.ledger.Position()
+}
+
+func (k *Keeper) put(key string, v any) {
+	k.records = append(k.records, machine.Record{Bucket: bucketSelf, Key: key, Value: machine.MustJSON(v)})
+}
+
+func (k *Keeper) ID() string                                       { return k.seat.ID }
+func (k *Keeper) Wakeup() time.Duration                            { return k.wakeAt }
+func (k *Keeper) View() wire.View                                  { return k.witness.Known }
+func (k *Keeper) Serving() bool                                    { return k.serving }
+func (k *Keeper) Ledger() *ledger.Ledger                           { return k.ledger }
+func (k *Keeper) leads() bool                                      { return k.witness.Known.Primary.ID == k.seat.ID }
+func (k *Keeper) backs() bool                                      { return k.witness.Known.Backup.ID == k.seat.ID }
+func (k *Keeper) send(out *machine.Output, to, kind string, b any) { out.Send(to, kind, b) }
+
+// Step is the whole keeper.
+func (k *Keeper) Step(now time.Duration, in machine.Input) machine.Output {
+	var out machine.Output
+	if k.startAt == 0 {
+		k.startAt, k.beganAt = now, now
+	}
+	switch {
+	case in.Wrote > 0:
+		k.wrote(now, in.Wrote, &out)
+	case in.Line.Kind != "":
+		k.line(now, in.Line, &out)
+	case in.Stop:
+		k.stopping = true
+	}
+	k.wakeups(now, &out)
+	k.flush(now, &out)
+	if k.stopping && !k.serving {
+		out.Stopped = true
+	}
+	return out
+}
+
+func (k *Keeper) line(now time.Duration, line machine.Line, out *machine.Output) {
+	take := func(v any) bool {
+		if err := json.Unmarshal(line.Body, v); err != nil {
+			out.Log("line_damaged", "kind", line.Kind, "from", line.From, "why", err.Error())
+			return false
+		}
+		return true
+	}
+	switch line.Kind {
+	case wire.Command:
+		var b wire.CommandBody
+		if take(&b) {
+			k.command(now, line.From, b, out)
+		}
+	case wire.Replicate:
+		var b wire.ReplicateBody
+		if take(&b) {
+			k.replicate(now, line.From, b, out)
+		}
+	case wire.Copy:
+		var b wire.CopyBody
+		if take(&b) {
+			k.copied(now, line.From, b, out)
+		}
+	case wire.ReplicateAck:
+		var b wire.ReplicateAckBody
+		if take(&b) {
+			k.acked(now, line.From, b, out)
+		}
+	case wire.Follow:
+		var b wire.FollowBody
+		if take(&b) {
+			k.follow(now, line.From, b, out)
+		}
+	case wire.Prepare, wire.Accept:
+		var b wire.RegisterBody
+		if take(&b) {
+			k.vote(now, line.From, line.Kind, b, out)
+		}
+	case wire.PrepareBack, wire.AcceptBack:
+		var b wire.RegisterBody
+		if take(&b) {
+			k.voted(now, line.Kind, b, out)
+		}
+	case wire.Decided:
+		var b wire.RegisterBody
+		if take(&b) {
+			k.learn(now, b.Known, out)
+		}
+	case wire.Found, wire.FoundBack:
+		var b wire.FoundBody
+		if take(&b) {
+			k.founding(now, line, b, out)
+		}
+	case wire.Nodes:
+		var b wire.Gossip
+		if take(&b) {
+			k.nodes = b.Nodes
+		}
+	default:
+		out.Log("line_unknown", "kind", line.Kind, "from", line.From)
+	}
+}
+
+// proven says whether the backup has answered in this epoch a moment ago.
+func (k *Keeper) proven(now time.Duration) bool {
+	return k.serving && now-k.peers[k.witness.Known.Backup.ID].heardAt < suspect
+}
+
+func (k *Keeper) command(now time.Duration, from string, b wire.CommandBody, out *machine.Output) {
+	if !k.proven(now) {
+		k.send(out, from, wire.CommandBack, k.notPrimary(b.ID))
+		return
+	}
+	if len(k.answers) > inFlight {
+		k.send(out, from, wire.CommandBack, wire.CommandBackBody{ID: b.ID, Answer: ledger.Answer{
+			Code: code.InboxFull, Why: "too many writes are under way", RetryAfter: time.Second,
+		}})
+		return
+	}
+	var answer ledger.Answer
+	if b.Command.Kind == ledger.KindRead {
+		answer = k.read(b.Command.Name)
+	} else {
+		answer = k.apply(now, b.Command)
+	}
+	k.answers = append(k.answers, pending{from, wire.CommandBackBody{ID: b.ID, At: k.ledger.Position().Sequence, Answer: answer}, k.ledger.Position().Sequence, k.token + 1})
+}
+
+func (k *Keeper) read(name string) ledger.Answer {
+	job, ok := k.ledger.Job(name)
+	if !ok {
+		return ledger.Answer{Code: code.UnknownJob, Why: "job " + name + " is not known"}
+	}
+	return ledger.Answer{Code: code.OK, Job: job}
+}
+
+func (k *Keeper) apply(now time.Duration, cmd ledger.Command) ledger.Answer {
+	cmd.Position = ledger.Position{Epoch: k.witness.Known.Epoch, Sequence: k.ledger.Position().Sequence + 1}
+	cmd.At = k.leadingAt + now - k.beganAt
+	k.remember(cmd)
+	return k.ledger.Apply(cmd)
+}
+
+func (k *Keeper) remember(cmd ledger.Command) {
+	k.tail = append(k.tail, cmd)
+	if len(k.tail) > 2*tailMax {
+		k.base = k.tail[tailMax-1].Position
+		k.tail = slices.Clone(k.tail[tailMax:])
+	}
+}
+
+// since gives the commands after a position, if the tail still reaches back.
+func (k *Keeper) since(at ledger.Position) ([]ledger.Command, bool) {
+	if at == k.base {
+		return k.tail, true
+	}
+	i, ok := slices.BinarySearchFunc(k.tail, at.Sequence, func(c ledger.Command, s uint64) int { return int(c.Sequence) - int(s) })
+	if !ok || k.tail[i].Position != at {
+		return nil, false
+	}
+	return k.tail[i+1:], true
+}
+
+func (k *Keeper) notPrimary(id uint64) wire.CommandBackBody {
+	b := wire.CommandBackBody{ID: id, Answer: ledger.Answer{Code: code.NotPrimary, Why: "this keeper does not lead now"}}
+	if !k.leads() {
+		b.Primary = k.witness.Known.Primary.Address
+	}
+	return b
+}
+
+// flush writes what changed since the last batch and, as leader, sends the new
+// commands along at the same moment.
+func (k *Keeper) flush(now time.Duration, out *machine.Output) {
+	if k.serving {
+		k.replicateNew(now, out)
+	}
+	if len(k.writing) > 0 {
+		return
+	}
+	k.ledger.TakeChanges()
+	k.records = append(k.records, k.ledger.TakeDirty()...)
+	if len(k.records) == 0 && len(k.sends) == 0 {
+		k.settle(out)
+		return
+	}
+	if len(k.records) == 0 {
+		out.Sends = append(out.Sends, k.sends...)
+		k.sends = nil
+		k.settle(out)
+		return
+	}
+	k.nextWrite++
+	w := machine.Write{Done: k.nextWrite, Records: k.records}
+	if k.wipe {
+		w.Wipe = ledger.Buckets
+	}
+	k.writing[k.nextWrite] = after{k.sends, k.ledger.Position().Sequence}
+	k.records, k.sends, k.wipe, k.wroteAt = nil, nil, false, now
+	out.Writes = append(out.Writes, w)
+}
+
+func (k *Keeper) replicateNew(now time.Duration, out *machine.Output) {
+	position := k.ledger.Position()
+	waits := len(k.answers) > 0 && k.answers[len(k.answers)-1].token > k.token
+	if position == k.sent && !waits && now-k.beatAt < heartbeat {
+		return
+	}
+	commands, _ := k.since(k.sent)
+	k.token++
+	k.beatAt = now
+	for _, seat := range k.witness.Known.Witnesses {
+		if seat.ID != k.seat.ID {
+			k.send(out, seat.Address, wire.Replicate, wire.ReplicateBody{View: k.witness.Known, From: k.seat, Token: k.token, After: k.sent, Commands: slices.Clone(commands)})
+		}
+	}
+	k.sent = position
+}
+
+func (k *Keeper) wrote(now time.Duration, done uint64, out *machine.Output) {
+	w, ok := k.writing[done]
+	if !ok {
+		return
+	}
+	delete(k.writing, done)
+	if took := now - k.wroteAt; took > 500*time.Millisecond {
+		out.Log("disk_slow", "tookMs", took.Milliseconds())
+	}
+	k.synced = w.sequence
+	out.Sends = append(out.Sends, w.sends...)
+	k.settle(out)
+}
+
+// settle sends what waited for the disks: the backup's acks, and the leader's
+// answers once both have everything that the answer rests on.
+func (k *Keeper) settle(out *machine.Output) {
+	var keep []ack
+	for _, a := range k.acks {
+		if a.sequence <= k.synced {
+			out.Send(a.to, wire.ReplicateAck, a.body)
+		} else {
+			keep = append(keep, a)
+		}
+	}
+	k.acks = keep
+	if !k.serving {
+		return
+	}
+	backup := k.peers[k.witness.Known.Backup.ID]
+	if backup.synced {
+		k.committed = max(k.committed, min(k.synced, backup.at.Sequence))
+	}
+	n := 0
+	for ; n < len(k.answers); n++ {
+		a := k.answers[n]
+		if a.sequence > k.committed || a.token > backup.token {
+			break
+		}
+		out.Send(a.to, wire.CommandBack, a.body)
+	}
+	k.answers = slices.Clone(k.answers[n:])
+	k.tell(out)
+}
+
+// tell pushes committed commands to the followers.
+func (k *Keeper) tell(out *machine.Output) {
+	if k.committed <= k.told {
+		return
+	}
+	k.told = k.committed
+	for address, f := range k.followers {
+		k.news(address, f, out)
+	}
+}
+
+func (k *Keeper) news(address string, f follower, out *machine.Output) {
+	body := wire.NewsBody{Epoch: k.witness.Known.Epoch, After: f.at, At: f.at}
+	commands, ok := k.since(f.at)
+	if ok {
+		for _, c := range commands {
+			if c.Sequence <= k.committed {
+				body.Commands = append(body.Commands, c)
+				body.At = c.Position
+			}
+		}
+	} else if k.committed == k.ledger.Position().Sequence {
+		body.Records, body.At = k.ledger.Records(), k.ledger.Position()
+	}
+	k.followers[address] = follower{body.At, f.until}
+	out.Send(address, wire.News, body)
+}
+
+func (k *Keeper) follow(now time.Duration, from string, b wire.FollowBody, out *machine.Output) {
+	if !k.proven(now) {
+		body := wire.NewsBody{Bounced: true, At: b.At, After: b.At}
+		if !k.leads() {
+			body.Primary = k.witness.Known.Primary.Address
+		}
+		out.Send(from, wire.News, body)
+		return
+	}
+	if f, ok := k.followers[from]; ok && f.at == b.At {
+		k.followers[from] = follower{f.at, now + followFor}
+		if b.At.Sequence >= k.committed {
+			out.Send(from, wire.News, wire.NewsBody{Epoch: k.witness.Known.Epoch, At: b.At, After: b.At})
+			return
+		}
+	}
+	k.news(from, follower{b.At, now + followFor}, out)
+}
+
+// Batches counts the writes issued so far.
+func (k *Keeper) Batches() uint64 { return k.nextWrite }
--- /dev/null
+++ b/core/ledger/ledger.go
@@ -0,0 +1,549 @@
+// Package ledger is the trusted core: one pure and deterministic state machine
+// of jobs, tasks, turns, workers, sites, duties and the plan. Every promise is
+// checked here, in the one conditional write that makes a change; whoever asks
+// for a change may be slow, stale or wrong, and is then bounced. The same code
+// runs on the primary, the backup, the third keeper and every follower.
+package ledger
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"sort"
+	"strings"
+	"time"
+
+	"sorrelloom/core/code"
+	"sorrelloom/core/machine"
+	"sorrelloom/core/plan"
+)
+
+type ref struct {
+	job  string
+	task int
+}
+
+type need struct {
+	service, class, labels string
+	room                   Room
+	gang                   int
+}
+
+// Changed names a task or a worker that the last commands touched.
+type Changed struct {
+	Job    string
+	Task   int
+	Worker string
+	All    bool
+}
+
+type Ledger struct {
+	position Position
+	at       time.Duration
+	next     uint64
+	plan     plan.Plan
+	token    string
+	rules    plan.Rules
+	jobs     map[string]Job
+	workers  map[string]Worker
+	emptied  map[string]bool
+	duties   map[string]Duty
+	daemons  map[string]Daemon
+
+	turns   map[string]map[ref]bool
+	used    map[[2]string]int
+	inbox   map[[2]string]int
+	waiting map[need]int
+	active  map[string]bool
+	dirty   map[[2]string]bool
+	changes []Changed
+}
+
+func New() *Ledger {
+	l := &Ledger{plan: plan.Default(), next: 1}
+	l.rules = l.plan.Compile()
+	l.jobs, l.workers, l.emptied = map[string]Job{}, map[string]Worker{}, map[string]bool{}
+	l.duties, l.daemons = map[string]Duty{}, map[string]Daemon{}
+	l.dirty = map[[2]string]bool{}
+	l.index()
+	return l
+}
+
+// index rebuilds what is derived from the records.
+func (l *Ledger) index() {
+	l.turns, l.used, l.inbox = map[string]map[ref]bool{}, map[[2]string]int{}, map[[2]string]int{}
+	l.waiting, l.active = map[need]int{}, map[string]bool{}
+	for id, job := range l.jobs {
+		if !ended(job) {
+			l.active[id] = true
+		}
+		for i := range job.Tasks {
+			l.count(job, i, 1)
+		}
+	}
+	l.changes = append(l.changes, Changed{All: true})
+}
+
+func ended(job Job) bool {
+	return job.State == Done || job.State == Failed || job.State == Cancelled
+}
+
+func (l *Ledger) count(job Job, i, by int) {
+	t, spec := job.Tasks[i], job.Spec.Tasks[i]
+	class := [2]string{job.Spec.Service, job.Spec.Class}
+	if !t.Closed() {
+		l.inbox[class] += by
+	}
+	if t.Turn.Held() {
+		l.used[class] += by * spec.Room.Slots
+		at := ref{job.Spec.ID, i}
+		if l.turns[t.Turn.Worker] == nil {
+			l.turns[t.Turn.Worker] = map[ref]bool{}
+		}
+		if by > 0 {
+			l.turns[t.Turn.Worker][at] = true
+		} else {
+			delete(l.turns[t.Turn.Worker], at)
+		}
+	} else if t.State == Open {
+		n := l.needOf(job, i)
+		if l.waiting[n] += by; l.waiting[n] == 0 {
+			delete(l.waiting, n)
+		}
+	}
+}
+
+func (l *Ledger) needOf(job Job, i int) need {
+	spec := job.Spec.Tasks[i]
+	n := need{job.Spec.Service, job.Spec.Class, strings.Join(spec.Labels, ","), spec.Room, 0}
+	if spec.Gang != "" {
+		for _, other := range job.Spec.Tasks {
+			if other.Gang == spec.Gang {
+				n.gang += other.Room.Slots
+			}
+		}
+	}
+	return n
+}
+
+// setTask is the only way a task changes; it keeps the counts right. The job's
+// task slice is copied first, so that copies handed out stay as they were.
+func (l *Ledger) setTask(at ref, t Task) {
+	job := l.jobs[at.job]
+	l.count(job, at.task, -1)
+	job.Tasks = slices.Clone(job.Tasks)
+	job.Tasks[at.task] = t
+	l.jobs[at.job] = job
+	l.count(job, at.task, 1)
+	l.touch("job", at.job)
+	l.changes = append(l.changes, Changed{Job: at.job, Task: at.task})
+}
+
+func (l *Ledger) touch(bucket, key string) { l.dirty[[2]string{bucket, key}] = true }
+
+func (l *Ledger) Position() Position { return l.position }
+func (l *Ledger) At() time.Duration  { return l.at }
+func (l *Ledger) Plan() plan.Plan    { return l.plan }
+func (l *Ledger) Rules() plan.Rules  { return l.rules }
+
+// TakeChanges hands over what changed since it was last called.
+func (l *Ledger) TakeChanges() []Changed {
+	out := l.changes
+	l.changes = nil
+	return out
+}
+
+// Apply makes one change, or bounces it leaving everything as it was. It never
+// looks at a clock: cmd.At is ledger time, and never runs backwards.
+func (l *Ledger) Apply(cmd Command) Answer {
+	l.position = cmd.Position
+	l.at = max(l.at, cmd.At)
+	l.touch("meta", "position")
+	switch cmd.Kind {
+	case KindAccept:
+		return l.accept(cmd.Accept)
+	case KindCancel:
+		return l.cancel(cmd.Name)
+	case KindBeat:
+		return l.beat(cmd.Beat)
+	case KindGrant:
+		return l.grant(cmd.Grant)
+	case KindPushOut:
+		return l.pushOut(cmd.Grant)
+	case KindPlan:
+		return l.change(cmd.Plan)
+	case KindSite:
+		return l.site(cmd.Name, cmd.On)
+	case KindDrain:
+		return l.drain(cmd.Name, cmd.On)
+	case KindHello:
+		return l.hello(cmd.Hello)
+	case KindTick:
+		return l.tick()
+	}
+	return bounce(code.Malformed, "unknown command %q", cmd.Kind)
+}
+
+func (l *Ledger) accept(spec JobSpec) Answer {
+	spec = Normal(spec)
+	if old, ok := l.jobs[spec.ID]; ok {
+		if !sameSpec(old.Spec, spec) {
+			return bounce(code.OtherContent, "job %s was accepted before with other content", spec.ID)
+		}
+		return Answer{Code: code.Same, Job: old}
+	}
+	if a := l.Check(spec); !a.Code.Good() {
+		return a
+	}
+	job := Job{Spec: spec, State: Waiting, AcceptedAt: l.at, Tasks: make([]Task, len(spec.Tasks))}
+	levels := levelsOf(spec)
+	for i := range spec.Tasks {
+		job.Tasks[i] = Task{Number: l.next, State: Waiting, Level: levels[i]}
+		l.next++
+	}
+	l.jobs[spec.ID], l.active[spec.ID] = job, true
+	l.touch("job", spec.ID)
+	for i := range job.Tasks {
+		l.count(job, i, 1)
+	}
+	l.release(spec.ID)
+	return Answer{Code: code.OK, Job: l.jobs[spec.ID]}
+}
+
+func sameSpec(a, b JobSpec) bool {
+	return bytes.Equal(machine.MustJSON(a), machine.MustJSON(b))
+}
+
+// release opens every task whose dependencies are all done, and ends the job
+// once nothing of it is open or runs.
+func (l *Ledger) release(id string) {
+	job := l.jobs[id]
+	byID := map[string]Task{}
+	for i, spec := range job.Spec.Tasks {
+		byID[spec.ID] = job.Tasks[i]
+	}
+	for i, spec := range job.Spec.Tasks {
+		t := job.Tasks[i]
+		if t.State != Waiting || job.Ending != "" {
+			continue
+		}
+		ready := true
+		for _, dep := range spec.After {
+			ready = ready && byID[dep].State == Done
+		}
+		if ready {
+			t.State, t.ReleasedAt = Open, l.at
+			l.setTask(ref{id, i}, t)
+		}
+	}
+	l.settle(id)
+}
+
+func (l *Ledger) settle(id string) {
+	job := l.jobs[id]
+	if ended(job) {
+		return
+	}
+	state := Done
+	for _, t := range job.Tasks {
+		if !t.Closed() || t.Turn.Held() {
+			state = Waiting
+			for _, other := range job.Tasks {
+				if other.Turn.StartedAt > 0 || other.State == Done {
+					state = Running
+				}
+			}
+			break
+		}
+		if t.State != Done {
+			state = job.Ending
+		}
+	}
+	if state != job.State {
+		job.State = state
+		if ended(job) {
+			job.EndedAt = l.at
+			delete(l.active, id)
+		}
+		l.jobs[id] = job
+		l.touch("job", id)
+		l.changes = append(l.changes, Changed{Job: id, Task: -1})
+	}
+}
+
+// finish closes what is left of a job that failed or was cancelled.
+func (l *Ledger) finish(id, ending, why string) {
+	job := l.jobs[id]
+	if job.Ending != "" || ended(job) {
+		return
+	}
+	job.Ending, job.Why = ending, why
+	l.jobs[id] = job
+	l.touch("job", id)
+	for i, t := range job.Tasks {
+		if t.Closed() {
+			continue
+		}
+		t.State, t.EndedAt, t.Why = Cancelled, l.at, why
+		if t.Turn.Held() && t.Turn.Stop == "" {
+			t.Turn.Stop = why
+		}
+		l.setTask(ref{id, i}, t)
+	}
+	l.settle(id)
+}
+
+func (l *Ledger) cancel(id string) Answer {
+	job, ok := l.jobs[id]
+	if !ok {
+		return bounce(code.UnknownJob, "job %s is not known", id)
+	}
+	if ended(job) || job.Ending != "" {
+		return Answer{Code: code.Same, Job: job}
+	}
+	l.finish(id, Cancelled, "cancelled by the caller")
+	return Answer{Code: code.OK, Job: l.jobs[id]}
+}
+
+func (l *Ledger) change(c PlanChange) Answer {
+	if c.Token != "" && c.Token == l.token {
+		return Answer{Code: code.Same, Sequence: l.plan.Sequence}
+	}
+	if !c.Forced && c.Base != l.plan.Sequence {
+		a := bounce(code.StalePlan, "the plan is at sequence %d, not %d", l.plan.Sequence, c.Base)
+		a.Sequence = l.plan.Sequence
+		return a
+	}
+	var next plan.Plan
+	var faults []plan.Fault
+	if c.Patch {
+		next, faults = plan.Merge(l.plan, c.Body)
+	} else {
+		next, faults = plan.Parse(c.Body)
+	}
+	if len(faults) > 0 {
+		a := bounce(faults[0].Code, "%s: %s", faults[0].Place, faults[0].Why)
+		a.Faults, a.Sequence = faults, l.plan.Sequence
+		return a
+	}
+	next.Sequence = l.plan.Sequence + 1
+	l.plan, l.rules, l.token = next, next.Compile(), c.Token
+	l.touch("meta", "plan")
+	l.changes = append(l.changes, Changed{All: true})
+	return Answer{Code: code.OK, Sequence: next.Sequence}
+}
+
+func (l *Ledger) site(name string, on bool) Answer {
+	if name == "" {
+		return bounce(code.UnknownName, "a site needs a name")
+	}
+	l.emptied[name] = on
+	if !on {
+		delete(l.emptied, name)
+	}
+	l.touch("site", name)
+	for _, id := range sorted(l.workers) {
+		if w := l.workers[id]; on && w.Site == name {
+			l.stopAll(id, "the site is emptied")
+		}
+	}
+	l.changes = append(l.changes, Changed{All: true})
+	return Answer{Code: code.OK}
+}
+
+func (l *Ledger) drain(name string, on bool) Answer {
+	w, ok := l.workers[name]
+	if !ok {
+		return bounce(code.UnknownName, "worker %s is not known", name)
+	}
+	w.Drained = on
+	l.workers[name] = w
+	l.touch("worker", name)
+	l.changes = append(l.changes, Changed{Worker: name})
+	return Answer{Code: code.OK}
+}
+
+// stopAll sends back what a worker has not started yet; what runs may end.
+func (l *Ledger) stopAll(worker, why string) {
+	for _, at := range l.turnsOn(worker) {
+		t := l.jobs[at.job].Tasks[at.task]
+		if t.Turn.StartedAt == 0 && t.Turn.Stop == "" {
+			t.Turn.Stop = why
+			l.setTask(at, t)
+		}
+	}
+}
+
+func (l *Ledger) turnsOn(worker string) []ref {
+	out := make([]ref, 0, len(l.turns[worker]))
+	for at := range l.turns[worker] {
+		out = append(out, at)
+	}
+	sort.Slice(out, func(i, j int) bool {
+		a, b := out[i], out[j]
+		return l.jobs[a.job].Tasks[a.task].Number < l.jobs[b.job].Tasks[b.task].Number
+	})
+	return out
+}
+
+// hello keeps a scheduler known and moves duties: the holder may name its
+// successor, and a duty whose holder has gone silent goes to who asks first.
+func (l *Ledger) hello(h Hello) Answer {
+	if h.Leaving {
+		delete(l.daemons, h.Daemon)
+	} else {
+		l.daemons[h.Daemon] = Daemon{ID: h.Daemon, Site: h.Site, SeenAt: l.at}
+	}
+	l.touch("daemon", h.Daemon)
+	for _, name := range sorted(l.duties) {
+		if d := l.duties[name]; d.Holder == h.Daemon && !h.Leaving {
+			d.SeenAt = l.at
+			l.duties[name] = d
+			l.touch("duty", name)
+		}
+	}
+	if h.Want == "" {
+		return Answer{Code: code.OK}
+	}
+	d := l.duties[h.Want]
+	silent := l.at-d.SeenAt > l.plan.Limits.Silent.Duration/2
+	passed := h.Pass && d.Holder == h.Daemon
+	if h.Epoch != d.Epoch || (d.Holder != "" && !silent && !passed) {
+		return bounce(code.StaleEpoch, "duty %s is held by %s at epoch %d", h.Want, d.Holder, d.Epoch)
+	}
+	to := h.For
+	if to == "" {
+		to = h.Daemon
+	}
+	l.duties[h.Want] = Duty{Name: h.Want, Holder: to, Epoch: d.Epoch + 1, SeenAt: l.at}
+	l.touch("duty", h.Want)
+	l.changes = append(l.changes, Changed{All: true})
+	return Answer{Code: code.OK}
+}
+
+func sorted[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+type meta struct {
+	Position Position      `json:"position"`
+	At       time.Duration `json:"at"`
+	Next     uint64        `json:"next"`
+	Token    string        `json:"token,omitempty"`
+}
+
+// TakeDirty gives the records that changed since it was last called.
+func (l *Ledger) TakeDirty() []machine.Record {
+	keys := make([][2]string, 0, len(l.dirty))
+	for k := range l.dirty {
+		keys = append(keys, k)
+	}
+	sort.Slice(keys, func(i, j int) bool { return keys[i][0]+"/"+keys[i][1] < keys[j][0]+"/"+keys[j][1] })
+	out := make([]machine.Record, 0, len(keys))
+	for _, k := range keys {
+		out = append(out, l.record(k[0], k[1]))
+	}
+	l.dirty = map[[2]string]bool{}
+	return out
+}
+
+var Buckets = []string{"meta", "job", "worker", "site", "duty", "daemon"}
+
+func (l *Ledger) record(bucket, key string) machine.Record {
+	r := machine.Record{Bucket: bucket, Key: key}
+	put := func(v any, ok bool) {
+		if ok {
+			r.Value = machine.MustJSON(v)
+		}
+	}
+	switch bucket {
+	case "job":
+		v, ok := l.jobs[key]
+		put(v, ok)
+	case "worker":
+		v, ok := l.workers[key]
+		put(v, ok)
+	case "site":
+		v, ok := l.emptied[key]
+		put(v, ok)
+	case "duty":
+		v, ok := l.duties[key]
+		put(v, ok)
+	case "daemon":
+		v, ok := l.daemons[key]
+		put(v, ok)
+	case "meta":
+		if key == "plan" {
+			put(l.plan, true)
+		} else {
+			put(meta{l.position, l.at, l.next, l.token}, true)
+		}
+	}
+	return r
+}
+
+// Records is the whole ledger, for a copy.
+func (l *Ledger) Records() []machine.Record {
+	out := []machine.Record{l.record("meta", "position"), l.record("meta", "plan")}
+	for bucket, keys := range map[string][]string{
+		"job": sorted(l.jobs), "worker": sorted(l.workers), "site": sorted(l.emptied),
+		"duty": sorted(l.duties), "daemon": sorted(l.daemons),
+	} {
+		for _, key := range keys {
+			out = append(out, l.record(bucket, key))
+		}
+	}
+	sort.SliceStable(out, func(i, j int) bool { return out[i].Bucket < out[j].Bucket })
+	return out
+}
+
+// Load rebuilds a ledger from its records.
+func Load(records []machine.Record) (*Ledger, error) {
+	l := New()
+	for _, r := range records {
+		var err error
+		switch r.Bucket {
+		case "job":
+			err = load(l.jobs, r)
+		case "worker":
+			err = load(l.workers, r)
+		case "site":
+			err = load(l.emptied, r)
+		case "duty":
+			err = load(l.duties, r)
+		case "daemon":
+			err = load(l.daemons, r)
+		case "meta":
+			if r.Key == "plan" {
+				err = json.Unmarshal(r.Value, &l.plan)
+			} else {
+				var m meta
+				err = json.Unmarshal(r.Value, &m)
+				l.position, l.at, l.next, l.token = m.Position, m.At, m.Next, m.Token
+			}
+		default:
+			err = fmt.Errorf("unknown bucket")
+		}
+		if err != nil {
+			return nil, fmt.Errorf("record %s/%s: %w", r.Bucket, r.Key, err)
+		}
+	}
+	l.rules = l.plan.Compile()
+	l.index()
+	return l, nil
+}
+
+func load[V any](into map[string]V, r machine.Record) error {
+	var v V
+	if err := json.Unmarshal(r.Value, &v); err != nil {
+		return err
+	}
+	into[r.Key] = v
+	return nil
+}
--- /dev/null
+++ b/core/ledger/turns.go
@@ -0,0 +1,509 @@
+// Turns: how a task is granted, confirmed, renewed, stopped and given back. A
+// turn leaves its worker only when the worker says that it does not run it, or
+// when the last cutoff that the worker can have been told, and a margin, have
+// passed. A good end counts from any attempt.
+package ledger
+
+import (
+	"slices"
+	"time"
+
+	"sorrelloom/core/code"
+	"sorrelloom/core/plan"
+)
+
+const (
+	gangStop = "the gang is not whole"
+	limit    = "the run limit passed"
+)
+
+func (l *Ledger) find(a Attempt) (ref, Task, bool) {
+	job, ok := l.jobs[a.Job]
+	if !ok {
+		return ref{}, Task{}, false
+	}
+	i := slices.IndexFunc(job.Spec.Tasks, func(t TaskSpec) bool { return t.ID == a.Task })
+	if i < 0 {
+		return ref{}, Task{}, false
+	}
+	return ref{a.Job, i}, job.Tasks[i], true
+}
+
+func (l *Ledger) attempt(at ref) Attempt {
+	job := l.jobs[at.job]
+	return Attempt{at.job, job.Spec.Tasks[at.task].ID, job.Tasks[at.task].Turn.Try}
+}
+
+func holds(t Turn, b Beat) bool { return t.Worker == b.Worker && t.Incarnation == b.Incarnation }
+
+// beat takes a worker's report. The worker is believed about itself only.
+func (l *Ledger) beat(b Beat) Answer {
+	old, known := l.workers[b.Worker]
+	if b.Worker == "" || b.Incarnation <= 0 || b.Number == 0 || b.Free.Slots < 0 {
+		return bounce(code.Malformed, "a beat needs worker, incarnation, number and free room")
+	}
+	if known && (b.Incarnation < old.Incarnation || b.Incarnation == old.Incarnation && b.Number < old.Number) {
+		a := bounce(code.StaleBeat, "beat %d/%d came after %d/%d", b.Incarnation, b.Number, old.Incarnation, old.Number)
+		a.Orders.Incarnation = old.Incarnation
+		return a
+	}
+	if known && b.Incarnation != old.Incarnation {
+		for _, at := range l.turnsOn(b.Worker) {
+			t := l.jobs[at.job].Tasks[at.task]
+			if t.Turn.OrphanUntil == 0 {
+				t.Turn.OrphanUntil = max(old.CutoffAt, t.Turn.GrantedAt+l.plan.Limits.Lease.Duration) + l.plan.Limits.Margin.Duration
+				l.setTask(at, t)
+			}
+		}
+	}
+	w := Worker{Beat: b, Drained: old.Drained, SeenAt: l.at, CutoffAt: max(old.CutoffAt, l.at+l.plan.Limits.Lease.Duration)}
+	w.Capacity = b.Free
+	answer := Answer{Code: code.OK}
+	answer.Orders.Lease = l.plan.Limits.Lease.Duration
+	touched := map[string]bool{}
+	for _, end := range b.Ended {
+		answer.Orders.Acks = append(answer.Orders.Acks, end.Attempt)
+		if at, t, ok := l.find(end.Attempt); ok && end.Try > 0 && end.Try <= t.Tries {
+			l.end(at, t, end, b)
+			touched[at.job] = true
+		}
+	}
+	listed := map[Attempt]bool{}
+	for _, a := range b.Running {
+		listed[a] = true
+		at, t, ok := l.find(a)
+		mine := ok && holds(t.Turn, b) && t.Turn.Try == a.Try
+		if ok && !mine && l.adoptable(at, t, a, b) {
+			t.Turn = Turn{Try: a.Try, Worker: b.Worker, Incarnation: b.Incarnation, Beat: b.Number, GrantedAt: l.at, StartedAt: l.at}
+			l.setTask(at, t)
+			mine = true
+		}
+		if ok {
+			w.Capacity = w.Capacity.Add(l.jobs[a.Job].Spec.Tasks[at.task].Room)
+		}
+		if mine && t.Turn.StartedAt == 0 {
+			t.Turn.StartedAt = l.at
+			l.setTask(at, t)
+			touched[at.job] = true
+		}
+		if !mine || t.Turn.Stop != "" {
+			answer.Orders.Stops = append(answer.Orders.Stops, a)
+		}
+	}
+	if b.Total != (Room{}) {
+		w.Capacity = b.Total
+	}
+	for _, at := range l.turnsOn(b.Worker) {
+		t := l.jobs[at.job].Tasks[at.task]
+		if !holds(t.Turn, b) || listed[l.attempt(at)] {
+			continue
+		}
+		if t.Turn.StartedAt > 0 || b.Number >= t.Turn.Beat+2 {
+			l.giveBack(at, t.Turn.StartedAt > 0 && t.Turn.Stop == "", "the worker does not run it")
+			touched[at.job] = true
+		} else if t.Turn.Stop == "" {
+			answer.Orders.Starts = append(answer.Orders.Starts, l.start(at))
+		}
+	}
+	l.workers[b.Worker] = w
+	l.touch("worker", b.Worker)
+	l.changes = append(l.changes, Changed{Worker: b.Worker})
+	for _, id := range sorted(touched) {
+		l.release(id)
+	}
+	return answer
+}
+
+// adoptable says whether an attempt that runs on after its turn was given back
+// may simply have its turn again: safer than a stop, which may come too late.
+func (l *Ledger) adoptable(at ref, t Task, a Attempt, b Beat) bool {
+	spec := l.jobs[at.job].Spec
+	return t.State == Open && !t.Turn.Held() && a.Try > 0 && a.Try <= t.Tries &&
+		spec.Service == b.Service && spec.Tasks[at.task].Gang == ""
+}
+
+func (l *Ledger) start(at ref) Start {
+	job := l.jobs[at.job]
+	spec := job.Spec.Tasks[at.task]
+	s := Start{Attempt: l.attempt(at), Service: job.Spec.Service, Class: job.Spec.Class, Room: spec.Room, Gang: spec.Gang, RunLimit: spec.RunLimit, Payload: spec.Payload}
+	for i, other := range job.Spec.Tasks {
+		if slices.Contains(spec.After, other.ID) {
+			s.Holders = append(s.Holders, job.Tasks[i].Holder)
+		}
+	}
+	return s
+}
+
+// end takes one reported end. A good one closes the task whichever attempt it
+// was; a bad one counts once, and only for the turn that is in force.
+func (l *Ledger) end(at ref, t Task, end End, b Beat) {
+	current := t.Turn.Held() && holds(t.Turn, b) && t.Turn.Try == end.Try
+	if end.Good && t.State != Done {
+		if t.State == Failed || t.State == Cancelled && l.jobs[at.job].Ending != Cancelled {
+			t.Why = "a late good end"
+		}
+		t.State, t.EndedAt, t.Holder = Done, l.at, b.Worker
+		if current {
+			t.Turn = Turn{}
+		} else if t.Turn.Held() && t.Turn.Stop == "" {
+			t.Turn.Stop = "another attempt ended well"
+		}
+		l.setTask(at, t)
+		return
+	}
+	if !current {
+		return
+	}
+	if end.Good || end.Stopped && t.Turn.Stop != limit {
+		l.giveBack(at, t.Turn.Stop == "", "stopped")
+		return
+	}
+	if t.Turn.Stop != "" && t.Turn.Stop != limit {
+		l.giveBack(at, false, t.Turn.Stop)
+		return
+	}
+	t.Defects++
+	t.Turn = Turn{}
+	t.Why = end.Why
+	if t.Why == "" {
+		t.Why = limit
+	}
+	l.close(at, t, t.Defects >= l.jobs[at.job].Spec.Tasks[at.task].AllowedDefects)
+}
+
+// giveBack returns a turn without a defect; a loss is counted if the worker had
+// started it and nobody had asked for the stop.
+func (l *Ledger) giveBack(at ref, lost bool, why string) {
+	t := l.jobs[at.job].Tasks[at.task]
+	if t.Turn.Stop == limit {
+		t.Defects++
+		why = limit
+	}
+	if lost {
+		t.Losses++
+	}
+	t.Turn, t.Why = Turn{}, why
+	spent := t.Losses > l.plan.Limits.MaxLosses || t.Defects >= l.jobs[at.job].Spec.Tasks[at.task].AllowedDefects
+	l.close(at, t, spent)
+}
+
+// close stores a task whose turn is over: open again, or failed for good. The
+// rest of its gang goes back with it.
+func (l *Ledger) close(at ref, t Task, spent bool) {
+	if t.State == Open {
+		t.ReleasedAt = l.at
+	}
+	if spent && !t.Closed() {
+		t.State, t.EndedAt = Failed, l.at
+	}
+	l.setTask(at, t)
+	spec := l.jobs[at.job].Spec.Tasks[at.task]
+	for i, other := range l.jobs[at.job].Tasks {
+		if spec.Gang != "" && i != at.task && l.jobs[at.job].Spec.Tasks[i].Gang == spec.Gang && other.Turn.Held() && other.Turn.Stop == "" {
+			other.Turn.Stop = gangStop
+			l.setTask(ref{at.job, i}, other)
+		}
+	}
+	if t.State == Failed {
+		l.finish(at.job, Failed, "task "+spec.ID+" failed: "+t.Why)
+	}
+	l.settle(at.job)
+}
+
+// Room is what a worker has left: what it reported free, less every turn that
+// it had not yet listed when it did, less what may still run of an earlier
+// incarnation; and never more than its capacity less all turns.
+func (l *Ledger) Room(worker string) Room {
+	w := l.workers[worker]
+	free, capacity := w.Free, w.Capacity
+	for at := range l.turns[worker] {
+		t, room := l.jobs[at.job].Tasks[at.task].Turn, l.jobs[at.job].Spec.Tasks[at.task].Room
+		if t.StartedAt == 0 || t.OrphanUntil > 0 {
+			free = free.Less(room)
+		}
+		capacity = capacity.Less(room)
+	}
+	return free.Least(capacity)
+}
+
+// Fits checks the standing rules between a task and a worker, without room.
+func (l *Ledger) Fits(job Job, i int, w Worker) code.Code {
+	spec := job.Spec.Tasks[i]
+	if w.Service != job.Spec.Service {
+		return code.WrongWorker
+	}
+	for _, label := range spec.Labels {
+		if !slices.Contains(w.Labels, label) {
+			return code.WrongWorker
+		}
+	}
+	if w.Leaving || w.Drained {
+		return code.Draining
+	}
+	if l.emptied[w.Site] {
+		return code.SiteEmptied
+	}
+	if !l.Live(w) {
+		return code.WorkerSilent
+	}
+	return code.OK
+}
+
+func (l *Ledger) Live(w Worker) bool { return l.at-w.SeenAt <= l.plan.Limits.Silent.Duration }
+
+// Busyness counts the slots of a service: all that may take work, and in use.
+func (l *Ledger) Busyness(service string) (totalSlots, usedSlots int) {
+	for _, w := range l.workers {
+		if w.Service == service && l.Live(w) && !w.Leaving && !w.Drained && !l.emptied[w.Site] {
+			totalSlots += w.Capacity.Slots
+		}
+	}
+	for class, slots := range l.used {
+		if class[0] == service {
+			usedSlots += slots
+		}
+	}
+	return totalSlots, usedSlots
+}
+
+func (l *Ledger) shareSlots(service, class string, totalSlots int) int {
+	share := l.plan.Services[service].Classes[class].Share
+	return (totalSlots*share + 99) / 100
+}
+
+// Owed counts the tasks of other classes that are within their own share, wait,
+// and could run on some live worker: those for whom room is kept.
+func (l *Ledger) Owed(service, class string, totalSlots int) int {
+	owed := 0
+	for n, count := range l.waiting {
+		if n.service != service || n.class == class || n.gang > totalSlots {
+			continue
+		}
+		if l.used[[2]string{service, n.class}]+n.room.Slots > l.shareSlots(service, n.class, totalSlots) {
+			continue
+		}
+		if l.meetable(n) {
+			owed += count
+		}
+	}
+	return owed
+}
+
+func (l *Ledger) meetable(n need) bool {
+	for _, w := range l.workers {
+		probe := Job{Spec: JobSpec{Service: n.service, Tasks: []TaskSpec{{Room: n.room}}}}
+		if n.labels != "" {
+			probe.Spec.Tasks[0].Labels = splitLabels(n.labels)
+		}
+		if l.Fits(probe, 0, w) == code.OK && w.Capacity.Holds(n.room) {
+			return true
+		}
+	}
+	return false
+}
+
+// Allowed checks the share of a class, then asks the borrowing policy.
+func (l *Ledger) Allowed(service, class string, askedSlots int) (allowed, borrowed bool) {
+	totalSlots, usedSlots := l.Busyness(service)
+	share := l.shareSlots(service, class, totalSlots)
+	used := l.used[[2]string{service, class}]
+	if used+askedSlots <= share {
+		return true, false
+	}
+	names := plan.BorrowNames{
+		Total: totalSlots, Idle: totalSlots - usedSlots, Asked: askedSlots, Used: used, Share: share,
+		Waiting: l.Owed(service, class, totalSlots), Class: class, Service: service,
+	}
+	return l.rules.Borrow(names), true
+}
+
+// grant gives turns for one task or one whole gang, all or none.
+func (l *Ledger) grant(g Grant) Answer {
+	if d := l.duties[g.Duty]; d.Epoch != g.Epoch || g.Epoch == 0 {
+		return bounce(code.StaleEpoch, "duty %s is at epoch %d, not %d", g.Duty, d.Epoch, g.Epoch)
+	}
+	if len(g.Picks) == 0 {
+		return bounce(code.Malformed, "nothing is picked")
+	}
+	taken, chosen := map[string]Room{}, map[ref]string{}
+	slots := 0
+	for _, p := range g.Picks {
+		at, t, ok := l.find(Attempt{Job: p.Job, Task: p.Task})
+		if !ok {
+			return bounce(code.UnknownJob, "no task %s/%s", p.Job, p.Task)
+		}
+		if p.Job != g.Picks[0].Job || chosen[at] != "" {
+			return bounce(code.GangBroken, "one grant is one task or one gang")
+		}
+		job := l.jobs[p.Job]
+		spec := job.Spec.Tasks[at.task]
+		switch {
+		case job.Ending != "":
+			return bounce(code.JobCancelled, "job %s is ending", p.Job)
+		case t.State == Waiting:
+			return bounce(code.NotReleased, "task %s/%s waits for others", p.Job, p.Task)
+		case t.State != Open || t.Turn.Held():
+			return bounce(code.TaskNotOpen, "task %s/%s is %s", p.Job, p.Task, t.State)
+		case t.Defects >= spec.AllowedDefects:
+			return bounce(code.DefectsSpent, "task %s/%s has %d defects", p.Job, p.Task, t.Defects)
+		}
+		w, ok := l.workers[p.Worker]
+		if !ok {
+			return bounce(code.UnknownName, "no worker %s", p.Worker)
+		}
+		if c := l.Fits(job, at.task, w); c != code.OK {
+			return bounce(c, "worker %s, task %s/%s", p.Worker, p.Job, p.Task)
+		}
+		taken[p.Worker] = taken[p.Worker].Add(spec.Room)
+		if free := l.Room(p.Worker); !free.Holds(taken[p.Worker]) {
+			return bounce(code.NoRoom, "worker %s has %+v", p.Worker, free)
+		}
+		chosen[at] = p.Worker
+		slots += spec.Room.Slots
+	}
+	job := l.jobs[g.Picks[0].Job]
+	first, _, _ := l.find(Attempt{Job: g.Picks[0].Job, Task: g.Picks[0].Task})
+	gang := job.Spec.Tasks[first.task].Gang
+	members := 0
+	for i, spec := range job.Spec.Tasks {
+		if gang != "" && spec.Gang == gang && job.Tasks[i].State != Done {
+			members++
+			if chosen[ref{job.Spec.ID, i}] == "" {
+				return bounce(code.GangBroken, "task %s/%s is not in the grant", job.Spec.ID, spec.ID)
+			}
+		}
+	}
+	if len(g.Picks) != max(members, 1) {
+		return bounce(code.GangBroken, "one grant is one task or one gang")
+	}
+	allowed, borrowed := l.Allowed(job.Spec.Service, job.Spec.Class, slots)
+	if !allowed {
+		return bounce(code.OverShare, "class %s may not take %d slots more", job.Spec.Class, slots)
+	}
+	for _, p := range g.Picks {
+		at, t, _ := l.find(Attempt{Job: p.Job, Task: p.Task})
+		w := l.workers[p.Worker]
+		t.Tries++
+		t.Turn = Turn{Try: t.Tries, Worker: p.Worker, Incarnation: w.Incarnation, Beat: w.Number, GrantedAt: l.at, Borrowed: borrowed}
+		l.setTask(at, t)
+	}
+	return Answer{Code: code.OK}
+}
+
+// pushOut asks for one borrowed turn back, for the class that owns the room.
+func (l *Ledger) pushOut(g Grant) Answer {
+	if d := l.duties[g.Duty]; d.Epoch != g.Epoch || g.Epoch == 0 {
+		return bounce(code.StaleEpoch, "duty %s is at epoch %d, not %d", g.Duty, d.Epoch, g.Epoch)
+	}
+	for _, p := range g.Picks {
+		at, t, ok := l.find(Attempt{Job: p.Job, Task: p.Task})
+		if !ok || !t.Turn.Held() || t.Turn.Stop != "" || !t.Turn.Borrowed || t.Turn.Worker != p.Worker {
+			return bounce(code.TaskNotOpen, "task %s/%s holds no borrowed turn", p.Job, p.Task)
+		}
+		t.Turn.Stop = "pushed out for the owner of the room"
+		l.setTask(at, t)
+	}
+	return Answer{Code: code.OK}
+}
+
+// expiry is when a turn may go back without a word from its worker.
+func (l *Ledger) expiry(t Turn) time.Duration {
+	if t.OrphanUntil > 0 {
+		return t.OrphanUntil
+	}
+	limits := l.plan.Limits
+	return max(l.workers[t.Worker].CutoffAt, t.GrantedAt+limits.Lease.Duration) + limits.Margin.Duration
+}
+
+type due struct {
+	at  time.Duration
+	job string
+	do  func()
+}
+
+// Due says whether a tick at the given time would change anything.
+func (l *Ledger) Due(at time.Duration) bool { return len(l.dues(at)) > 0 }
+
+func (l *Ledger) dues(now time.Duration) []due {
+	var out []due
+	limits := l.plan.Limits
+	for _, id := range sorted(l.active) {
+		job := l.jobs[id]
+		if job.Spec.Cutoff.Duration > 0 && job.Ending == "" && now > job.AcceptedAt+job.Spec.Cutoff.Duration {
+			out = append(out, due{now, id, func() { l.finish(id, Failed, "the job's cutoff passed") }})
+			continue
+		}
+		for i, t := range job.Tasks {
+			if !t.Turn.Held() {
+				continue
+			}
+			at, spec := ref{id, i}, job.Spec.Tasks[i]
+			runLimit := spec.RunLimit.Duration
+			if runLimit == 0 {
+				runLimit = limits.RunLimit.Duration
+			}
+			stop := ""
+			switch {
+			case now > l.expiry(t.Turn):
+				lost := t.Turn.StartedAt > 0
+				out = append(out, due{now, id, func() { l.giveBack(at, lost, "the worker went silent") }})
+			case t.Turn.Stop != "":
+			case t.Turn.StartedAt > 0 && now > t.Turn.StartedAt+runLimit:
+				stop = limit
+			case t.Turn.StartedAt == 0 && spec.Gang != "" && now > t.Turn.GrantedAt+limits.StartBy.Duration:
+				stop = gangStop
+			}
+			if stop != "" {
+				out = append(out, due{now, id, func() { l.stopTurn(at, stop) }})
+			}
+		}
+	}
+	for _, id := range sorted(l.jobs) {
+		if job := l.jobs[id]; ended(job) && now > job.EndedAt+limits.Keep.Duration {
+			out = append(out, due{now, "", func() { l.forget(id) }})
+		}
+	}
+	for _, id := range sorted(l.workers) {
+		if w := l.workers[id]; now > w.CutoffAt+limits.Margin.Duration+limits.Keep.Duration && len(l.turns[id]) == 0 {
+			out = append(out, due{now, "", func() { delete(l.workers, id); l.touch("worker", id) }})
+		}
+	}
+	for _, id := range sorted(l.daemons) {
+		if now > l.daemons[id].SeenAt+limits.Keep.Duration {
+			out = append(out, due{now, "", func() { delete(l.daemons, id); l.touch("daemon", id) }})
+		}
+	}
+	return out
+}
+
+func (l *Ledger) stopTurn(at ref, why string) {
+	t := l.jobs[at.job].Tasks[at.task]
+	t.Turn.Stop = why
+	l.setTask(at, t)
+	gang := l.jobs[at.job].Spec.Tasks[at.task].Gang
+	for i, other := range l.jobs[at.job].Tasks {
+		if gang != "" && l.jobs[at.job].Spec.Tasks[i].Gang == gang && other.Turn.Held() && other.Turn.Stop == "" {
+			other.Turn.Stop = gangStop
+			l.setTask(ref{at.job, i}, other)
+		}
+	}
+}
+
+func (l *Ledger) forget(id string) {
+	for i := range l.jobs[id].Tasks {
+		l.count(l.jobs[id], i, -1)
+	}
+	delete(l.jobs, id)
+	l.touch("job", id)
+	l.changes = append(l.changes, Changed{Job: id, Task: -1})
+}
+
+func (l *Ledger) tick() Answer {
+	for _, d := range l.dues(l.at) {
+		d.do()
+		if d.job != "" {
+			l.release(d.job)
+		}
+	}
+	return Answer{Code: code.OK}
+}
--- /dev/null
+++ b/core/ledger/types.go
@@ -0,0 +1,245 @@
+// The records of the ledger and the commands that change them. All of them are
+// plain values that travel as JSON; times are monotonic ledger time, counted
+// from the founding of the cluster and carried on by each primary.
+package ledger
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"sorrelloom/core/code"
+	"sorrelloom/core/plan"
+)
+
+type Room = plan.Room
+
+// TaskSpec is one task as the caller asked for it.
+type TaskSpec struct {
+	ID             string          `json:"id"`
+	After          []string        `json:"after,omitempty"`
+	Room           Room            `json:"room"`
+	Labels         []string        `json:"labels,omitempty"`
+	Gang           string          `json:"gang,omitempty"`
+	RunLimit       plan.Span       `json:"runLimit,omitzero"`
+	AllowedDefects int             `json:"allowedDefects,omitempty"`
+	Payload        json.RawMessage `json:"payload,omitempty"`
+}
+
+type JobSpec struct {
+	ID      string     `json:"id"`
+	Service string     `json:"service"`
+	Class   string     `json:"class"`
+	Cutoff  plan.Span  `json:"cutoff,omitzero"`
+	Tasks   []TaskSpec `json:"tasks"`
+}
+
+// Attempt names one try of one task, for ever.
+type Attempt struct {
+	Job  string `json:"job"`
+	Task string `json:"task"`
+	Try  int    `json:"try"`
+}
+
+func (a Attempt) String() string { return fmt.Sprintf("%s/%s/%d", a.Job, a.Task, a.Try) }
+
+type End struct {
+	Attempt
+	Good    bool   `json:"good"`
+	Stopped bool   `json:"stopped,omitempty"`
+	Why     string `json:"why,omitempty"`
+}
+
+type Beat struct {
+	Worker      string    `json:"worker"`
+	Incarnation int64     `json:"incarnation"`
+	Number      uint64    `json:"number"`
+	Site        string    `json:"site"`
+	Rack        string    `json:"rack,omitempty"`
+	Service     string    `json:"service"`
+	Labels      []string  `json:"labels,omitempty"`
+	Running     []Attempt `json:"running,omitempty"`
+	Ended       []End     `json:"ended,omitempty"`
+	Free        Room      `json:"free"`
+	Total       Room      `json:"total,omitzero"`
+	Leaving     bool      `json:"leaving,omitempty"`
+}
+
+// Turn is a grant in force. Stop, once set, says why it is to end.
+type Turn struct {
+	Try         int           `json:"try"`
+	Worker      string        `json:"worker"`
+	Incarnation int64         `json:"incarnation"`
+	Beat        uint64        `json:"beat"`
+	GrantedAt   time.Duration `json:"grantedAt"`
+	StartedAt   time.Duration `json:"startedAt,omitempty"`
+	OrphanUntil time.Duration `json:"orphanUntil,omitempty"`
+	Borrowed    bool          `json:"borrowed,omitempty"`
+	Stop        string        `json:"stop,omitempty"`
+}
+
+func (t Turn) Held() bool { return t.Try > 0 }
+
+const (
+	Waiting   = "waiting"
+	Open      = "open"
+	Done      = "done"
+	Failed    = "failed"
+	Cancelled = "cancelled"
+	Running   = "running"
+)
+
+type Task struct {
+	Number     uint64        `json:"number"`
+	State      string        `json:"state"`
+	Level      int           `json:"level"`
+	Tries      int           `json:"tries,omitempty"`
+	Defects    int           `json:"defects,omitempty"`
+	Losses     int           `json:"losses,omitempty"`
+	ReleasedAt time.Duration `json:"releasedAt,omitempty"`
+	EndedAt    time.Duration `json:"endedAt,omitempty"`
+	Holder     string        `json:"holder,omitempty"`
+	Why        string        `json:"why,omitempty"`
+	Turn       Turn          `json:"turn,omitzero"`
+}
+
+func (t Task) Closed() bool { return t.State == Done || t.State == Failed || t.State == Cancelled }
+
+type Job struct {
+	Spec       JobSpec       `json:"spec"`
+	State      string        `json:"state"`
+	Ending     string        `json:"ending,omitempty"`
+	Why        string        `json:"why,omitempty"`
+	AcceptedAt time.Duration `json:"acceptedAt"`
+	EndedAt    time.Duration `json:"endedAt,omitempty"`
+	Tasks      []Task        `json:"tasks"`
+}
+
+type Worker struct {
+	Beat
+	Capacity Room          `json:"capacity"`
+	Drained  bool          `json:"drained,omitempty"`
+	SeenAt   time.Duration `json:"seenAt"`
+	CutoffAt time.Duration `json:"cutoffAt"`
+}
+
+type Duty struct {
+	Name   string        `json:"name"`
+	Holder string        `json:"holder"`
+	Epoch  uint64        `json:"epoch"`
+	SeenAt time.Duration `json:"seenAt"`
+}
+
+// Daemon is a scheduler that has said hello to the ledger.
+type Daemon struct {
+	ID     string        `json:"id"`
+	Site   string        `json:"site"`
+	SeenAt time.Duration `json:"seenAt"`
+}
+
+// Position is how far a copy of the ledger has come.
+type Position struct {
+	Epoch    uint64 `json:"epoch"`
+	Sequence uint64 `json:"sequence"`
+}
+
+type Pick struct {
+	Job    string `json:"job"`
+	Task   string `json:"task"`
+	Worker string `json:"worker"`
+}
+
+// Grant is refused unless its duty's epoch is current. A gang comes whole.
+type Grant struct {
+	Duty  string `json:"duty"`
+	Epoch uint64 `json:"epoch"`
+	Picks []Pick `json:"picks"`
+}
+
+// PlanChange is conditional on Base. Token marks one operator's call, so that
+// a repeat of it after silence is known as the same.
+type PlanChange struct {
+	Token  string          `json:"token,omitempty"`
+	Base   uint64          `json:"base"`
+	Forced bool            `json:"forced,omitempty"`
+	Patch  bool            `json:"patch,omitempty"`
+	Body   json.RawMessage `json:"body"`
+}
+
+// Hello keeps a scheduler's registration and its duties; Want asks for a duty
+// whose holder is silent, Pass names the successor of one that is held.
+type Hello struct {
+	Daemon  string `json:"daemon"`
+	Site    string `json:"site"`
+	Want    string `json:"want,omitempty"`
+	For     string `json:"for,omitempty"`
+	Epoch   uint64 `json:"epoch,omitempty"`
+	Pass    bool   `json:"pass,omitempty"`
+	Leaving bool   `json:"leaving,omitempty"`
+}
+
+const (
+	KindAccept  = "accept"
+	KindCancel  = "cancel"
+	KindBeat    = "beat"
+	KindGrant   = "grant"
+	KindPushOut = "push-out"
+	KindPlan    = "plan"
+	KindSite    = "site"
+	KindDrain   = "drain"
+	KindHello   = "hello"
+	KindTick    = "tick"
+	KindRead    = "read"
+)
+
+// Command is one conditional write, stamped by the primary.
+type Command struct {
+	Position
+	At     time.Duration `json:"at"`
+	Kind   string        `json:"kind"`
+	Name   string        `json:"name,omitempty"`
+	On     bool          `json:"on,omitempty"`
+	Accept JobSpec       `json:"accept,omitzero"`
+	Beat   Beat          `json:"beat,omitzero"`
+	Grant  Grant         `json:"grant,omitzero"`
+	Plan   PlanChange    `json:"plan,omitzero"`
+	Hello  Hello         `json:"hello,omitzero"`
+}
+
+// Start is an order to run one attempt.
+type Start struct {
+	Attempt
+	Service  string          `json:"service"`
+	Class    string          `json:"class"`
+	Room     Room            `json:"room"`
+	Gang     string          `json:"gang,omitempty"`
+	RunLimit plan.Span       `json:"runLimit,omitzero"`
+	Holders  []string        `json:"holders,omitempty"`
+	Payload  json.RawMessage `json:"payload,omitempty"`
+}
+
+// Orders is the reply to a beat.
+type Orders struct {
+	Starts      []Start       `json:"starts,omitempty"`
+	Stops       []Attempt     `json:"stops,omitempty"`
+	Acks        []Attempt     `json:"acks,omitempty"`
+	Lease       time.Duration `json:"lease,omitempty"`
+	Incarnation int64         `json:"incarnation,omitempty"`
+}
+
+type Answer struct {
+	Code       code.Code     `json:"code"`
+	Why        string        `json:"why,omitempty"`
+	Sequence   uint64        `json:"sequence,omitempty"`
+	RetryAfter time.Duration `json:"retryAfter,omitempty"`
+	Orders     Orders        `json:"orders,omitzero"`
+	Job        Job           `json:"job,omitzero"`
+	Faults     []plan.Fault  `json:"faults,omitempty"`
+}
+
+func bounce(c code.Code, format string, args ...any) Answer {
+	return Answer{Code: c, Why: fmt.Sprintf(format, args...)}
+}
+
+// ID is the worker's name.
+func (w Worker) ID() string { return w.Beat.Worker }
--- /dev/null
+++ b/core/ledger/views.go
@@ -0,0 +1,76 @@
+// What others may see of a ledger: copies of records, never the maps behind.
+package ledger
+
+import (
+	"sort"
+	"strings"
+	"time"
+)
+
+func splitLabels(text string) []string { return strings.Split(text, ",") }
+
+func (l *Ledger) Job(id string) (Job, bool) {
+	job, ok := l.jobs[id]
+	return job, ok
+}
+
+func (l *Ledger) Worker(id string) (Worker, bool) {
+	w, ok := l.workers[id]
+	return w, ok
+}
+
+func (l *Ledger) Workers() []Worker {
+	out := make([]Worker, 0, len(l.workers))
+	for _, id := range sorted(l.workers) {
+		out = append(out, l.workers[id])
+	}
+	return out
+}
+
+func (l *Ledger) Duty(name string) Duty { return l.duties[name] }
+
+func (l *Ledger) Emptied() []string { return sorted(l.emptied) }
+
+// Daemons gives the schedulers that said hello within the given span.
+func (l *Ledger) Daemons(within time.Duration) []Daemon {
+	var out []Daemon
+	for _, id := range sorted(l.daemons) {
+		if d := l.daemons[id]; l.at-d.SeenAt <= within {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
+// Active gives every job that is not over, by acceptance.
+func (l *Ledger) Active() []Job {
+	out := make([]Job, 0, len(l.active))
+	for id := range l.active {
+		out = append(out, l.jobs[id])
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Tasks[0].Number < out[j].Tasks[0].Number })
+	return out
+}
+
+// Pending is a turn on a worker with the orders that concern it.
+type Pending struct {
+	Attempt
+	Turn  Turn
+	Start Start
+}
+
+// TurnsOn gives the turns a worker holds, by task number.
+func (l *Ledger) TurnsOn(worker string) []Pending {
+	refs := l.turnsOn(worker)
+	out := make([]Pending, 0, len(refs))
+	for _, at := range refs {
+		out = append(out, Pending{l.attempt(at), l.jobs[at.job].Tasks[at.task].Turn, l.start(at)})
+	}
+	return out
+}
+
+// Used and share, in slots, of one class.
+func (l *Ledger) ClassUse(service, class string) (usedSlots, shareSlots int) {
+	totalSlots, _ := l.Busyness(service)
+	return l.used[[2]string{service, class}], l.shareSlots(service, class, totalSlots)
+}
--- /dev/null
+++ b/core/machine/machine.go
@@ -0,0 +1,115 @@
+// Package machine is the shape that every state machine of the system has: it
+// takes one input and the monotonic time, and returns what to send, write and
+// answer and when to be woken. Nothing here does input or output, so that the
+// daemons and the simulator drive the very same code.
+package machine
+
+import (
+	"encoding/json"
+	"time"
+)
+
+// Line is one JSON line between two processes.
+type Line struct {
+	Wire int             `json:"wire"`
+	Kind string          `json:"kind"`
+	From string          `json:"from"`
+	Body json.RawMessage `json:"body,omitempty"`
+}
+
+const WireSequence = 1
+
+type Send struct {
+	To   string
+	Kind string
+	Body any
+}
+
+// Record is one key of the data file; an empty Value deletes it.
+type Record struct {
+	Bucket string          `json:"bucket"`
+	Key    string          `json:"key"`
+	Value  json.RawMessage `json:"value,omitempty"`
+}
+
+// Write is one synced batch. Wipe names buckets to empty first. Done comes back
+// as Input.Wrote once the batch is on the disk.
+type Write struct {
+	Done    uint64
+	Wipe    []string
+	Records []Record
+}
+
+// Ask is a request from outside: its key is handed back with the answer.
+type Ask struct {
+	Key    uint64
+	Kind   string
+	Name   string
+	Body   json.RawMessage
+	Wait   time.Duration
+	Base   uint64
+	Forced bool
+	Token  string
+	On     bool
+}
+
+type Answer struct {
+	Key  uint64
+	Body any
+}
+
+type Input struct {
+	Line  Line
+	Wrote uint64
+	Ask   Ask
+	Stop  bool
+}
+
+type Event struct {
+	Name   string
+	Fields []any
+}
+
+type Output struct {
+	Sends   []Send
+	Writes  []Write
+	Answers []Answer
+	Events  []Event
+	Stopped bool
+}
+
+func (o *Output) Send(to, kind string, body any) {
+	o.Sends = append(o.Sends, Send{To: to, Kind: kind, Body: body})
+}
+
+func (o *Output) Answer(key uint64, body any) {
+	o.Answers = append(o.Answers, Answer{Key: key, Body: body})
+}
+
+func (o *Output) Log(name string, fields ...any) {
+	o.Events = append(o.Events, Event{Name: name, Fields: fields})
+}
+
+func (o *Output) Add(other Output) {
+	o.Sends = append(o.Sends, other.Sends...)
+	o.Writes = append(o.Writes, other.Writes...)
+	o.Answers = append(o.Answers, other.Answers...)
+	o.Events = append(o.Events, other.Events...)
+	o.Stopped = o.Stopped || other.Stopped
+}
+
+// Machine is stepped with one input at a time. Wakeup says when it wants to be
+// stepped with an empty input at the latest; zero is never.
+type Machine interface {
+	Step(now time.Duration, in Input) Output
+	Wakeup() time.Duration
+}
+
+// MustJSON encodes a value of our own types, which cannot fail.
+func MustJSON(v any) json.RawMessage {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
--- /dev/null
+++ b/core/member/member.go
@@ -0,0 +1,156 @@
+// Package member is how daemons know one another: each keeps a partial view of
+// the others, bounded per role and site, and trades a part of it with one
+// neighbour after the other. An entry that its node does not renew ages out; a
+// node that comes back at another address replaces its old entry.
+package member
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"time"
+
+	"sorrelloom/core/machine"
+	"sorrelloom/core/wire"
+)
+
+type Env struct {
+	Self  wire.Node
+	Seeds []string
+	Seed  uint64
+}
+
+const (
+	shuffleEach = 300 * time.Millisecond
+	forgetAfter = 6 * time.Second
+	perRoleSite = 8
+	sampleSize  = 8
+)
+
+type entry struct {
+	node wire.Node
+	seen time.Duration
+}
+
+type Member struct {
+	env     Env
+	self    wire.Node
+	chance  *rand.Rand
+	entries map[string]entry
+	next    time.Duration
+}
+
+func New(env Env) *Member {
+	return &Member{env: env, self: env.Self, chance: rand.New(rand.NewPCG(env.Seed, 1)), entries: map[string]entry{}}
+}
+
+func (m *Member) Wakeup() time.Duration { return m.next }
+
+// Nodes gives this node and all it knows of, by identity.
+func (m *Member) Nodes() []wire.Node {
+	out := []wire.Node{m.self}
+	for _, e := range m.entries {
+		out = append(out, e.node)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
+
+func (m *Member) Step(now time.Duration, in machine.Input) machine.Output {
+	var out machine.Output
+	switch in.Line.Kind {
+	case wire.Shuffle, wire.ShuffleBack:
+		var b wire.Gossip
+		if err := json.Unmarshal(in.Line.Body, &b); err != nil {
+			out.Log("line_damaged", "kind", in.Line.Kind, "from", in.Line.From, "why", err.Error())
+			return out
+		}
+		if in.Line.Kind == wire.Shuffle {
+			out.Send(in.Line.From, wire.ShuffleBack, wire.Gossip{Nodes: m.sample()})
+		}
+		for _, n := range b.Nodes {
+			m.hear(now, n)
+		}
+	}
+	if now >= m.next {
+		m.next = now + shuffleEach
+		m.shuffle(now, &out)
+	}
+	return out
+}
+
+func (m *Member) shuffle(now time.Duration, out *machine.Output) {
+	m.self.Sequence++
+	var addresses []string
+	for id, e := range m.entries {
+		if now-e.seen > forgetAfter {
+			delete(m.entries, id)
+			out.Log("node_forgotten", "node", id, "address", e.node.Address)
+			continue
+		}
+		addresses = append(addresses, e.node.Address)
+	}
+	sort.Strings(addresses)
+	if seed := m.env.Seeds; len(seed) > 0 && (len(addresses) < 2 || m.self.Sequence%10 == 0) {
+		addresses = append(addresses, seed[m.chance.IntN(len(seed))])
+	}
+	if len(addresses) > 0 {
+		if to := addresses[m.chance.IntN(len(addresses))]; to != m.self.Address {
+			out.Send(to, wire.Shuffle, wire.Gossip{Nodes: m.sample()})
+		}
+	}
+	out.Send("", wire.Nodes, wire.Gossip{Nodes: m.Nodes()})
+}
+
+func (m *Member) sample() []wire.Node {
+	all := m.Nodes()
+	all = slices.DeleteFunc(all, func(n wire.Node) bool { return n.ID == m.self.ID })
+	m.chance.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return append([]wire.Node{m.self}, all[:min(len(all), sampleSize)]...)
+}
+
+func newer(a, b wire.Node) bool {
+	if a.Incarnation != b.Incarnation {
+		return a.Incarnation > b.Incarnation
+	}
+	return a.Sequence > b.Sequence
+}
+
+func (m *Member) hear(now time.Duration, n wire.Node) {
+	if n.ID == m.self.ID {
+		if n.Address != m.self.Address || n.Incarnation > m.self.Incarnation {
+			m.self.Incarnation = max(m.self.Incarnation, n.Incarnation) + 1
+		}
+		return
+	}
+	if n.ID == "" || n.Address == "" || n.Address == m.self.Address {
+		return
+	}
+	if old, ok := m.entries[n.ID]; ok {
+		if newer(n, old.node) {
+			m.entries[n.ID] = entry{n, now}
+		}
+		return
+	}
+	count, oldest := 0, ""
+	for id, e := range m.entries {
+		if e.node.Address == n.Address {
+			if !newer(n, e.node) {
+				return
+			}
+			delete(m.entries, id)
+			continue
+		}
+		if e.node.Role == n.Role && e.node.Site == n.Site {
+			count++
+			if oldest == "" || e.seen < m.entries[oldest].seen || e.seen == m.entries[oldest].seen && id < oldest {
+				oldest = id
+			}
+		}
+	}
+	if count >= perRoleSite {
+		delete(m.entries, oldest)
+	}
+	m.entries[n.ID] = entry{n, now}
+}
--- /dev/null
+++ b/core/plan/plan.go
@@ -0,0 +1,324 @@
+// Package plan holds the operator's plan: services with their classes and
+// shares, the two policies and the limits. A plan is checked twice before it
+// counts: by the JSON schema for its shape, then across fields and by compiling
+// its policies. Every fault is reported with its place, all of them at once.
+package plan
+
+import (
+	"bytes"
+	_ "embed"
+	"encoding/json"
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/expr-lang/expr"
+	"github.com/expr-lang/expr/file"
+	"github.com/expr-lang/expr/vm"
+	"github.com/santhosh-tekuri/jsonschema/v6"
+	"golang.org/x/text/language"
+	"golang.org/x/text/message"
+
+	"sorrelloom/core/code"
+)
+
+// Span is a duration that reads and writes as "1.5s".
+type Span struct{ time.Duration }
+
+func (s Span) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
+func (s *Span) UnmarshalText(text []byte) error {
+	d, err := time.ParseDuration(string(text))
+	if err == nil && d < 0 {
+		err = fmt.Errorf("negative duration %q", text)
+	}
+	s.Duration = d
+	return err
+}
+
+type Class struct {
+	Priority int  `json:"priority"`
+	Share    int  `json:"share"`
+	Quick    bool `json:"quick,omitempty"`
+	InboxMax int  `json:"inboxMax,omitempty"`
+}
+
+type Service struct {
+	Classes map[string]Class `json:"classes"`
+	Labels  []string         `json:"labels,omitempty"`
+	Largest Room             `json:"largestWorker"`
+}
+
+// Room is what a task needs and what a worker has.
+type Room struct {
+	Slots    int `json:"slots"`
+	Cores    int `json:"cores,omitempty"`
+	MemoryMB int `json:"memoryMB,omitempty"`
+}
+
+func (r Room) Add(o Room) Room {
+	return Room{r.Slots + o.Slots, r.Cores + o.Cores, r.MemoryMB + o.MemoryMB}
+}
+
+func (r Room) Less(o Room) Room {
+	return Room{r.Slots - o.Slots, r.Cores - o.Cores, r.MemoryMB - o.MemoryMB}
+}
+
+func (r Room) Holds(o Room) bool {
+	return r.Slots >= o.Slots && r.Cores >= o.Cores && r.MemoryMB >= o.MemoryMB
+}
+
+func (r Room) Least(o Room) Room {
+	return Room{min(r.Slots, o.Slots), min(r.Cores, o.Cores), min(r.MemoryMB, o.MemoryMB)}
+}
+
+type Policies struct {
+	Order  string `json:"order"`
+	Borrow string `json:"borrow"`
+}
+
+type Limits struct {
+	Lease     Span `json:"lease"`
+	Margin    Span `json:"margin"`
+	StartBy   Span `json:"startBy"`
+	Silent    Span `json:"silent"`
+	Keep      Span `json:"keep"`
+	MaxLosses int  `json:"maxLosses"`
+	RunLimit  Span `json:"runLimit"`
+	MaxTasks  int  `json:"maxTasks"`
+}
+
+type Plan struct {
+	Sequence uint64             `json:"sequence"`
+	Services map[string]Service `json:"services"`
+	Policies Policies           `json:"policies"`
+	Limits   Limits             `json:"limits"`
+}
+
+func span(d time.Duration) Span { return Span{d} }
+
+// Default is what an empty field of an operator's plan means.
+func Default() Plan {
+	return Plan{
+		Services: map[string]Service{},
+		Policies: Policies{Order: "priority", Borrow: "waiting == 0 && idle - asked >= total / 8"},
+		Limits: Limits{
+			Lease: span(6 * time.Second), Margin: span(time.Second), StartBy: span(4 * time.Second),
+			Silent: span(3 * time.Second), Keep: span(10 * time.Minute), MaxLosses: 20,
+			RunLimit: span(10 * time.Minute), MaxTasks: 1000,
+		},
+	}
+}
+
+// OrderNames are the names an order policy may use; the larger result goes
+// first. Quick classes stand before all others whatever it says.
+type OrderNames struct {
+	Priority int     `expr:"priority"`
+	Level    int     `expr:"level"`
+	Waited   float64 `expr:"waited"`
+	Share    int     `expr:"share"`
+	Used     int     `expr:"used"`
+	Class    string  `expr:"class"`
+	Service  string  `expr:"service"`
+	Slots    int     `expr:"slots"`
+}
+
+// BorrowNames are the names a borrowing policy may use; it is asked only for a
+// class that would go over its share.
+type BorrowNames struct {
+	Total   int    `expr:"total"`
+	Idle    int    `expr:"idle"`
+	Asked   int    `expr:"asked"`
+	Used    int    `expr:"used"`
+	Share   int    `expr:"share"`
+	Waiting int    `expr:"waiting"`
+	Class   string `expr:"class"`
+	Service string `expr:"service"`
+}
+
+// Fault is one thing wrong with a plan, and where.
+type Fault struct {
+	Code  code.Code `json:"code"`
+	Place string    `json:"place"`
+	Why   string    `json:"why"`
+}
+
+//go:embed schema.json
+var schemaText []byte
+
+// Schema is the published JSON schema of a plan.
+func Schema() []byte { return bytes.Clone(schemaText) }
+
+var schema = mustSchema()
+
+func mustSchema() *jsonschema.Schema {
+	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(schemaText))
+	if err != nil {
+		panic(err)
+	}
+	compiler := jsonschema.NewCompiler()
+	if err := compiler.AddResource("plan.json", doc); err != nil {
+		panic(err)
+	}
+	return compiler.MustCompile("plan.json")
+}
+
+// Parse checks a whole plan and fills what it leaves out.
+func Parse(data []byte) (Plan, []Fault) {
+	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(data))
+	if err != nil {
+		return Plan{}, []Fault{{code.Malformed, "/", err.Error()}}
+	}
+	if err := schema.Validate(doc); err != nil {
+		var faults []Fault
+		if invalid, ok := err.(*jsonschema.ValidationError); ok {
+			leaves(invalid, &faults)
+		} else {
+			faults = []Fault{{code.BadPlan, "/", err.Error()}}
+		}
+		return Plan{}, faults
+	}
+	p := Default()
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&p); err != nil {
+		return Plan{}, []Fault{{code.BadPlan, "/", err.Error()}}
+	}
+	return p, p.faults()
+}
+
+func leaves(e *jsonschema.ValidationError, faults *[]Fault) {
+	if len(e.Causes) == 0 {
+		why := e.ErrorKind.LocalizedString(message.NewPrinter(language.English))
+		*faults = append(*faults, Fault{code.BadPlan, "/" + strings.Join(e.InstanceLocation, "/"), why})
+	}
+	for _, cause := range e.Causes {
+		leaves(cause, faults)
+	}
+}
+
+func (p Plan) faults() []Fault {
+	var faults []Fault
+	for _, name := range sortedKeys(p.Services) {
+		sum := 0
+		for _, class := range p.Services[name].Classes {
+			sum += class.Share
+		}
+		if sum > 100 {
+			faults = append(faults, Fault{code.BadPlan, "/services/" + name, fmt.Sprintf("the shares add up to %d, over 100", sum)})
+		}
+	}
+	if p.Limits.StartBy.Duration >= p.Limits.Lease.Duration {
+		faults = append(faults, Fault{code.BadPlan, "/limits/startBy", "must be shorter than the lease"})
+	}
+	if _, err := compileOrder(p.Policies.Order); err != nil {
+		faults = append(faults, Fault{code.BadPolicy, "/policies/order", where(err)})
+	}
+	if _, err := compileBorrow(p.Policies.Borrow); err != nil {
+		faults = append(faults, Fault{code.BadPolicy, "/policies/borrow", where(err)})
+	}
+	return faults
+}
+
+func where(err error) string {
+	if at, ok := err.(*file.Error); ok {
+		return fmt.Sprintf("line %d column %d: %s", at.Line, at.Column+1, at.Message)
+	}
+	return err.Error()
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+// Now and its kin are switched off: a policy sees only the names it is given,
+// so that every copy of the ledger reaches the same result.
+var pure = []expr.Option{expr.DisableBuiltin("now"), expr.MaxNodes(200)}
+
+func compileOrder(text string) (*vm.Program, error) {
+	return expr.Compile(text, append([]expr.Option{expr.Env(OrderNames{}), expr.AsFloat64()}, pure...)...)
+}
+
+func compileBorrow(text string) (*vm.Program, error) {
+	return expr.Compile(text, append([]expr.Option{expr.Env(BorrowNames{}), expr.AsBool()}, pure...)...)
+}
+
+// Rules are the compiled policies of a plan.
+type Rules struct{ order, borrow *vm.Program }
+
+// Compile never fails on a plan that Parse passed; on a fault it falls back to
+// priority order and no borrowing, the careful side of both.
+func (p Plan) Compile() Rules {
+	order, _ := compileOrder(p.Policies.Order)
+	borrow, _ := compileBorrow(p.Policies.Borrow)
+	return Rules{order, borrow}
+}
+
+func (r Rules) Order(names OrderNames) float64 {
+	if r.order != nil {
+		if out, err := expr.Run(r.order, names); err == nil {
+			if v, ok := out.(float64); ok && v == v {
+				return v
+			}
+		}
+	}
+	return float64(names.Priority)
+}
+
+func (r Rules) Borrow(names BorrowNames) bool {
+	if r.borrow == nil {
+		return false
+	}
+	out, err := expr.Run(r.borrow, names)
+	allowed, ok := out.(bool)
+	return err == nil && ok && allowed
+}
+
+// Merge applies a JSON merge patch (RFC 7396) to a plan and checks the result.
+func Merge(base Plan, patch []byte) (Plan, []Fault) {
+	var change any
+	if err := json.Unmarshal(patch, &change); err != nil {
+		return Plan{}, []Fault{{code.Malformed, "/", err.Error()}}
+	}
+	if _, ok := change.(map[string]any); !ok {
+		return Plan{}, []Fault{{code.Malformed, "/", "a patch is a JSON object"}}
+	}
+	data, err := json.Marshal(base)
+	if err != nil {
+		return Plan{}, []Fault{{code.Internal, "/", err.Error()}}
+	}
+	var doc any
+	if err := json.Unmarshal(data, &doc); err != nil {
+		return Plan{}, []Fault{{code.Internal, "/", err.Error()}}
+	}
+	merged, err := json.Marshal(merge(doc, change))
+	if err != nil {
+		return Plan{}, []Fault{{code.Internal, "/", err.Error()}}
+	}
+	return Parse(merged)
+}
+
+func merge(doc, change any) any {
+	fields, ok := change.(map[string]any)
+	if !ok {
+		return change
+	}
+	target, ok := doc.(map[string]any)
+	if !ok {
+		target = map[string]any{}
+	}
+	for key, value := range fields {
+		if value == nil {
+			delete(target, key)
+		} else {
+			target[key] = merge(target[key], value)
+		}
+	}
+	return target
+}
--- /dev/null
+++ b/core/scheduler/scheduler.go
@@ -0,0 +1,379 @@
+// Package scheduler is the daemon that holds dispatch duties. For each site
+// whose duty it holds it takes the beats of that site's workers, has them
+// recorded in the ledger, lets the dispatch choose, asks the ledger for the
+// turns and hands them out in the reply to the beat, which it holds while there
+// is nothing to say. It may die at any moment: the next one builds all of it
+// from the ledger and the beats.
+package scheduler
+
+import (
+	"encoding/json"
+	"slices"
+	"sort"
+	"strings"
+	"time"
+
+	"sorrelloom/core/code"
+	"sorrelloom/core/dispatch"
+	"sorrelloom/core/follow"
+	"sorrelloom/core/ledger"
+	"sorrelloom/core/machine"
+	"sorrelloom/core/wire"
+)
+
+type Env struct {
+	Address string
+	Site    string
+	First   uint64
+}
+
+const (
+	helloEach   = 500 * time.Millisecond
+	commandWait = 2 * time.Second
+	passEach    = 50 * time.Millisecond
+	retellAfter = 500 * time.Millisecond
+	refusedFor  = 150 * time.Millisecond
+)
+
+// DutyOf names the duty that owns a site's inboxes.
+func DutyOf(site string) string { return "dispatch/" + site }
+
+// record is one beat from its coming to its reply.
+type record struct {
+	id       uint64
+	from     string
+	beat     ledger.Beat
+	holdFor  time.Duration
+	until    time.Duration
+	command  uint64
+	recorded bool
+	orders   ledger.Orders
+}
+
+type proposal struct {
+	picks   []ledger.Pick
+	refs    []dispatch.Ref
+	rooms   []ledger.Room
+	pushOut bool
+	until   time.Duration
+	at      uint64
+}
+
+type Scheduler struct {
+	env       Env
+	copy      *follow.Copy
+	dispatch  *dispatch.Dispatch
+	records   map[string]record
+	proposals map[uint64]proposal
+	told      map[ledger.Attempt]time.Duration
+	helloAt   time.Duration
+	wanted    map[string]bool
+	wakeAt    time.Duration
+	stopping  bool
+	stopAt    time.Duration
+}
+
+func New(env Env) *Scheduler {
+	return &Scheduler{env: env, copy: follow.New(env.First), dispatch: dispatch.New(), records: map[string]record{},
+		proposals: map[uint64]proposal{}, told: map[ledger.Attempt]time.Duration{}, wanted: map[string]bool{}}
+}
+
+func (s *Scheduler) Wakeup() time.Duration        { return s.wakeAt }
+func (s *Scheduler) Counters() dispatch.Counters  { return s.dispatch.Counters }
+func (s *Scheduler) Ready(now time.Duration) bool { return s.copy.Fresh(now) }
+func (s *Scheduler) Sequence() uint64             { return s.copy.Ledger.Plan().Sequence }
+
+// Duties gives the sites whose duty this process holds.
+func (s *Scheduler) Duties() []string {
+	var out []string
+	for _, w := range s.sites() {
+		if s.holds(w) {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
+func (s *Scheduler) holds(site string) bool {
+	return s.copy.Ledger.Duty(DutyOf(site)).Holder == s.env.Address
+}
+
+func (s *Scheduler) sites() []string {
+	set := map[string]bool{s.env.Site: true}
+	for _, w := range s.copy.Ledger.Workers() {
+		set[w.Site] = true
+	}
+	for site := range s.wanted {
+		set[site] = true
+	}
+	out := make([]string, 0, len(set))
+	for site := range set {
+		out = append(out, site)
+	}
+	sort.Strings(out)
+	return out
+}
+
+func (s *Scheduler) Step(now time.Duration, in machine.Input) machine.Output {
+	var out machine.Output
+	var results []follow.Result
+	switch {
+	case in.Stop:
+		s.stopping, s.stopAt = true, now+2*time.Second
+		s.handOver(now, &out)
+	case in.Line.Kind == wire.Beat:
+		var b wire.BeatBody
+		if err := json.Unmarshal(in.Line.Body, &b); err != nil {
+			out.Log("line_damaged", "kind", in.Line.Kind, "from", in.Line.From, "why", err.Error())
+			break
+		}
+		s.beat(now, in.Line.From, b, &out)
+	case in.Line.Kind != "":
+		var handled bool
+		if results, handled = s.copy.Line(now, in.Line, &out); !handled {
+			out.Log("line_unknown", "kind", in.Line.Kind, "from", in.Line.From)
+		}
+	}
+	results = append(results, s.copy.Wake(now, &out)...)
+	for _, r := range results {
+		s.result(now, r, &out)
+	}
+	s.dispatch.Update(s.copy.Ledger, s.copy.Ledger.TakeChanges())
+	if now >= s.helloAt {
+		s.hello(now, &out)
+	}
+	s.pass(now, &out)
+	s.wakeAt = now + passEach
+	if s.stopping && (now >= s.stopAt || len(s.Duties()) == 0) {
+		out.Stopped = true
+	}
+	return out
+}
+
+// hello keeps the registration, and asks for a duty that nobody looks after:
+// its own site's at once, another's a little later.
+func (s *Scheduler) hello(now time.Duration, out *machine.Output) {
+	s.helloAt = now + helloEach
+	s.dispatch.Sweep(s.copy.Ledger)
+	if s.stopping || !s.copy.Loaded() {
+		return
+	}
+	hello := ledger.Hello{Daemon: s.env.Address, Site: s.env.Site}
+	silent := s.copy.Ledger.Plan().Limits.Silent.Duration / 2
+	for _, site := range s.sites() {
+		d := s.copy.Ledger.Duty(DutyOf(site))
+		grace := silent
+		if site != s.env.Site && !s.wanted[site] {
+			grace += time.Second
+		}
+		if d.Holder == "" && (site == s.env.Site || s.wanted[site]) || d.Holder != s.env.Address && d.Holder != "" && s.copy.Ledger.At()-d.SeenAt > grace {
+			hello.Want, hello.Epoch = DutyOf(site), d.Epoch
+			break
+		}
+	}
+	s.wanted = map[string]bool{}
+	s.copy.Submit(now, ledger.Command{Kind: ledger.KindHello, Hello: hello}, helloEach, out)
+}
+
+// handOver names successors for the duties held, from those that said hello.
+func (s *Scheduler) handOver(now time.Duration, out *machine.Output) {
+	daemons := s.copy.Ledger.Daemons(2 * time.Second)
+	for _, site := range s.Duties() {
+		to := ""
+		for _, d := range daemons {
+			if d.ID != s.env.Address && (to == "" || d.Site == site) {
+				to = d.ID
+			}
+		}
+		if to != "" {
+			d := s.copy.Ledger.Duty(DutyOf(site))
+			s.copy.Submit(now, ledger.Command{Kind: ledger.KindHello, Hello: ledger.Hello{
+				Daemon: s.env.Address, Site: s.env.Site, Want: d.Name, For: to, Epoch: d.Epoch, Pass: true, Leaving: true,
+			}}, commandWait, out)
+		}
+	}
+}
+
+func (s *Scheduler) beat(now time.Duration, from string, b wire.BeatBody, out *machine.Output) {
+	site := b.Beat.Site
+	d := s.copy.Ledger.Duty(DutyOf(site))
+	if !s.holds(site) || s.stopping {
+		if d.Holder == "" && !s.stopping && !s.wanted[site] {
+			s.wanted[site], s.helloAt = true, now
+		}
+		out.Send(from, wire.BeatBack, wire.BeatBackBody{ID: b.ID, Answer: ledger.Answer{Code: code.StaleEpoch, Why: "the duty for this site is elsewhere", RetryAfter: 200 * time.Millisecond}})
+		return
+	}
+	if old, ok := s.records[b.Beat.Worker]; ok {
+		s.reply(old, ledger.Answer{Code: code.StaleBeat, Why: "a later beat replaced this one"}, out)
+	}
+	r := record{id: b.ID, from: from, beat: b.Beat, holdFor: b.Hold, until: now + b.Hold}
+	r.command = s.copy.Submit(now, ledger.Command{Kind: ledger.KindBeat, Beat: b.Beat}, commandWait, out)
+	s.records[b.Beat.Worker] = r
+}
+
+func (s *Scheduler) reply(r record, a ledger.Answer, out *machine.Output) {
+	out.Send(r.from, wire.BeatBack, wire.BeatBackBody{ID: r.id, Answer: a})
+	delete(s.records, r.beat.Worker)
+}
+
+func (s *Scheduler) result(now time.Duration, r follow.Result, out *machine.Output) {
+	if p, ok := s.proposals[r.ID]; ok {
+		if r.Answer.Code.Good() {
+			p.at = r.At
+		} else {
+			p.until, p.at = now+refusedFor, 0
+			if !p.pushOut && r.Answer.Code == code.TaskNotOpen {
+				s.dispatch.Counters.Reserved++
+			}
+			out.Log("grant_bounced", "code", r.Answer.Code.String(), "job", p.picks[0].Job, "task", p.picks[0].Task, "worker", p.picks[0].Worker)
+			p.rooms = nil
+		}
+		s.proposals[r.ID] = p
+		return
+	}
+	for _, worker := range sortedKeys(s.records) {
+		rec := s.records[worker]
+		if rec.command != r.ID {
+			continue
+		}
+		if !r.Answer.Code.Good() {
+			s.reply(rec, r.Answer, out)
+			return
+		}
+		rec.recorded, rec.orders = true, r.Answer.Orders
+		rec.orders.Starts = nil
+		s.records[worker] = rec
+	}
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+// held is what is under way: tasks and room that a grant was asked for and the
+// copy does not show yet, and tasks that were refused a moment ago.
+func (s *Scheduler) held(now time.Duration) dispatch.Held {
+	h := dispatch.Held{Tasks: map[dispatch.Ref]bool{}, Room: map[string]ledger.Room{}}
+	for id, p := range s.proposals {
+		if p.at > 0 && s.copy.Ledger.Position().Sequence >= p.at || now > p.until {
+			delete(s.proposals, id)
+			continue
+		}
+		for _, at := range p.refs {
+			h.Tasks[at] = true
+		}
+		for i, room := range p.rooms {
+			h.Room[p.picks[i].Worker] = h.Room[p.picks[i].Worker].Add(room)
+		}
+	}
+	return h
+}
+
+// pass runs over the table: it asks for turns for every worker that waits with
+// room, own inboxes before helping, then replies to each beat that has orders
+// or has been held long enough.
+func (s *Scheduler) pass(now time.Duration, out *machine.Output) {
+	workers := sortedKeys(s.records)
+	l := s.copy.Ledger
+	if !s.stopping && s.copy.Fresh(now) {
+		for _, help := range []bool{false, true} {
+			for _, worker := range workers {
+				r := s.records[worker]
+				if !r.recorded || r.beat.Leaving || !s.holds(r.beat.Site) || s.behind(r) {
+					continue
+				}
+				for {
+					choice, ok := s.dispatch.Next(l, worker, s.held(now), help)
+					if !ok {
+						break
+					}
+					s.ask(now, DutyOf(r.beat.Site), ledger.KindGrant, choice, out)
+				}
+			}
+		}
+		for _, site := range s.Duties() {
+			if pick, ok := s.dispatch.PushOut(l, site, s.held(now)); ok {
+				s.ask(now, DutyOf(site), ledger.KindPushOut, dispatch.Choice{Picks: []ledger.Pick{pick}}, out)
+			}
+		}
+	}
+	for _, worker := range workers {
+		if r := s.records[worker]; r.recorded {
+			s.orders(now, r, out)
+		}
+	}
+	for a, at := range s.told {
+		if now-at > 10*retellAfter {
+			delete(s.told, a)
+		}
+	}
+}
+
+// behind says whether the copy has not yet seen this very beat.
+func (s *Scheduler) behind(r record) bool {
+	w, ok := s.copy.Ledger.Worker(r.beat.Worker)
+	return !ok || w.Incarnation != r.beat.Incarnation || w.Number != r.beat.Number
+}
+
+func (s *Scheduler) ask(now time.Duration, duty, kind string, c dispatch.Choice, out *machine.Output) {
+	p := proposal{picks: c.Picks, refs: c.Refs, until: now + commandWait, pushOut: kind == ledger.KindPushOut}
+	for i, pick := range c.Picks {
+		job, _ := s.copy.Ledger.Job(pick.Job)
+		if i < len(c.Refs) {
+			p.rooms = append(p.rooms, job.Spec.Tasks[c.Refs[i].Task].Room)
+		}
+	}
+	grant := ledger.Grant{Duty: duty, Epoch: s.copy.Ledger.Duty(duty).Epoch, Picks: c.Picks}
+	s.proposals[s.copy.Submit(now, ledger.Command{Kind: kind, Grant: grant}, commandWait, out)] = p
+}
+
+// orders replies to a beat: acks and stops from its record, starts from the
+// copy. A turn rides on the beat it was granted on or on the one after it.
+func (s *Scheduler) orders(now time.Duration, r record, out *machine.Output) {
+	orders := r.orders
+	urgent := len(orders.Acks) > 0
+	listed := map[ledger.Attempt]bool{}
+	for _, a := range r.beat.Running {
+		listed[a] = true
+	}
+	if !s.behind(r) {
+		for _, p := range s.copy.Ledger.TurnsOn(r.beat.Worker) {
+			if p.Turn.Incarnation != r.beat.Incarnation {
+				continue
+			}
+			if p.Turn.Stop != "" && listed[p.Attempt] && !slices.Contains(orders.Stops, p.Attempt) {
+				orders.Stops = append(orders.Stops, p.Attempt)
+			}
+			if p.Turn.Stop == "" && p.Turn.StartedAt == 0 && !listed[p.Attempt] && r.beat.Number < p.Turn.Beat+2 {
+				orders.Starts = append(orders.Starts, p.Start)
+			}
+		}
+	}
+	for _, a := range orders.Stops {
+		if at, ok := s.told[a]; !ok || now-at > retellAfter {
+			urgent = true
+		}
+	}
+	if !urgent && len(orders.Starts) == 0 && now < r.until {
+		return
+	}
+	for _, a := range orders.Stops {
+		s.told[a] = now
+	}
+	s.reply(r, ledger.Answer{Code: code.OK, Orders: orders}, out)
+}
+
+// Inboxes shows what waits where, for operators.
+func (s *Scheduler) Inboxes() map[string]int {
+	out := map[string]int{}
+	for w, refs := range s.dispatch.Inboxes(s.copy.Ledger) {
+		out[strings.Clone(w)] = len(refs)
+	}
+	return out
+}
--- /dev/null
+++ b/core/wire/wire.go
@@ -0,0 +1,165 @@
+// Package wire names the kinds of lines that processes send one another and
+// the bodies they carry. Unknown fields are passed over, so that two versions
+// can run side by side; an unknown kind is logged and dropped by the receiver.
+package wire
+
+import (
+	"time"
+
+	"sorrelloom/core/ledger"
+	"sorrelloom/core/machine"
+)
+
+const (
+	Shuffle      = "shuffle"
+	ShuffleBack  = "shuffle-back"
+	Found        = "found"
+	FoundBack    = "found-back"
+	FoundView    = "found-view"
+	Prepare      = "prepare"
+	PrepareBack  = "prepare-back"
+	Accept       = "accept"
+	AcceptBack   = "accept-back"
+	Decided      = "decided"
+	Replicate    = "replicate"
+	ReplicateAck = "replicate-ack"
+	Copy         = "copy"
+	Command      = "command"
+	CommandBack  = "command-back"
+	Follow       = "follow"
+	News         = "news"
+	Beat         = "beat"
+	BeatBack     = "beat-back"
+	Nodes        = "nodes"
+)
+
+// Node is what one daemon knows of another.
+type Node struct {
+	ID          string `json:"id"`
+	Role        string `json:"role"`
+	Site        string `json:"site"`
+	Address     string `json:"address"`
+	HTTP        string `json:"http,omitempty"`
+	Incarnation int64  `json:"incarnation"`
+	Sequence    uint64 `json:"sequence"`
+}
+
+type Gossip struct {
+	Nodes []Node `json:"nodes"`
+}
+
+// Seat is a keeper's place in a view: the identity is that of its disk.
+type Seat struct {
+	ID      string `json:"id"`
+	Address string `json:"address"`
+	Site    string `json:"site"`
+}
+
+// View says who leads an epoch. Boot names the process that may serve in it:
+// another run of the same keeper asks for an epoch of its own first.
+type View struct {
+	Epoch     uint64 `json:"epoch"`
+	Boot      uint64 `json:"boot"`
+	Primary   Seat   `json:"primary"`
+	Backup    Seat   `json:"backup"`
+	Witnesses []Seat `json:"witnesses"`
+}
+
+type FoundBody struct {
+	Seat  Seat `json:"seat"`
+	Empty bool `json:"empty"`
+	View  View `json:"view"`
+}
+
+// Ballot orders attempts to decide one epoch; ties go to the larger identity.
+type Ballot struct {
+	Round uint64 `json:"round"`
+	ID    string `json:"id"`
+}
+
+func (b Ballot) Less(o Ballot) bool {
+	if b.Round != o.Round {
+		return b.Round < o.Round
+	}
+	return b.ID < o.ID
+}
+
+// RegisterBody serves all lines of the view register.
+type RegisterBody struct {
+	Epoch    uint64 `json:"epoch"`
+	From     Seat   `json:"from"`
+	To       string `json:"to"`
+	Ballot   Ballot `json:"ballot"`
+	Promised Ballot `json:"promised"`
+	Accepted Ballot `json:"accepted"`
+	Value    View   `json:"value"`
+	Known    View   `json:"known"`
+	Good     bool   `json:"good"`
+}
+
+// ReplicateBody carries commands from the primary. Token is echoed, so that an
+// empty body serves as a check that the backup still follows this epoch.
+type ReplicateBody struct {
+	View     View             `json:"view"`
+	From     Seat             `json:"from"`
+	Token    uint64           `json:"token"`
+	After    ledger.Position  `json:"after"`
+	Commands []ledger.Command `json:"commands,omitempty"`
+}
+
+type ReplicateAckBody struct {
+	Epoch uint64          `json:"epoch"`
+	From  Seat            `json:"from"`
+	Token uint64          `json:"token"`
+	At    ledger.Position `json:"at"`
+	Good  bool            `json:"good"`
+	Known View            `json:"known"`
+}
+
+type CopyBody struct {
+	View    View             `json:"view"`
+	From    Seat             `json:"from"`
+	Token   uint64           `json:"token"`
+	At      ledger.Position  `json:"at"`
+	Records []machine.Record `json:"records"`
+}
+
+type CommandBody struct {
+	ID      uint64         `json:"id"`
+	Read    bool           `json:"read,omitempty"`
+	Command ledger.Command `json:"command"`
+}
+
+type CommandBackBody struct {
+	ID      uint64        `json:"id"`
+	At      uint64        `json:"at,omitempty"`
+	Answer  ledger.Answer `json:"answer"`
+	Primary string        `json:"primary,omitempty"`
+}
+
+type FollowBody struct {
+	At    ledger.Position `json:"at"`
+	Depth int             `json:"depth"`
+}
+
+// NewsBody carries committed commands, or a whole copy when Records is set.
+type NewsBody struct {
+	Epoch    uint64           `json:"epoch"`
+	After    ledger.Position  `json:"after"`
+	At       ledger.Position  `json:"at"`
+	Commands []ledger.Command `json:"commands,omitempty"`
+	Records  []machine.Record `json:"records,omitempty"`
+	Bounced  bool             `json:"bounced,omitempty"`
+	Primary  string           `json:"primary,omitempty"`
+}
+
+type BeatBody struct {
+	ID   uint64        `json:"id"`
+	Hold time.Duration `json:"hold"`
+	Beat ledger.Beat   `json:"beat"`
+}
+
+type BeatBackBody struct {
+	ID     uint64        `json:"id"`
+	Answer ledger.Answer `json:"answer"`
+}
--- /dev/null
+++ b/daemon/cmd/scheduler/main.go
@@ -0,0 +1,59 @@
+// Program scheduler runs dispatch duties; it keeps nothing on a disk.
+package main
+
+import (
+	"os"
+
+	"sorrelloom/core/dispatch"
+	"sorrelloom/core/machine"
+	"sorrelloom/core/scheduler"
+	"sorrelloom/daemon/env"
+	"sorrelloom/daemon/host"
+	"sorrelloom/daemon/run"
+	"sorrelloom/daemon/web"
+)
+
+func main() {
+	os.Exit(run.Main("scheduler", false, nil, build))
+}
+
+type status struct {
+	Duties   []string          `json:"duties"`
+	Plan     uint64            `json:"planSequence"`
+	Inboxes  map[string]int    `json:"inboxes"`
+	Counters dispatch.Counters `json:"counters"`
+}
+
+func build(e env.Env, _ []machine.Record) (run.Built, error) {
+	sched := scheduler.New(scheduler.Env{Address: e.Address, Site: e.Site, First: run.Chance()})
+	page := func(h *host.Host, s *host.Shard) web.Page {
+		counter := func(name, help string, f func(dispatch.Counters) uint64) web.Gauge {
+			return web.Gauge{Name: "dispatch_" + name, Help: help, Read: func() (v float64) {
+				s.Look(func() { v = float64(f(sched.Counters())) })
+				return v
+			}}
+		}
+		return web.Page{
+			Ready: func() (ready bool) {
+				s.Look(func() { ready = sched.Ready(h.Now()) })
+				return ready
+			},
+			Status: func() (v any) {
+				s.Look(func() { v = status{sched.Duties(), sched.Sequence(), sched.Inboxes(), sched.Counters()} })
+				return v
+			},
+			Gauges: []web.Gauge{
+				counter("releases", "tasks put into an inbox", func(c dispatch.Counters) uint64 { return c.Releases }),
+				counter("own", "pulls answered from the own inbox", func(c dispatch.Counters) uint64 { return c.Own }),
+				counter("helped", "pulls answered from a straggler's inbox", func(c dispatch.Counters) uint64 { return c.Helped }),
+				counter("deepest", "choices decided by the deepest step", func(c dispatch.Counters) uint64 { return c.Deepest }),
+				counter("locality", "choices decided by locality_score", func(c dispatch.Counters) uint64 { return c.Locality }),
+				counter("smallest", "choices decided by the smallest number", func(c dispatch.Counters) uint64 { return c.Smallest }),
+				counter("gangs", "gangs started whole", func(c dispatch.Counters) uint64 { return c.Gangs }),
+				counter("push_outs", "borrowed turns asked back", func(c dispatch.Counters) uint64 { return c.PushOuts }),
+				counter("reserved", "lost contentions, served again", func(c dispatch.Counters) uint64 { return c.Reserved }),
+			},
+		}
+	}
+	return run.Built{ID: e.Address, Machine: sched, Page: page}, nil
+}
--- /dev/null
+++ b/daemon/web/web.go
@@ -0,0 +1,167 @@
+// Package web serves HTTP by hertz: health, metrics and status on every daemon,
+// and the API of callers, operators and workers on a front.
+package web
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/adaptor"
+	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"sorrelloom/core/code"
+	"sorrelloom/core/front"
+	"sorrelloom/core/machine"
+	"sorrelloom/daemon/host"
+	"sorrelloom/daemon/logline"
+	"sorrelloom/daemon/pool"
+)
+
+const bodyMax = 4 << 20
+
+// Gauge is one number on the metrics page, read when it is asked for.
+type Gauge struct {
+	Name, Help string
+	Read       func() float64
+}
+
+// Page is what a daemon shows of itself.
+type Page struct {
+	Ready  func() bool
+	Status func() any
+	Gauges []Gauge
+}
+
+// Server is an HTTP server that is not yet running.
+type Server struct{ engine *server.Hertz }
+
+func New(listener net.Listener, page Page) *Server {
+	hlog.SetLevel(hlog.LevelFatal)
+	h := server.New(server.WithListener(listener), server.WithHostPorts(listener.Addr().String()), server.WithMaxRequestBodySize(bodyMax),
+		server.WithDisablePrintRoute(true), server.WithExitWaitTime(time.Second), server.WithHandleMethodNotAllowed(true),
+		server.WithIdleTimeout(time.Minute), server.WithReadTimeout(time.Minute))
+	registry := prometheus.NewRegistry()
+	for _, g := range page.Gauges {
+		registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "sorrelloom", Name: g.Name, Help: g.Help}, g.Read))
+	}
+	h.GET("/healthz", func(_ context.Context, c *app.RequestContext) { plain(c, 200, map[string]string{"state": "alive"}) })
+	h.GET("/readyz", func(_ context.Context, c *app.RequestContext) {
+		if page.Ready() {
+			plain(c, 200, map[string]string{"state": "ready"})
+		} else {
+			plain(c, 503, map[string]string{"state": "not ready"})
+		}
+	})
+	h.GET("/status", func(_ context.Context, c *app.RequestContext) { plain(c, 200, page.Status()) })
+	h.GET("/metrics", adaptor.HertzHandler(promhttp.HandlerFor(registry, promhttp.HandlerOpts{})))
+	h.NoRoute(func(_ context.Context, c *app.RequestContext) { fail(c, code.UnknownName, "no such path") })
+	h.NoMethod(func(_ context.Context, c *app.RequestContext) {
+		fail(c, code.UnknownName, "no such method on this path")
+	})
+	return &Server{h}
+}
+
+func (s *Server) Run() {
+	pool.Go(func() {
+		if err := s.engine.Run(); err != nil {
+			logline.Event("http_ended", "why", err.Error())
+		}
+	})
+}
+
+func (s *Server) Close(ctx context.Context) { s.engine.Shutdown(ctx) }
+
+func plain(c *app.RequestContext, status int, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		status, data = 500, []byte(`{"code":900}`)
+	}
+	c.Data(status, "application/json", append(data, '\n'))
+}
+
+func fail(c *app.RequestContext, reason code.Code, why string) {
+	plain(c, reason.Status(), front.Outcome{Code: reason, Name: reason.String(), Why: why})
+}
+
+// Route is one call of the API; the table is what docs/api.md is checked with.
+type Route struct {
+	Method, Path, Kind string
+	On                 bool
+}
+
+var Routes = []Route{
+	{"POST", "/v1/jobs", front.Submit, false},
+	{"GET", "/v1/jobs", front.Jobs, false},
+	{"GET", "/v1/jobs/:name", front.Status, false},
+	{"DELETE", "/v1/jobs/:name", front.Cancel, false},
+	{"POST", "/v1/beats", front.Beat, false},
+	{"GET", "/v1/plan", front.PlanGet, false},
+	{"PUT", "/v1/plan", front.PlanPut, false},
+	{"PATCH", "/v1/plan", front.PlanPatch, false},
+	{"POST", "/v1/plan/check", front.PlanCheck, false},
+	{"POST", "/v1/sites/:name/empty", front.Site, true},
+	{"POST", "/v1/sites/:name/refill", front.Site, false},
+	{"GET", "/v1/workers", front.Workers, false},
+	{"POST", "/v1/workers/:name/drain", front.Drain, true},
+	{"POST", "/v1/workers/:name/undrain", front.Drain, false},
+	{"GET", "/v1/nodes", front.Nodes, false},
+	{"GET", "/v1/duties", front.Duties, false},
+}
+
+// API serves the routes from a front's shard.
+func (s *Server) API(shard *host.Shard) {
+	for _, route := range Routes {
+		s.engine.Handle(route.Method, route.Path, func(ctx context.Context, c *app.RequestContext) {
+			ask, err := read(c, route)
+			if err != nil {
+				fail(c, code.Malformed, err.Error())
+				return
+			}
+			v, ok := shard.Ask(ctx, ask)
+			reply, good := v.(front.Reply)
+			if !ok || !good {
+				fail(c, code.Internal, "the front gave no answer")
+				return
+			}
+			if reply.RetryAfter > 0 {
+				c.Header("Retry-After", strconv.Itoa(int(math.Ceil(reply.RetryAfter.Seconds()))))
+			}
+			plain(c, reply.Status, reply.Body)
+		})
+	}
+}
+
+func read(c *app.RequestContext, route Route) (machine.Ask, error) {
+	ask := machine.Ask{Kind: route.Kind, Name: c.Param("name"), On: route.On, Token: string(c.GetHeader("Idempotency-Key"))}
+	ask.Body = append(json.RawMessage(nil), c.Request.Body()...)
+	for _, name := range []string{"wait", "hold"} {
+		if text := c.Query(name); text != "" {
+			d, err := time.ParseDuration(text)
+			if err != nil || d < 0 {
+				return ask, fmt.Errorf("?%s: %q is not a duration such as 500ms", name, text)
+			}
+			ask.Wait = d
+		}
+	}
+	if text := c.Query("base"); text != "" {
+		base, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			return ask, fmt.Errorf("?base: %q is not a plan sequence", text)
+		}
+		ask.Base = base
+	} else if route.Kind == front.PlanPut || route.Kind == front.PlanPatch {
+		if ask.Forced = c.Query("force") == "true"; !ask.Forced {
+			return ask, fmt.Errorf("?base: say which plan sequence this change is made on, or force=true")
+		}
+	}
+	return ask, nil
+}
--- /dev/null
+++ b/tool/worker/worker.go
@@ -0,0 +1,228 @@
+// Package worker is a stand-in for the users' workers, written to the contract
+// in docs/workers.md, with faults that can be switched on. It is a state
+// machine without input or output, driven by the standin program and by the
+// simulator. It keeps its own record of every run, from which the promises are
+// checked without asking the ledger.
+package worker
+
+import (
+	"encoding/json"
+	"slices"
+	"time"
+
+	"sorrelloom/core/ledger"
+)
+
+// Faults are what a worker can be told to do wrong.
+type Faults struct {
+	Slow     float64 `json:"slow,omitempty"`
+	FailEach int     `json:"failEach,omitempty"`
+	Hang     bool    `json:"hang,omitempty"`
+	LieSlots int     `json:"lieSlots,omitempty"`
+	RunOn    bool    `json:"runOn,omitempty"`
+}
+
+type Env struct {
+	ID, Site, Rack, Service string
+	Labels                  []string
+	Total                   ledger.Room
+	Incarnation             int64
+}
+
+// Run is one line of the worker's own record.
+type Run struct {
+	ledger.Attempt
+	Worker  string        `json:"worker"`
+	Class   string        `json:"class"`
+	Service string        `json:"service"`
+	Room    ledger.Room   `json:"room"`
+	Gang    string        `json:"gang,omitempty"`
+	From    time.Duration `json:"from"`
+	To      time.Duration `json:"to"`
+	Outcome string        `json:"outcome"`
+}
+
+// Payload is what the stand-in understands of a task.
+type Payload struct {
+	RunMs int64 `json:"runMs"`
+	Fail  bool  `json:"fail,omitempty"`
+}
+
+const (
+	HoldFor  = time.Second
+	DropLate = 2 * time.Second
+	again    = 200 * time.Millisecond
+	stopTook = 20 * time.Millisecond
+)
+
+type running struct {
+	start  ledger.Start
+	from   time.Duration
+	until  time.Duration
+	fail   bool
+	hung   bool
+	stopAt time.Duration
+}
+
+type Worker struct {
+	env      Env
+	faults   Faults
+	number   uint64
+	sentAt   time.Duration
+	waiting  bool
+	nextBeat time.Duration
+	cutoff   time.Duration
+	run      map[ledger.Attempt]running
+	ended    []ledger.End
+	seen     map[ledger.Attempt]bool
+	leaving  bool
+	changed  bool
+	count    int
+	Runs     []Run
+}
+
+func New(env Env) *Worker {
+	return &Worker{env: env, run: map[ledger.Attempt]running{}, seen: map[ledger.Attempt]bool{}}
+}
+
+func (w *Worker) Set(f Faults)          { w.faults = f }
+func (w *Worker) ID() string            { return w.env.ID }
+func (w *Worker) Running() int          { return len(w.run) }
+func (w *Worker) Idle() bool            { return len(w.run) == 0 && len(w.ended) == 0 }
+func (w *Worker) Incarnation() int64    { return w.env.Incarnation }
+func (w *Worker) Leave()                { w.leaving, w.changed = true, true }
+func (w *Worker) Leaving() bool         { return w.leaving }
+func (w *Worker) Faults() Faults        { return w.faults }
+func (w *Worker) Total() ledger.Room    { return w.env.Total }
+func (w *Worker) Cutoff() time.Duration { return w.cutoff }
+
+func (w *Worker) close(a ledger.Attempt, now time.Duration, outcome string) {
+	r := w.run[a]
+	delete(w.run, a)
+	w.Runs = append(w.Runs, Run{a, w.env.ID, r.start.Class, r.start.Service, r.start.Room, r.start.Gang, r.from, now, outcome})
+	w.ended = append(w.ended, ledger.End{Attempt: a, Good: outcome == "good", Stopped: outcome == "stopped", Why: map[string]string{"bad": "the task failed"}[outcome]})
+	w.changed = true
+}
+
+// Tick ends what is due and says whether a beat is to be sent now.
+func (w *Worker) Tick(now time.Duration) (ledger.Beat, bool) {
+	for _, a := range w.attempts() {
+		r := w.run[a]
+		switch {
+		case r.stopAt > 0 && now >= r.stopAt:
+			w.close(a, now, "stopped")
+		case w.cutoff > 0 && now >= w.cutoff && !w.faults.RunOn:
+			w.close(a, now, "stopped")
+		case r.hung || now < r.until:
+		case r.fail:
+			w.close(a, now, "bad")
+		default:
+			w.close(a, now, "good")
+		}
+	}
+	if w.changed || !w.waiting && now >= w.nextBeat || w.waiting && now > w.sentAt+DropLate {
+		return w.beat(now), true
+	}
+	return ledger.Beat{}, false
+}
+
+func (w *Worker) attempts() []ledger.Attempt {
+	out := make([]ledger.Attempt, 0, len(w.run))
+	for a := range w.run {
+		out = append(out, a)
+	}
+	slices.SortFunc(out, func(a, b ledger.Attempt) int {
+		if a.String() < b.String() {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+func (w *Worker) beat(now time.Duration) ledger.Beat {
+	w.number++
+	w.sentAt, w.waiting, w.changed = now, true, false
+	free := w.env.Total
+	for _, r := range w.run {
+		free = free.Less(r.start.Room)
+	}
+	free.Slots += w.faults.LieSlots
+	return ledger.Beat{
+		Worker: w.env.ID, Incarnation: w.env.Incarnation, Number: w.number, Site: w.env.Site, Rack: w.env.Rack, Service: w.env.Service,
+		Labels: w.env.Labels, Running: w.attempts(), Ended: slices.Clone(w.ended), Free: free, Leaving: w.leaving,
+	}
+}
+
+// Wakeup is when Tick should be called at the latest.
+func (w *Worker) Wakeup() time.Duration {
+	at := w.nextBeat
+	if w.waiting {
+		at = w.sentAt + DropLate + time.Millisecond
+	}
+	for _, r := range w.run {
+		if !r.hung {
+			at = min(at, r.until)
+		}
+		if r.stopAt > 0 {
+			at = min(at, r.stopAt)
+		}
+	}
+	if len(w.run) > 0 && w.cutoff > 0 {
+		at = min(at, w.cutoff)
+	}
+	return at
+}
+
+// Reply takes the answer to a beat; one to an earlier beat, or one that comes
+// late, is dropped whole.
+func (w *Worker) Reply(now time.Duration, number uint64, good bool, orders ledger.Orders) {
+	if number != w.number || !w.waiting {
+		return
+	}
+	w.waiting = false
+	if now-w.sentAt > DropLate {
+		w.nextBeat = now
+		return
+	}
+	if !good {
+		w.nextBeat = now + again
+		if orders.Incarnation > w.env.Incarnation {
+			w.env.Incarnation = orders.Incarnation + 1
+		}
+		return
+	}
+	w.nextBeat = now
+	w.cutoff = max(w.cutoff, w.sentAt+orders.Lease)
+	w.ended = slices.DeleteFunc(w.ended, func(e ledger.End) bool { return slices.Contains(orders.Acks, e.Attempt) })
+	for _, a := range orders.Stops {
+		if r, ok := w.run[a]; ok && r.stopAt == 0 && !r.hung {
+			r.stopAt = now + stopTook
+			w.run[a] = r
+		} else if ok && r.stopAt == 0 {
+			r.stopAt = now + 10*stopTook
+			w.run[a] = r
+		}
+	}
+	for _, s := range orders.Starts {
+		if w.seen[s.Attempt] {
+			continue
+		}
+		w.seen[s.Attempt], w.changed = true, true
+		w.start(now, s)
+	}
+}
+
+func (w *Worker) start(now time.Duration, s ledger.Start) {
+	var p Payload
+	if json.Unmarshal(s.Payload, &p) != nil || p.RunMs <= 0 {
+		p.RunMs = 50
+	}
+	w.count++
+	took := time.Duration(p.RunMs) * time.Millisecond
+	if w.faults.Slow > 1 {
+		took = time.Duration(float64(took) * w.faults.Slow)
+	}
+	fail := p.Fail || w.faults.FailEach > 0 && w.count%w.faults.FailEach == 0
+	w.run[s.Attempt] = running{start: s, from: now, until: now + took, fail: fail, hung: w.faults.Hang}
+}
