--- a/core/ledger/turns.go
+++ b/core/ledger/turns.go
@@ -139,9 +139,6 @@
 func (l *Ledger) end(at ref, t Task, end End, b Beat) {
 	current := t.Turn.Held() && holds(t.Turn, b) && t.Turn.Try == end.Try
 	if end.Good && t.State != Done {
-		if t.State == Failed || t.State == Cancelled && l.jobs[at.job].Ending != Cancelled {
-			t.Why = "a late good end"
-		}
 		t.State, t.EndedAt, t.Holder = Done, l.at, b.Worker
 		if current {
 			t.Turn = Turn{}
