--- a/core/front/front.go
+++ b/core/front/front.go
@@ -92,6 +92,7 @@
 	JobWhy  string     `json:"jobWhy,omitempty"`
 	Service string     `json:"service"`
 	Class   string     `json:"class"`
+	Waits   string     `json:"waits,omitempty"`
 	Tasks   []TaskView `json:"tasks"`
 }
 
@@ -293,6 +294,13 @@
 	return v
 }
 
+// known is a job's view from the copy, with the reason why it waits.
+func (f *Front) known(job ledger.Job) JobView {
+	v := f.viewJob(job, ledger.Answer{})
+	v.Waits = f.copy.Ledger.Explain(job.Spec.ID)
+	return v
+}
+
 // status answers from the copy where it can. A job that the copy does not know
 // is asked for at the keepers, since "unknown" must never be said of a job that
 // was accepted a moment ago, or elsewhere.
@@ -306,7 +314,7 @@
 	r.seen = job.State
 	r.until = now + min(r.ask.Wait, waitMax)
 	if r.ask.Wait <= 0 || over(job) {
-		f.answer(r.ask.Key, 200, 0, f.viewJob(job, ledger.Answer{}), out)
+		f.answer(r.ask.Key, 200, 0, f.known(job), out)
 		return
 	}
 	f.table[r.ask.Key] = r
@@ -392,7 +400,7 @@
 			if !ok {
 				f.bounce(key, bounced(code.UnknownJob, "job %s is not known", r.ask.Name), out)
 			} else if over(job) || job.State != r.seen || now >= r.until {
-				f.answer(key, 200, 0, f.viewJob(job, ledger.Answer{}), out)
+				f.answer(key, 200, 0, f.known(job), out)
 			}
 		case r.ask.Kind == Beat && now >= r.until:
 			f.bounce(key, bounced(code.NoAuthority, "no scheduler took the beat in time"), out)
--- /dev/null
+++ b/core/ledger/explain.go
@@ -0,0 +1,98 @@
+// Why a job waits, in a sentence: the reasons that a grant would be bounced
+// with now, told for people.
+package ledger
+
+import (
+	"fmt"
+	"strings"
+
+	"sorrelloom/core/code"
+)
+
+// Explain says why a job has not ended yet.
+func (l *Ledger) Explain(id string) string {
+	job, ok := l.jobs[id]
+	if !ok {
+		return "job " + id + " is not known"
+	}
+	if ended(job) {
+		if job.Why != "" {
+			return fmt.Sprintf("job %s is %s: %s", id, job.State, job.Why)
+		}
+		return fmt.Sprintf("job %s is %s", id, job.State)
+	}
+	var parts []string
+	for i, t := range job.Tasks {
+		name := job.Spec.Tasks[i].ID
+		switch {
+		case t.Turn.Held() && t.Turn.Stop != "":
+			parts = append(parts, fmt.Sprintf("task %s is being stopped on %s: %s", name, t.Turn.Worker, t.Turn.Stop))
+		case t.Turn.StartedAt > 0:
+			parts = append(parts, fmt.Sprintf("task %s runs on %s", name, t.Turn.Worker))
+		case t.Turn.Held():
+			parts = append(parts, fmt.Sprintf("task %s is granted to %s, which has not confirmed it yet", name, t.Turn.Worker))
+		case t.State == Waiting:
+			parts = append(parts, fmt.Sprintf("task %s waits for %s", name, strings.Join(l.missing(job, i), ", ")))
+		case t.State == Open:
+			parts = append(parts, fmt.Sprintf("task %s waits: %s", name, l.obstacle(job, i)))
+		}
+	}
+	return "job " + id + ": " + strings.Join(parts, "; ")
+}
+
+func (l *Ledger) missing(job Job, i int) []string {
+	var out []string
+	for j, spec := range job.Spec.Tasks {
+		for _, dep := range job.Spec.Tasks[i].After {
+			if dep == spec.ID && job.Tasks[j].State != Done {
+				out = append(out, dep)
+			}
+		}
+	}
+	return out
+}
+
+// obstacle counts, over the workers of the service, what keeps a task away.
+func (l *Ledger) obstacle(job Job, i int) string {
+	spec := job.Spec.Tasks[i]
+	counts := map[code.Code]int{}
+	of, room := 0, 0
+	for _, w := range l.workers {
+		if w.Service != job.Spec.Service {
+			continue
+		}
+		of++
+		c := l.Fits(job, i, w)
+		if c == code.OK {
+			if l.Room(w.ID()).Holds(spec.Room) {
+				room++
+			}
+		}
+		counts[c]++
+	}
+	switch {
+	case of == 0:
+		return "no worker of service " + job.Spec.Service + " has beaten yet"
+	case counts[code.OK] == 0:
+		var why []string
+		for _, c := range []code.Code{code.WrongWorker, code.WorkerSilent, code.Draining, code.SiteEmptied} {
+			if counts[c] > 0 {
+				why = append(why, fmt.Sprintf("%d %s", counts[c], map[code.Code]string{
+					code.WrongWorker: "lack a label", code.WorkerSilent: "are silent", code.Draining: "are draining", code.SiteEmptied: "stand in an emptied site",
+				}[c]))
+			}
+		}
+		return fmt.Sprintf("of %d workers none may take it: %s", of, strings.Join(why, ", "))
+	}
+	if allowed, _ := l.Allowed(job.Spec.Service, job.Spec.Class, spec.Room.Slots); !allowed {
+		usedSlots, shareSlots := l.ClassUse(job.Spec.Service, job.Spec.Class)
+		return fmt.Sprintf("class %s uses %d slots of its share of %d, and may not borrow now", job.Spec.Class, usedSlots, shareSlots)
+	}
+	switch {
+	case room == 0:
+		return fmt.Sprintf("%d workers may take it, none has room for %d slots and %d cores now", counts[code.OK], spec.Room.Slots, spec.Room.Cores)
+	case spec.Gang != "":
+		return "the gang " + spec.Gang + " needs room for all its members at once"
+	}
+	return fmt.Sprintf("%d workers have room; its turn comes next", room)
+}
--- /dev/null
+++ b/daemon/cmd/sorrelctl/main.go
@@ -0,0 +1,172 @@
+// Program sorrelctl is the command line of callers and operators. It prints the
+// front's JSON, and ends with 0 for a yes, 1 for a bounce, 2 for wrong usage and
+// 3 when no front could be reached.
+package main
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/peterbourgon/ff/v3"
+
+	"sorrelloom/core/front"
+	"sorrelloom/daemon/client"
+	"sorrelloom/daemon/env"
+)
+
+const usage = `sorrelctl [flags] COMMAND
+
+  submit FILE                 hand a job in (- for standard input)
+  status JOB                  show a job; -wait 5s waits for a change
+  cancel JOB                  cancel a job
+  jobs                        list the jobs that are not over
+  why JOB                     say in a sentence why a job waits
+  plan get                    show the plan in force
+  plan check FILE             check a plan; changes nothing
+  plan put FILE               set a whole plan; needs -base or -force
+  plan patch FILE             merge a change into the plan; needs -base or -force
+  site empty|refill SITE      empty or refill a site
+  worker drain|undrain ID     drain a worker or take it back
+  workers | nodes | duties    show what the cluster knows
+  version                     show the version
+
+Flags:
+`
+
+type call struct {
+	method, path string
+	file         string
+}
+
+func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
+
+func run(args []string, out, errs io.Writer) int {
+	fs := flag.NewFlagSet("sorrelctl", flag.ContinueOnError)
+	fs.SetOutput(errs)
+	fronts := fs.String("fronts", "127.0.0.1:8080", "comma-separated IP:port of fronts; also SORRELCTL_FRONTS")
+	wait := fs.Duration("wait", 0, "status: wait so long for a change")
+	timeout := fs.Duration("timeout", 10*time.Second, "how long one front may take")
+	base := fs.Uint64("base", 0, "plan put, patch: the sequence the change is made on")
+	force := fs.Bool("force", false, "plan put, patch: whatever the sequence is")
+	fs.Usage = func() {
+		fmt.Fprint(errs, usage)
+		fs.PrintDefaults()
+	}
+	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix("SORRELCTL")); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			return 0
+		}
+		return 2
+	}
+	words := fs.Args()
+	if len(words) == 1 && words[0] == "version" {
+		fmt.Fprintln(out, env.Version("sorrelctl"))
+		return 0
+	}
+	baseGiven := false
+	fs.Visit(func(f *flag.Flag) { baseGiven = baseGiven || f.Name == "base" })
+	change := ""
+	switch {
+	case *force:
+		change = "?force=true"
+	case baseGiven:
+		change = fmt.Sprintf("?base=%d", *base)
+	}
+	c, ok := parse(words, *wait, change)
+	if !ok {
+		fs.Usage()
+		return 2
+	}
+	if strings.HasPrefix(c.path, "/v1/plan") && (c.method == "PUT" || c.method == "PATCH") && change == "" {
+		fmt.Fprintln(errs, "sorrelctl: say -base SEQUENCE, as plan get shows it, or -force")
+		return 2
+	}
+	var body []byte
+	if c.file != "" {
+		var err error
+		if body, err = read(c.file); err != nil {
+			fmt.Fprintln(errs, "sorrelctl:", err)
+			return 2
+		}
+	}
+	var token [12]byte
+	if _, err := rand.Read(token[:]); err != nil {
+		fmt.Fprintln(errs, "sorrelctl:", err)
+		return 3
+	}
+	r, err := client.Must(strings.Split(*fronts, ",")).Call(c.method, c.path, body, map[string]string{"Idempotency-Key": hex.EncodeToString(token[:])}, *timeout+*wait)
+	if err != nil {
+		fmt.Fprintln(errs, "sorrelctl: no front answered:", err)
+		return 3
+	}
+	if len(words) == 2 && words[0] == "why" && r.Status == 200 {
+		var view front.JobView
+		if err := r.Decode(&view); err == nil {
+			fmt.Fprintln(out, view.Waits)
+			return 0
+		}
+	}
+	out.Write(r.Body)
+	if r.Status != 200 {
+		if r.RetryAfter != "" {
+			fmt.Fprintf(errs, "sorrelctl: come back in %s s\n", r.RetryAfter)
+		}
+		return 1
+	}
+	return 0
+}
+
+func read(file string) ([]byte, error) {
+	if file == "-" {
+		return io.ReadAll(os.Stdin)
+	}
+	return os.ReadFile(file)
+}
+
+func parse(words []string, wait time.Duration, change string) (call, bool) {
+	name := ""
+	if len(words) > 0 {
+		name = url.PathEscape(words[len(words)-1])
+	}
+	switch len(words) {
+	case 1:
+		switch words[0] {
+		case "jobs", "workers", "nodes", "duties":
+			return call{"GET", "/v1/" + words[0], ""}, true
+		}
+	case 2:
+		switch words[0] {
+		case "submit":
+			return call{"POST", "/v1/jobs", words[1]}, true
+		case "status", "why":
+			return call{"GET", "/v1/jobs/" + name + "?wait=" + wait.String(), ""}, true
+		case "cancel":
+			return call{"DELETE", "/v1/jobs/" + name, ""}, true
+		}
+		if words[0] == "plan" && words[1] == "get" {
+			return call{"GET", "/v1/plan", ""}, true
+		}
+	case 3:
+		switch words[0] + " " + words[1] {
+		case "plan check":
+			return call{"POST", "/v1/plan/check", words[2]}, true
+		case "plan put":
+			return call{"PUT", "/v1/plan" + change, words[2]}, true
+		case "plan patch":
+			return call{"PATCH", "/v1/plan" + change, words[2]}, true
+		case "site empty", "site refill":
+			return call{"POST", "/v1/sites/" + name + "/" + words[1], ""}, true
+		case "worker drain", "worker undrain":
+			return call{"POST", "/v1/workers/" + name + "/" + words[1], ""}, true
+		}
+	}
+	return call{}, false
+}
--- a/tool/fleet/fleet.go
+++ b/tool/fleet/fleet.go
@@ -292,3 +292,24 @@
 	}
 	return ""
 }
+
+func (f *Fleet) gather(role string, pick func(*Process) string) []string {
+	var out []string
+	for _, name := range f.Names() {
+		if p := f.members[name]; p.Role == role {
+			out = append(out, pick(p))
+		}
+	}
+	return out
+}
+
+// Fronts gives the HTTP addresses of the fronts.
+func (f *Fleet) Fronts() []string {
+	return f.gather("front", func(p *Process) string { return p.HTTP })
+}
+
+// Seeds gives three daemons to begin from that are not keepers.
+func (f *Fleet) Seeds() []string {
+	all := f.gather("scheduler", func(p *Process) string { return p.Address })
+	return all[:min(3, len(all))]
+}
