Pass the ledger's news on through one home daemon per site

The daemon of a site that ranks highest by a hash of its address follows the primary; the others of the site follow it, with its tail or a copy to catch up, and go to the primary themselves for a while if it has had no proven word for a second. What is passed on carries its age, so freshness is never overstated.

Also found: a fleet on ports above 32768 lost a scheduler to a port that the system had given to an outgoing circuit; fleet and its tests stay below.

--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -7,6 +7,7 @@
 
 import (
 	"encoding/json"
+	"hash/fnv"
 	"slices"
 	"time"
 
@@ -17,6 +18,9 @@
 )
 
 const (
+	tailMax     = 2048
+	subscribed  = 3 * time.Second
+	directFor   = 5 * time.Second
 	askEach     = 500 * time.Millisecond
 	resendAfter = 800 * time.Millisecond
 	bounceWait  = 60 * time.Millisecond
@@ -37,9 +41,21 @@
 	Answer ledger.Answer
 }
 
+type subscriber struct {
+	at    ledger.Position
+	until time.Duration
+}
+
 type Copy struct {
 	Ledger   *ledger.Ledger
 	Keepers  []string
+	self     string
+	site     string
+	home     string
+	direct   time.Duration
+	base     ledger.Position
+	tail     []ledger.Command
+	subs     map[string]subscriber
 	primary  string
 	turn     int
 	next     uint64
@@ -47,13 +63,12 @@
 	askedAt  time.Duration
 	heardAt  time.Duration
 	loaded   bool
-	Sequence uint64
 }
 
-// New takes the first command number, which should differ between two runs of
-// one process.
-func New(first uint64) *Copy {
-	return &Copy{Ledger: ledger.New(), next: first, requests: map[uint64]request{}}
+// New takes the daemon's address and site, and the first command number, which
+// should differ between two runs of one process.
+func New(self, site string, first uint64) *Copy {
+	return &Copy{Ledger: ledger.New(), self: self, site: site, next: first, requests: map[uint64]request{}, subs: map[string]subscriber{}}
 }
 
 // Fresh says whether the copy was confirmed a moment ago by a proven primary.
@@ -94,12 +109,7 @@
 	case wire.Nodes:
 		var b wire.Gossip
 		if err = json.Unmarshal(line.Body, &b); err == nil {
-			c.Keepers = nil
-			for _, n := range b.Nodes {
-				if n.Role == "keeper" {
-					c.Keepers = append(c.Keepers, n.Address)
-				}
-			}
+			c.know(b.Nodes)
 		}
 	case wire.CommandBack:
 		var b wire.CommandBackBody
@@ -111,6 +121,12 @@
 		if err = json.Unmarshal(line.Body, &b); err == nil {
 			c.news(now, line.From, b, out)
 		}
+	case wire.Follow:
+		var b wire.FollowBody
+		if err = json.Unmarshal(line.Body, &b); err == nil {
+			c.subs[line.From] = subscriber{b.At, now + subscribed}
+			c.pass(now, line.From, out)
+		}
 	default:
 		return nil, false
 	}
@@ -146,7 +162,11 @@
 
 func (c *Copy) news(now time.Duration, from string, b wire.NewsBody, out *machine.Output) {
 	if b.Bounced {
-		c.hint(from, b.Primary)
+		if b.Relayed {
+			c.direct = now + directFor
+		} else {
+			c.hint(from, b.Primary)
+		}
 		c.askedAt = min(c.askedAt, now-askEach+bounceWait)
 		return
 	}
@@ -160,29 +180,110 @@
 			out.Log("news_damaged", "from", from, "why", err.Error())
 			return
 		}
-		c.Ledger, c.primary, c.heardAt, c.loaded = l, from, now, true
-		return
+		c.Ledger, c.base, c.tail = l, l.Position(), nil
 	}
 	for _, cmd := range b.Commands {
 		switch {
 		case cmd.Sequence <= c.Ledger.Position().Sequence:
 		case cmd.Sequence == c.Ledger.Position().Sequence+1:
 			c.Ledger.Apply(cmd)
+			c.remember(cmd)
 		default:
 			c.ask(now, out)
 			return
 		}
 	}
+	c.Ledger.TakeDirty()
 	if b.At == c.Ledger.Position() {
-		c.primary, c.heardAt, c.loaded = from, now, true
+		c.heardAt, c.loaded = max(c.heardAt, now-b.Age), true
+		if !b.Relayed {
+			c.primary = from
+		}
 	} else if b.At.Sequence > c.Ledger.Position().Sequence {
 		c.ask(now, out)
 	}
-	c.Ledger.TakeDirty()
+	if len(b.Commands) > 0 || len(b.Records) > 0 {
+		for _, to := range sortedKeys(c.subs) {
+			c.pass(now, to, out)
+		}
+	}
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+func (c *Copy) remember(cmd ledger.Command) {
+	if c.tail = append(c.tail, cmd); len(c.tail) > 2*tailMax {
+		c.base = c.tail[tailMax-1].Position
+		c.tail = slices.Clone(c.tail[tailMax:])
+	}
 }
 
+// know takes the nodes: the keepers, and the home of the site's news, which is
+// the daemon of the site that ranks highest by a hash of its address.
+func (c *Copy) know(nodes []wire.Node) {
+	c.Keepers, c.home = nil, ""
+	var best uint64
+	for _, n := range nodes {
+		if n.Role == "keeper" {
+			c.Keepers = append(c.Keepers, n.Address)
+		} else if n.Site == c.site {
+			h := fnv.New64a()
+			h.Write([]byte("ledger\x00" + n.Address))
+			if rank := h.Sum64(); c.home == "" || rank > best {
+				c.home, best = n.Address, rank
+			}
+		}
+	}
+}
+
+// pass hands news on to one subscriber, from where it stands.
+func (c *Copy) pass(now time.Duration, to string, out *machine.Output) {
+	s := c.subs[to]
+	if now > s.until {
+		delete(c.subs, to)
+		return
+	}
+	if !c.Fresh(now) {
+		out.Send(to, wire.News, wire.NewsBody{Relayed: true, Bounced: true, At: s.at, After: s.at})
+		return
+	}
+	body := wire.NewsBody{Relayed: true, Age: now - c.heardAt, Epoch: c.Ledger.Position().Epoch, After: s.at, At: c.Ledger.Position()}
+	i := -1
+	if s.at != c.base {
+		i = slices.IndexFunc(c.tail, func(cmd ledger.Command) bool { return cmd.Position == s.at })
+	}
+	switch {
+	case s.at == body.At:
+	case s.at == c.base || i >= 0:
+		body.Commands = slices.Clone(c.tail[i+1:])
+	default:
+		body.Records = c.Ledger.Records()
+	}
+	c.subs[to] = subscriber{body.At, s.until}
+	out.Send(to, wire.News, body)
+}
+
+// ask renews the subscription: at the site's home, or at the primary itself if
+// this is the home or the home has had no news lately.
 func (c *Copy) ask(now time.Duration, out *machine.Output) {
 	c.askedAt = now
+	if c.home != "" && c.home != c.self && now >= c.direct {
+		if now-c.heardAt <= 2*askEach+bounceWait || !c.loaded {
+			out.Send(c.home, wire.Follow, wire.FollowBody{At: c.Ledger.Position()})
+			if c.loaded {
+				return
+			}
+		} else {
+			c.direct = now + directFor
+		}
+	}
 	if c.primary == "" {
 		c.rotate()
 	}
@@ -195,7 +296,7 @@
 func (c *Copy) Wake(now time.Duration, out *machine.Output) []Result {
 	var results []Result
 	if now-c.askedAt >= askEach {
-		if now-c.heardAt > freshFor {
+		if now-c.heardAt > freshFor && (c.home == "" || c.home == c.self || now < c.direct) {
 			c.rotate()
 		}
 		c.ask(now, out)
--- a/core/front/front.go
+++ b/core/front/front.go
@@ -136,7 +136,7 @@
 }
 
 func New(env Env) *Front {
-	return &Front{env: env, copy: follow.New(env.First), table: map[uint64]record{}}
+	return &Front{env: env, copy: follow.New(env.Address, env.Site, env.First), table: map[uint64]record{}}
 }
 
 func (f *Front) Wakeup() time.Duration        { return f.wakeAt }
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -74,7 +74,7 @@
 }
 
 func New(env Env) *Scheduler {
-	return &Scheduler{env: env, copy: follow.New(env.First), dispatch: dispatch.New(), records: map[string]record{},
+	return &Scheduler{env: env, copy: follow.New(env.Address, env.Site, env.First), dispatch: dispatch.New(), records: map[string]record{},
 		proposals: map[uint64]proposal{}, told: map[ledger.Attempt]time.Duration{}, wanted: map[string]bool{}}
 }
 
--- a/core/wire/wire.go
+++ b/core/wire/wire.go
@@ -138,12 +138,15 @@
 }
 
 type FollowBody struct {
-	At    ledger.Position `json:"at"`
-	Depth int             `json:"depth"`
+	At ledger.Position `json:"at"`
 }
 
-// NewsBody carries committed commands, or a whole copy when Records is set.
+// NewsBody carries committed commands, or a whole copy when Records is set. A
+// site's home daemon passes it on with Relayed set and the age of the last word
+// that it had from a proven primary.
 type NewsBody struct {
+	Relayed  bool             `json:"relayed,omitempty"`
+	Age      time.Duration    `json:"age,omitempty"`
 	Epoch    uint64           `json:"epoch"`
 	After    ledger.Position  `json:"after"`
 	At       ledger.Position  `json:"at"`
--- a/tool/cmd/fleet/main.go
+++ b/tool/cmd/fleet/main.go
@@ -51,8 +51,8 @@
 		return 2
 	}
 	d, err := deploy.Get(*name)
-	if err != nil || *keepers < 3 || *schedulers < 1 || *fronts < 1 || *workers < 0 || *base < 1024 || *base > 60000 || fs.NArg() > 0 {
-		fmt.Fprintln(os.Stderr, "fleet: bad settings:", err, "(at least 3 keepers, 1 scheduler, 1 front; base from 1024 to 60000)")
+	if err != nil || *keepers < 3 || *schedulers < 1 || *fronts < 1 || *workers < 0 || *base < 1024 || *base > 32000 || fs.NArg() > 0 {
+		fmt.Fprintln(os.Stderr, "fleet: bad settings:", err, "(at least 3 keepers, 1 scheduler, 1 front; base from 1024 to 32000, below the ports that systems give out)")
 		return 2
 	}
 	f, err := fleet.Start(fleet.Env{Bin: *bin, Folder: *folder, Base: *base, Deployment: d, Keepers: *keepers, Schedulers: *schedulers, Fronts: *fronts, Workers: *workers})
--- a/tool/e2e/e2e_test.go
+++ b/tool/e2e/e2e_test.go
@@ -43,7 +43,7 @@
 // freeBase finds a run of ports that nobody listens on.
 func freeBase(t *testing.T, count int) int {
 	t.Helper()
-	for base := 21000; base < 60000; base += 200 {
+	for base := 21000; base < 32000; base += 200 {
 		free := true
 		for i := 1; i <= count && free; i++ {
 			l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", base+i))
