Add a deterministic simulator that runs the daemons' own machines

Cause: what must never happen cannot be caused on purpose with real processes alone. The simulator drives the same machines and stand-in workers over a simulated network, disks and clocks, with an oracle of named checks that sees only what workers, callers and operators noted.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -244,11 +244,16 @@
 
 // Sweep moves tasks out of the inboxes of workers that have gone silent.
 func (d *Dispatch) Sweep(l *ledger.Ledger) {
+	ids := make([]string, 0, len(d.inbox))
 	for id, inbox := range d.inbox {
 		if w, ok := l.Worker(id); len(inbox) > 0 && (!ok || !l.Live(w)) {
-			d.worker(l, id)
+			ids = append(ids, id)
 		}
 	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		d.worker(l, id)
+	}
 }
 
 func (d *Dispatch) put(job ledger.Job, at Ref, worker string) {
--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -18,7 +18,6 @@
 )
 
 const (
-	tailMax     = 2048
 	subscribed  = 3 * time.Second
 	directFor   = 5 * time.Second
 	askEach     = 500 * time.Millisecond
@@ -53,8 +52,7 @@
 	site     string
 	home     string
 	direct   time.Duration
-	base     ledger.Position
-	tail     []ledger.Command
+	tail     ledger.Tail
 	subs     map[string]subscriber
 	primary  string
 	turn     int
@@ -180,20 +178,20 @@
 			out.Log("news_damaged", "from", from, "why", err.Error())
 			return
 		}
-		c.Ledger, c.base, c.tail = l, l.Position(), nil
+		c.Ledger, c.tail = l, ledger.TailFrom(l.Position())
 	}
 	for _, cmd := range b.Commands {
 		switch {
 		case cmd.Sequence <= c.Ledger.Position().Sequence:
 		case cmd.Sequence == c.Ledger.Position().Sequence+1:
 			c.Ledger.Apply(cmd)
-			c.remember(cmd)
+			c.tail.Add(cmd)
 		default:
 			c.ask(now, out)
 			return
 		}
 	}
-	c.Ledger.TakeDirty()
+	c.Ledger.ForgetDirty()
 	if b.At == c.Ledger.Position() {
 		c.heardAt, c.loaded = max(c.heardAt, now-b.Age), true
 		if !b.Relayed {
@@ -218,13 +216,6 @@
 	return keys
 }
 
-func (c *Copy) remember(cmd ledger.Command) {
-	if c.tail = append(c.tail, cmd); len(c.tail) > 2*tailMax {
-		c.base = c.tail[tailMax-1].Position
-		c.tail = slices.Clone(c.tail[tailMax:])
-	}
-}
-
 // know takes the nodes: the keepers, and the home of the site's news, which is
 // the daemon of the site that ranks highest by a hash of its address.
 func (c *Copy) know(nodes []wire.Node) {
@@ -255,15 +246,9 @@
 		return
 	}
 	body := wire.NewsBody{Relayed: true, Age: now - c.heardAt, Epoch: c.Ledger.Position().Epoch, After: s.at, At: c.Ledger.Position()}
-	i := -1
-	if s.at != c.base {
-		i = slices.IndexFunc(c.tail, func(cmd ledger.Command) bool { return cmd.Position == s.at })
-	}
-	switch {
-	case s.at == body.At:
-	case s.at == c.base || i >= 0:
-		body.Commands = slices.Clone(c.tail[i+1:])
-	default:
+	if commands, ok := c.tail.Since(s.at); ok {
+		body.Commands = slices.Clone(commands)
+	} else {
 		body.Records = c.Ledger.Records()
 	}
 	c.subs[to] = subscriber{body.At, s.until}
--- a/core/keeper/keeper.go
+++ b/core/keeper/keeper.go
@@ -30,7 +30,6 @@
 	heartbeat = 150 * time.Millisecond
 	suspect   = 1500 * time.Millisecond
 	vanished  = 6 * time.Second
-	tailMax   = 4096
 	followFor = 3 * time.Second
 	inFlight  = 4096
 	dueEach   = 50 * time.Millisecond
@@ -85,8 +84,7 @@
 	triedAt  time.Duration
 
 	ledger    *ledger.Ledger
-	base      ledger.Position
-	tail      []ledger.Command
+	tail      ledger.Tail
 	sent      ledger.Position
 	committed uint64
 	synced    uint64
@@ -155,7 +153,7 @@
 
 // reset forgets the tail: a copy begins where the ledger stands.
 func (k *Keeper) reset() {
-	k.base, k.tail, k.sent = k.ledger.Position(), nil, k.ledger.Position()
+	k.tail, k.sent = ledger.TailFrom(k.ledger.Position()), k.ledger.Position()
 }
 
 func (k *Keeper) put(key string, v any) {
@@ -293,30 +291,10 @@
 func (k *Keeper) apply(now time.Duration, cmd ledger.Command) ledger.Answer {
 	cmd.Position = ledger.Position{Epoch: k.witness.Known.Epoch, Sequence: k.ledger.Position().Sequence + 1}
 	cmd.At = k.leadingAt + now - k.beganAt
-	k.remember(cmd)
+	k.tail.Add(cmd)
 	return k.ledger.Apply(cmd)
 }
 
-func (k *Keeper) remember(cmd ledger.Command) {
-	k.tail = append(k.tail, cmd)
-	if len(k.tail) > 2*tailMax {
-		k.base = k.tail[tailMax-1].Position
-		k.tail = slices.Clone(k.tail[tailMax:])
-	}
-}
-
-// since gives the commands after a position, if the tail still reaches back.
-func (k *Keeper) since(at ledger.Position) ([]ledger.Command, bool) {
-	if at == k.base {
-		return k.tail, true
-	}
-	i, ok := slices.BinarySearchFunc(k.tail, at.Sequence, func(c ledger.Command, s uint64) int { return int(c.Sequence) - int(s) })
-	if !ok || k.tail[i].Position != at {
-		return nil, false
-	}
-	return k.tail[i+1:], true
-}
-
 func (k *Keeper) notPrimary(id uint64) wire.CommandBackBody {
 	b := wire.CommandBackBody{ID: id, Answer: ledger.Answer{Code: code.NotPrimary, Why: "this keeper does not lead now"}}
 	if !k.leads() {
@@ -362,7 +340,7 @@
 	if position == k.sent && !waits && now-k.beatAt < heartbeat {
 		return
 	}
-	commands, _ := k.since(k.sent)
+	commands, _ := k.tail.Since(k.sent)
 	k.token++
 	k.beatAt = now
 	for _, seat := range k.witness.Known.Witnesses {
@@ -424,14 +402,19 @@
 		return
 	}
 	k.told = k.committed
-	for address, f := range k.followers {
-		k.news(address, f, out)
+	addresses := make([]string, 0, len(k.followers))
+	for address := range k.followers {
+		addresses = append(addresses, address)
+	}
+	slices.Sort(addresses)
+	for _, address := range addresses {
+		k.news(address, k.followers[address], out)
 	}
 }
 
 func (k *Keeper) news(address string, f follower, out *machine.Output) {
 	body := wire.NewsBody{Epoch: k.witness.Known.Epoch, After: f.at, At: f.at}
-	commands, ok := k.since(f.at)
+	commands, ok := k.tail.Since(f.at)
 	if ok {
 		for _, c := range commands {
 			if c.Sequence <= k.committed {
--- a/core/keeper/view.go
+++ b/core/keeper/view.go
@@ -265,7 +265,7 @@
 		return
 	}
 	for _, cmd := range b.Commands {
-		k.remember(cmd)
+		k.tail.Add(cmd)
 		k.ledger.Apply(cmd)
 	}
 	k.willAck(from, b.View.Epoch, b.Token)
@@ -346,7 +346,7 @@
 	p.resentAt = now
 	k.peers[b.From.ID] = p
 	k.token++
-	if commands, ok := k.since(b.At); ok {
+	if commands, ok := k.tail.Since(b.At); ok {
 		out.Send(from, wire.Replicate, wire.ReplicateBody{View: k.witness.Known, From: k.seat, Token: k.token, After: b.At, Commands: slices.Clone(commands)})
 	} else {
 		out.Send(from, wire.Copy, wire.CopyBody{View: k.witness.Known, From: k.seat, Token: k.token, At: k.ledger.Position(), Records: k.ledger.Records()})
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -470,6 +470,9 @@
 	return out
 }
 
+// ForgetDirty is for a copy that nobody writes to a disk.
+func (l *Ledger) ForgetDirty() { clear(l.dirty) }
+
 var Buckets = []string{"meta", "job", "worker", "site", "duty", "daemon"}
 
 func (l *Ledger) record(bucket, key string) machine.Record {
--- /dev/null
+++ b/tool/sim/actors.go
@@ -0,0 +1,281 @@
+// Workers, callers and operators of the simulation: those outside, whose own
+// notes are all that the oracle judges by.
+package sim
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"sorrelloom/core/code"
+	"sorrelloom/core/front"
+	"sorrelloom/core/ledger"
+	"sorrelloom/core/machine"
+	"sorrelloom/tool/worker"
+)
+
+// hand is one worker machine and the life of its process.
+type hand struct {
+	env       worker.Env
+	w         *worker.Worker
+	up        bool
+	life      int
+	cut       bool
+	fronts    []string
+	turn      int
+	order     int
+	boot      time.Duration
+	leftAt    time.Duration
+	ranOn     bool
+	past      []run
+	runsSeen  int
+	acked     map[ledger.Attempt]time.Duration
+	cutoffEnd time.Duration
+}
+
+// run is one run as the worker saw it, in world time; to is 0 while it lasts.
+type run struct {
+	worker.Run
+	from, to time.Duration
+	beyond   bool
+}
+
+func (h *hand) name() string { return h.env.ID }
+
+// bootHand starts a worker's process, with a larger incarnation each time.
+func (s *Scenario) bootHand(h *hand) {
+	h.life++
+	h.env.Incarnation = int64(h.life)
+	h.w, h.up, h.boot, h.leftAt, h.runsSeen = worker.New(h.env), true, s.w.Now, 0, 0
+	s.tickHand(h)
+}
+
+// collect takes over the runs that the worker has written down meanwhile.
+func (s *Scenario) collect(h *hand) {
+	for _, r := range h.w.Runs[h.runsSeen:] {
+		h.past = append(h.past, run{Run: r, from: r.From + h.boot, to: r.To + h.boot})
+	}
+	h.runsSeen = len(h.w.Runs)
+}
+
+func (s *Scenario) crashHand(h *hand) {
+	if !h.up {
+		return
+	}
+	s.w.say("crash %s", h.name())
+	s.collect(h)
+	for _, r := range h.w.Open() {
+		h.past = append(h.past, run{Run: r, from: r.From + h.boot, to: s.w.Now})
+	}
+	h.up = false
+	h.life++
+}
+
+func (s *Scenario) tickHand(h *hand) {
+	if !h.up {
+		return
+	}
+	now := s.w.Now - h.boot
+	beat, due := h.w.Tick(now)
+	s.collect(h)
+	if due {
+		s.sendBeat(h, beat)
+	}
+	h.order++
+	life, order := h.life, h.order
+	s.w.At(max(s.w.Now+time.Millisecond, h.w.Wakeup()+h.boot), func() {
+		if h.life == life && h.order == order {
+			s.tickHand(h)
+		}
+	})
+}
+
+func (s *Scenario) sendBeat(h *hand, beat ledger.Beat) {
+	life := h.life
+	body := machine.MustJSON(beat)
+	address := h.fronts[h.turn%len(h.fronts)]
+	s.w.Call(h.name(), h.env.Site, address, machine.Ask{Kind: front.Beat, Body: body, Wait: worker.HoldFor}, worker.DropLate+time.Second, func(r front.Reply, ok bool) {
+		if h.life != life || h.cut {
+			ok = false
+		}
+		if !ok || r.Status == 503 {
+			h.turn++
+		}
+		if h.life != life {
+			return
+		}
+		view, is := r.Body.(front.OrdersView)
+		good := ok && is && r.Status == 200
+		if good {
+			for _, a := range view.Orders.Acks {
+				if _, known := h.acked[a]; !known {
+					h.acked[a] = s.w.Now
+				}
+			}
+		}
+		h.w.Reply(s.w.Now-h.boot, beat.Number, good, view.Orders)
+		s.tickHand(h)
+	})
+}
+
+// setCut takes a worker off the network, or back on; it runs on meanwhile.
+func (s *Scenario) setCut(h *hand, cut bool) {
+	h.cut = cut
+	for address := range s.w.nodes {
+		if cut {
+			s.w.Cut(h.name(), address)
+			s.w.Cut(address, h.name())
+		} else {
+			s.w.Mend(h.name(), address)
+			s.w.Mend(address, h.name())
+		}
+	}
+}
+
+// caller is one job as its caller saw it.
+type caller struct {
+	spec       ledger.JobSpec
+	sentAt     time.Duration
+	acceptedAt time.Duration
+	cancelAt   time.Duration
+	overAt     time.Duration
+	state      string
+	bounced    code.Code
+	forgotten  time.Duration
+	early      string
+	turn       int
+	probe      bool
+	impossible bool
+	dependable bool
+}
+
+func (s *Scenario) submit(c *caller) {
+	if c.sentAt == 0 {
+		c.sentAt = s.w.Now
+	}
+	site := s.sites[c.turn%len(s.sites)]
+	body := machine.MustJSON(c.spec)
+	again := func(after time.Duration) {
+		c.turn++
+		if s.w.Now < s.end {
+			s.w.After(after, func() { s.submit(c) })
+		}
+	}
+	s.w.Call("caller", site, s.frontFor(c.turn), machine.Ask{Kind: front.Submit, Body: body}, 3*time.Second, func(r front.Reply, ok bool) {
+		switch {
+		case !ok:
+			again(100 * time.Millisecond)
+		case r.Status == 200:
+			c.acceptedAt = s.w.Now
+			s.w.After(300*time.Millisecond, func() { s.poll(c) })
+		case r.Status == 503 || r.Status == 429:
+			if r.RetryAfter <= 0 {
+				s.fault("bounce-without-time", "status %d for %s says not when to come back", r.Status, c.spec.ID)
+			}
+			again(max(r.RetryAfter, 50*time.Millisecond))
+		default:
+			if out, is := r.Body.(front.Outcome); is {
+				c.bounced = out.Code
+			}
+		}
+	})
+}
+
+func (s *Scenario) frontFor(turn int) string { return s.fronts[turn%len(s.fronts)] }
+
+// poll asks about a job again and again until it is over.
+func (s *Scenario) poll(c *caller) {
+	if s.w.Now >= s.end || c.overAt > 0 {
+		return
+	}
+	c.turn++
+	s.w.Call("caller", s.sites[c.turn%len(s.sites)], s.frontFor(c.turn), machine.Ask{Kind: front.Status, Name: c.spec.ID, Wait: time.Second}, 3*time.Second, func(r front.Reply, ok bool) {
+		again := 200 * time.Millisecond
+		if ok && r.Status == 404 && c.forgotten == 0 {
+			c.forgotten = s.w.Now
+		}
+		if view, is := r.Body.(front.JobView); ok && is {
+			c.state = view.State
+			if view.State == ledger.Done || view.State == ledger.Failed || view.State == ledger.Cancelled {
+				c.overAt = s.w.Now
+				for _, t := range view.Tasks {
+					if t.State != ledger.Done && t.State != ledger.Failed && t.State != ledger.Cancelled {
+						c.early = t.ID
+					}
+				}
+			}
+		} else if ok && r.RetryAfter > 0 {
+			again = r.RetryAfter
+		}
+		s.w.After(again, func() { s.poll(c) })
+	})
+}
+
+// operate sends an operator's request until it has an answer; took hears when
+// the request that was answered had been sent.
+func (s *Scenario) operate(ask machine.Ask, took func(sentAt time.Duration, r front.Reply)) {
+	turn := s.w.chance.IntN(len(s.fronts))
+	var try func()
+	try = func() {
+		sentAt := s.w.Now
+		turn++
+		s.w.Call("operator", s.sites[turn%len(s.sites)], s.frontFor(turn), ask, 5*time.Second, func(r front.Reply, ok bool) {
+			if !ok || r.Status == 503 {
+				if s.w.Now < s.end {
+					s.w.After(200*time.Millisecond, try)
+				}
+				return
+			}
+			took(sentAt, r)
+		})
+	}
+	try()
+}
+
+func (s *Scenario) cancel(c *caller) {
+	s.operate(machine.Ask{Kind: front.Cancel, Name: c.spec.ID}, func(sentAt time.Duration, r front.Reply) {
+		if r.Status == 200 {
+			c.cancelAt = sentAt
+		}
+	})
+}
+
+// empty asks for a site to be emptied, and to be refilled later.
+func (s *Scenario) empty(site string, keep time.Duration) {
+	s.operate(machine.Ask{Kind: front.Site, Name: site, On: true}, func(sentAt time.Duration, r front.Reply) {
+		if r.Status != 200 {
+			return
+		}
+		e := &emptied{site: site, from: sentAt}
+		s.empties = append(s.empties, e)
+		s.w.After(keep, func() {
+			e.to = s.w.Now
+			s.operate(machine.Ask{Kind: front.Site, Name: site}, func(time.Duration, front.Reply) {})
+		})
+	})
+}
+
+// change makes one plan change on the sequence that the operator last saw.
+func (s *Scenario) change(operator int, body string) {
+	s.planTurn++
+	token := fmt.Sprintf("op%d-%d", operator, s.planTurn)
+	s.operate(machine.Ask{Kind: front.PlanGet}, func(_ time.Duration, r front.Reply) {
+		var now struct {
+			Sequence uint64 `json:"sequence"`
+		}
+		if r.Status != 200 || json.Unmarshal(machine.MustJSON(r.Body), &now) != nil {
+			return
+		}
+		s.operate(machine.Ask{Kind: front.PlanPatch, Body: []byte(body), Base: now.Sequence, Token: token}, func(sentAt time.Duration, r front.Reply) {
+			out, is := r.Body.(front.Outcome)
+			if !is {
+				return
+			}
+			if r.Status == 200 {
+				s.planned(sentAt, out.Sequence)
+			} else if out.Code == code.StalePlan {
+				s.races++
+			}
+		})
+	})
+}
--- /dev/null
+++ b/tool/sim/scenario.go
@@ -0,0 +1,553 @@
+// One scenario: a fleet of 17 daemons and 11 workers in three sites, the
+// brief's traffic with gangs and labels in it, faults of the chosen kinds at
+// times drawn from the seed, one last fault, and probes 12 seconds after it.
+package sim
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+
+	"sorrelloom/core/front"
+	"sorrelloom/core/keeper"
+	"sorrelloom/core/ledger"
+	"sorrelloom/core/machine"
+	"sorrelloom/core/plan"
+	"sorrelloom/tool/deploy"
+	"sorrelloom/tool/worker"
+)
+
+type Env struct {
+	Seed       uint64
+	Deployment deploy.Deployment
+	Faults     []string
+	For        time.Duration
+	Verbose    func(string)
+	Prepare    func(*Scenario)
+}
+
+type Scenario struct {
+	notes
+	env      Env
+	w        *World
+	sites    []string
+	fronts   []string
+	keepers  []*node
+	daemons  []*node
+	lastAt   time.Duration
+	planTurn int
+	races    int
+	plans    []planNote
+	repairAt time.Duration
+	replaced int
+}
+
+type planNote struct {
+	at       time.Duration
+	sequence uint64
+}
+
+// Result is one run's judgement and what it went through.
+type Result struct {
+	Seed      uint64
+	Broken    []Violation
+	Trace     uint64
+	Lines     int
+	Jobs      int
+	Accepted  int
+	Done      int
+	Runs      int
+	Races     int
+	Strays    int
+	Views     uint64
+	Residual  int
+	LastFault time.Duration
+	Logs      map[string]int
+	QuickMs   []float64
+}
+
+const settle = 75 * time.Second
+
+// Play runs one scenario to its end.
+func Play(e Env) Result {
+	s := &Scenario{env: e, w: NewWorld(e.Seed), sites: e.Deployment.Sites}
+	s.w.Verbose = e.Verbose
+	s.hands = map[string]*hand{}
+	s.end = e.For + settle
+	s.build()
+	if e.Prepare != nil {
+		e.Prepare(s)
+	}
+	s.w.onPlan = s.sawPlan
+	s.w.At(4*time.Second, func() {
+		s.operate(machine.Ask{Kind: front.PlanPut, Body: e.Deployment.Plan, Token: "first"}, func(sentAt time.Duration, r front.Reply) {
+			if out, ok := r.Body.(front.Outcome); ok && r.Status == 200 {
+				s.planned(sentAt, out.Sequence)
+			} else {
+				s.fault("plan-ignored", "the first plan is bounced: %+v", r.Body)
+			}
+		})
+	})
+	s.traffic()
+	s.breakThings()
+	s.w.Run(s.end)
+	return s.finish()
+}
+
+func (s *Scenario) build() {
+	address := func(i int) string { return fmt.Sprintf("10.%d.0.%d:7000", i%3, i) }
+	var founders []string
+	for i := range deploy.Keepers {
+		founders = append(founders, address(i))
+	}
+	i := 0
+	for _, role := range []struct {
+		name  string
+		count int
+	}{{"keeper", deploy.Keepers}, {"scheduler", deploy.Scheds}, {"front", deploy.Fronts}} {
+		for j := range role.count {
+			var found []string
+			if role.name == "keeper" {
+				found = founders
+			}
+			n := s.w.Add(role.name, fmt.Sprintf("%s-%d", role.name, j+1), s.sites[i%len(s.sites)], address(i), founders, found)
+			s.daemons = append(s.daemons, n)
+			switch role.name {
+			case "keeper":
+				s.keepers = append(s.keepers, n)
+			case "front":
+				s.fronts = append(s.fronts, n.address)
+			}
+			i++
+		}
+	}
+	labels := []string{"ssd", "vault"}
+	if s.env.Deployment.Service == "podcasts" {
+		labels = []string{"gpu", "archive"}
+	}
+	for j := range deploy.Workers {
+		h := &hand{acked: map[ledger.Attempt]time.Duration{}, env: worker.Env{
+			ID: fmt.Sprintf("worker-%02d", j+1), Site: s.sites[j%len(s.sites)], Rack: fmt.Sprintf("r%d", j/deploy.PerRack), Service: s.env.Deployment.Service,
+			Total: ledger.Room{Slots: deploy.Slots, Cores: s.env.Deployment.Cores},
+		}}
+		if j%3 == 0 {
+			h.env.Labels = []string{labels[0]}
+		}
+		h.fronts = append(append([]string{}, s.fronts[j%len(s.fronts):]...), s.fronts[:j%len(s.fronts)]...)
+		s.hands[h.name()] = h
+		s.w.At(5*time.Second+time.Duration(j)*10*time.Millisecond, func() { s.bootHand(h) })
+	}
+}
+
+// hand picks the worker with a number, in a fixed order.
+func (s *Scenario) hand(i int) *hand {
+	names := sortedNames(s.hands)
+	return s.hands[names[i%len(names)]]
+}
+
+func (s *Scenario) job(t deploy.Traffic, id string) *caller {
+	c := &caller{spec: t.Job(s.env.Deployment.Service, id), turn: s.w.chance.IntN(64)}
+	s.callers = append(s.callers, c)
+	return c
+}
+
+// traffic draws open arrivals of each kind until the end of the day.
+func (s *Scenario) traffic() {
+	for _, t := range s.env.Deployment.Traffic {
+		at, i := 6*time.Second, 0
+		for {
+			at += time.Duration(s.w.chance.ExpFloat64() / t.PerSecond * float64(time.Second))
+			if at >= s.env.For {
+				break
+			}
+			i++
+			c := s.job(t, fmt.Sprintf("%s-%d", t.Class, i))
+			if i%10 == 3 {
+				c.spec.Tasks[0].Labels = []string{s.hand(0).env.Labels[0]}
+			}
+			if len(t.Steps) == 1 && t.Steps[0] > 1 && i%3 == 0 {
+				for j := range c.spec.Tasks {
+					c.spec.Tasks[j].Gang = "all"
+				}
+			}
+			s.w.At(at, func() { s.submit(c) })
+			if i%17 == 5 {
+				s.w.At(at+time.Duration(s.w.chance.Int64N(int64(3*time.Second))), func() { s.cancel(c) })
+			}
+		}
+	}
+}
+
+// planned notes an accepted plan and, after the bound, looks at every daemon
+// that could have heard of it.
+func (s *Scenario) planned(sentAt time.Duration, sequence uint64) {
+	s.plans = append(s.plans, planNote{s.w.Now, sequence})
+	answeredAt := s.w.Now
+	s.w.After(planBound, func() {
+		if s.disturbed(answeredAt-planBound, s.w.Now) {
+			return
+		}
+		for _, n := range s.daemons {
+			if v, ok := n.main.(interface{ Sequence() uint64 }); ok && n.state == up && n.boot < answeredAt && v.Sequence() < sequence {
+				s.fault("plan-ignored", "%s is at plan %d, %d was accepted at %s", n.name, v.Sequence(), sequence, secs(answeredAt))
+			}
+		}
+	})
+	_ = sentAt
+}
+
+func (s *Scenario) sawPlan(n *node, sequence uint64) {
+	if sequence < n.sequence {
+		s.fault("plan-went-back", "%s went from plan %d to %d at %s", n.name, n.sequence, sequence, secs(s.w.Now))
+	}
+	n.sequence = sequence
+}
+
+func (s *Scenario) finish() Result {
+	res := Result{Seed: s.env.Seed, Trace: s.w.Trace, Lines: s.w.Lines, Jobs: len(s.callers), Races: s.races, LastFault: s.lastAt, Logs: s.w.Logs}
+	for _, name := range sortedNames(s.hands) {
+		h := s.hands[name]
+		if h.up {
+			s.collect(h)
+			for _, r := range h.w.Open() {
+				h.past = append(h.past, run{Run: r, from: r.From + h.boot})
+			}
+		}
+		s.runs = append(s.runs, h.past...)
+	}
+	res.Runs = len(s.runs)
+	s.judge()
+	s.draining()
+	first := map[string]time.Duration{}
+	for _, r := range s.runs {
+		if _, ok := first[r.Job]; !ok {
+			first[r.Job] = r.from
+		}
+	}
+	for _, c := range s.callers {
+		if c.acceptedAt > 0 {
+			res.Accepted++
+		}
+		if c.state == ledger.Done {
+			res.Done++
+		}
+		if at, ok := first[c.spec.ID]; ok && c.spec.Class == quickClass(c.spec.Service) {
+			res.QuickMs = append(res.QuickMs, float64(at-c.sentAt)/float64(time.Millisecond))
+		}
+	}
+	for _, k := range s.keepers {
+		if m, ok := k.main.(*keeper.Keeper); ok {
+			res.Views = max(res.Views, m.View().Epoch)
+		}
+	}
+	res.Broken, res.Strays = s.broken, s.strays
+	if res.Accepted == 0 || res.Runs == 0 {
+		res.Broken = append(res.Broken, Violation{"not-served-again", "nothing was accepted or run in the whole scenario"})
+	}
+	return res
+}
+
+// draining checks starts on workers that had said that they leave.
+func (s *Scenario) draining() {
+	for _, r := range s.runs {
+		if h := s.hands[r.Worker]; h.leftAt > 0 && r.from > h.leftAt+drainBound {
+			s.fault("start-while-draining", "%s/%s starts on %s at %s, leaving since %s", r.Job, r.Task, r.Worker, secs(r.from), secs(h.leftAt))
+		}
+	}
+}
+
+// Kinds are the faults that a scenario can be asked for.
+var Kinds = map[string]func(*Scenario){
+	"crowd": func(s *Scenario) {
+		for i := range 120 {
+			t := s.env.Deployment.Traffic[i%3]
+			c := s.job(t, fmt.Sprintf("crowd%d-%d", s.w.Now/time.Millisecond, i))
+			s.submit(c)
+		}
+		s.faulty = append(s.faulty, [2]time.Duration{s.w.Now, s.w.Now + 5*time.Second})
+	},
+	"large": func(s *Scenario) {
+		for i := range 6 {
+			t := s.env.Deployment.Traffic[2]
+			t.Steps = []int{8, 2}
+			t.RunMs = 3000
+			s.submit(s.job(t, fmt.Sprintf("large%d-%d", s.w.Now/time.Millisecond, i)))
+		}
+	},
+	"worker-crash": func(s *Scenario) {
+		h := s.hand(s.w.chance.IntN(deploy.Workers))
+		s.crashHand(h)
+		if s.w.chance.IntN(2) == 0 {
+			s.w.After(time.Duration(1+s.w.chance.IntN(9))*time.Second, func() { s.bootHand(h) })
+		}
+	},
+	"worker-slow": func(s *Scenario) { s.spoil(worker.Faults{Slow: 4}, 15*time.Second) },
+	"worker-fail": func(s *Scenario) { s.spoil(worker.Faults{FailEach: 3}, 10*time.Second) },
+	"worker-hang": func(s *Scenario) {
+		s.spoil(worker.Faults{Hang: true}, 2*time.Second)
+	},
+	"worker-cut": func(s *Scenario) {
+		h := s.hand(s.w.chance.IntN(deploy.Workers))
+		s.w.say("cut %s", h.name())
+		s.setCut(h, true)
+		s.w.After(time.Duration(2+s.w.chance.IntN(14))*time.Second, func() { s.w.say("mend %s", h.name()); s.setCut(h, false) })
+	},
+	"worker-leave": func(s *Scenario) {
+		h := s.hand(s.w.chance.IntN(deploy.Workers))
+		if h.up && h.leftAt == 0 && !h.cut {
+			s.w.say("leave %s", h.name())
+			h.w.Leave()
+			h.leftAt = s.w.Now
+			s.tickHand(h)
+			s.w.After(5*time.Second, func() {
+				s.crashHand(h)
+				s.w.After(5*time.Second, func() { s.draining(); s.bootHand(h) })
+			})
+		}
+	},
+	"kill": func(s *Scenario) {
+		n := s.daemons[s.w.chance.IntN(len(s.daemons))]
+		s.w.Kill(n)
+		s.w.After(time.Duration(1+s.w.chance.IntN(6))*time.Second, func() { s.w.Boot(n) })
+		s.hurt(8 * time.Second)
+	},
+	"kill-primary": func(s *Scenario) {
+		if n := s.primary(); n != nil {
+			s.w.Kill(n)
+			s.w.After(time.Duration(1+s.w.chance.IntN(6))*time.Second, func() { s.w.Boot(n) })
+		}
+		s.hurt(9 * time.Second)
+	},
+	"stop": func(s *Scenario) {
+		n := s.daemons[s.w.chance.IntN(len(s.daemons))]
+		s.w.Stop(n)
+		s.w.After(6*time.Second, func() { s.w.Kill(n); s.w.Boot(n) })
+		s.hurt(10 * time.Second)
+	},
+	"freeze": func(s *Scenario) {
+		n := s.daemons[s.w.chance.IntN(len(s.daemons))]
+		if s.w.chance.IntN(2) == 0 {
+			if p := s.primary(); p != nil {
+				n = p
+			}
+		}
+		s.w.Freeze(n)
+		s.w.After(time.Duration(500+s.w.chance.IntN(9000))*time.Millisecond, func() { s.w.Wake(n) })
+		s.hurt(14 * time.Second)
+	},
+	"wipe": func(s *Scenario) {
+		if s.w.Now < s.repairAt {
+			return
+		}
+		s.repairAt = s.w.Now + 20*time.Second
+		n := s.keepers[s.w.chance.IntN(len(s.keepers))]
+		s.w.Wipe(n)
+		s.w.After(time.Duration(s.w.chance.IntN(4))*time.Second, func() { s.w.Boot(n) })
+		s.hurt(14 * time.Second)
+	},
+	"replace": func(s *Scenario) {
+		if s.w.Now < s.repairAt {
+			return
+		}
+		s.repairAt = s.w.Now + 20*time.Second
+		i := s.w.chance.IntN(len(s.keepers))
+		old := s.keepers[i]
+		s.w.Kill(old)
+		s.replaced++
+		address := fmt.Sprintf("10.9.%d.1:7000", s.replaced)
+		var seeds []string
+		for _, n := range s.daemons[len(s.daemons)-3:] {
+			seeds = append(seeds, n.address)
+		}
+		s.w.After(2*time.Second, func() {
+			n := s.w.Add("keeper", fmt.Sprintf("keeper-new-%d", s.replaced), old.site, address, seeds, nil)
+			s.keepers[i] = n
+			for j, d := range s.daemons {
+				if d == old {
+					s.daemons[j] = n
+				}
+			}
+		})
+		s.hurt(14 * time.Second)
+	},
+	"slow-disk": func(s *Scenario) {
+		n := s.keepers[s.w.chance.IntN(len(s.keepers))]
+		s.w.say("slow disk %s", n.name)
+		n.diskSlow = 300
+		s.w.After(8*time.Second, func() { n.diskSlow = 1 })
+		s.hurt(14 * time.Second)
+	},
+	"clock": func(s *Scenario) {
+		s.w.wallSkew += time.Duration(s.w.chance.IntN(200)-100) * time.Hour
+		n := s.daemons[s.w.chance.IntN(len(s.daemons))]
+		s.w.Kill(n)
+		s.w.After(time.Second, func() { s.w.Boot(n) })
+		s.hurt(9 * time.Second)
+	},
+	"cut-one-way": func(s *Scenario) {
+		a, b := s.daemons[s.w.chance.IntN(len(s.daemons))], s.daemons[s.w.chance.IntN(len(s.daemons))]
+		if s.w.chance.IntN(2) == 0 {
+			a, b = s.keepers[s.w.chance.IntN(3)], s.keepers[s.w.chance.IntN(3)]
+		}
+		s.w.say("cut %s to %s", a.name, b.name)
+		s.w.Cut(a.address, b.address)
+		s.w.After(7*time.Second, func() { s.w.Mend(a.address, b.address) })
+		s.hurt(12 * time.Second)
+	},
+	"split": func(s *Scenario) {
+		n := s.keepers[s.w.chance.IntN(len(s.keepers))]
+		s.w.say("isolate %s", n.name)
+		s.w.Isolate(n.address)
+		s.w.After(8*time.Second, func() { s.w.say("reconnect %s", n.name); s.w.Reconnect(n.address) })
+		s.hurt(14 * time.Second)
+	},
+	"site-lost": func(s *Scenario) {
+		if s.w.Now < s.repairAt {
+			return
+		}
+		s.repairAt = s.w.Now + 20*time.Second
+		site := s.sites[s.w.chance.IntN(len(s.sites))]
+		s.w.say("lose site %s", site)
+		for _, n := range s.daemons {
+			if n.site == site {
+				s.w.Kill(n)
+				s.w.After(9*time.Second, func() { s.w.Boot(n) })
+			}
+		}
+		for i := range deploy.Workers {
+			if h := s.hand(i); h.env.Site == site {
+				s.crashHand(h)
+				s.w.After(9*time.Second, func() { s.bootHand(h) })
+			}
+		}
+		s.hurt(18 * time.Second)
+	},
+	"seeds": func(s *Scenario) {
+		for _, n := range s.daemons[3:6] {
+			s.w.Kill(n)
+		}
+		for _, n := range s.daemons {
+			n.seeds = []string{s.daemons[len(s.daemons)-1].address, s.daemons[len(s.daemons)-2].address}
+		}
+		s.w.After(3*time.Second, func() {
+			for _, n := range s.daemons[3:6] {
+				s.w.Boot(n)
+			}
+		})
+		s.hurt(10 * time.Second)
+	},
+	"plan-storm": func(s *Scenario) {
+		for i := range 20 {
+			s.w.After(time.Duration(i*30)*time.Millisecond, func() {
+				s.change(i, fmt.Sprintf(`{"limits":{"maxLosses":%d}}`, 20+i))
+			})
+		}
+	},
+	"plan-race": func(s *Scenario) {
+		s.change(1, `{"policies":{"order":"priority + waited / 60"}}`)
+		s.change(2, `{"policies":{"order":"priority"}}`)
+	},
+	"plan-large": func(s *Scenario) {
+		var b strings.Builder
+		for i := range 1500 {
+			if i > 0 {
+				b.WriteByte(',')
+			}
+			fmt.Fprintf(&b, `"extra%d":{"largestWorker":{"slots":1},"classes":{"c":{"priority":1,"share":10}}}`, i)
+		}
+		s.change(3, `{"services":{`+b.String()+`}}`)
+	},
+	"impossible": func(s *Scenario) {
+		for i := range 40 {
+			t := s.env.Deployment.Traffic[2]
+			c := s.job(t, fmt.Sprintf("impossible%d-%d", s.w.Now/time.Millisecond, i))
+			c.impossible = true
+			switch i % 3 {
+			case 0:
+				c.spec.Tasks[0].Room.Slots = 99
+			case 1:
+				c.spec.Tasks[0].Labels = []string{"moonstone"}
+			default:
+				service, _ := plan.Parse(s.env.Deployment.Plan)
+				c.spec.Tasks[0].Labels = []string{service.Services[s.env.Deployment.Service].Labels[1]}
+			}
+			s.submit(c)
+		}
+	},
+	"empty-site": func(s *Scenario) { s.empty(s.sites[s.w.chance.IntN(len(s.sites))], 9*time.Second) },
+}
+
+// KindNames lists the faults in order.
+func KindNames() []string {
+	out := make([]string, 0, len(Kinds))
+	for name := range Kinds {
+		out = append(out, name)
+	}
+	sort.Strings(out)
+	return out
+}
+
+func (s *Scenario) spoil(f worker.Faults, d time.Duration) {
+	h := s.hand(s.w.chance.IntN(deploy.Workers))
+	if !h.up {
+		return
+	}
+	s.w.say("spoil %s %+v", h.name(), f)
+	h.w.Set(f)
+	s.w.After(d, func() {
+		if h.up {
+			h.w.Set(worker.Faults{})
+		}
+	})
+}
+
+// hurt notes a time in which speed is not judged.
+func (s *Scenario) hurt(d time.Duration) {
+	s.faulty = append(s.faulty, [2]time.Duration{s.w.Now, s.w.Now + d})
+	s.lastAt = max(s.lastAt, s.w.Now)
+}
+
+func (s *Scenario) primary() *node {
+	for _, n := range s.keepers {
+		if k, ok := n.main.(*keeper.Keeper); ok && n.state == up && k.Serving() {
+			return n
+		}
+	}
+	return nil
+}
+
+// breakThings puts the chosen faults on the agenda, then one last fault, and
+// probes from 12 seconds after it on.
+func (s *Scenario) breakThings() {
+	at := 12 * time.Second
+	for len(s.env.Faults) > 0 && at < s.env.For-5*time.Second {
+		kind := s.env.Faults[s.w.chance.IntN(len(s.env.Faults))]
+		s.w.At(at, func() { s.w.say("fault %s", kind); Kinds[kind](s) })
+		at += time.Duration(1500+s.w.chance.IntN(5000)) * time.Millisecond
+	}
+	s.w.At(s.env.For+serveBound, func() {
+		for i := range 5 {
+			c := s.job(s.env.Deployment.Traffic[0], fmt.Sprintf("probe-%d", i))
+			c.probe = true
+			s.submit(c)
+		}
+	})
+}
+
+// ParseFaults reads a list of kinds; a kind that does not exist is an error.
+func ParseFaults(text string) ([]string, error) {
+	switch text {
+	case "all":
+		return KindNames(), nil
+	case "none":
+		return nil, nil
+	}
+	kinds := strings.Split(text, ",")
+	for _, kind := range kinds {
+		if Kinds[kind] == nil {
+			return nil, fmt.Errorf("no fault %q; there are %s", kind, strings.Join(KindNames(), " "))
+		}
+	}
+	return kinds, nil
+}
--- /dev/null
+++ b/tool/sim/sim.go
@@ -0,0 +1,402 @@
+// Package sim runs the very machines of the daemons, and the stand-in workers,
+// over a simulated network, disks and clocks. One seed gives one run, to the
+// byte. Nothing here decides anything that a daemon would decide.
+package sim
+
+import (
+	"container/heap"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"sorrelloom/core/front"
+	"sorrelloom/core/keeper"
+	"sorrelloom/core/machine"
+	"sorrelloom/core/member"
+	"sorrelloom/core/scheduler"
+	"sorrelloom/core/wire"
+)
+
+type event struct {
+	at    time.Duration
+	order uint64
+	do    func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].order < e[j].order
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return last
+}
+
+type state int
+
+const (
+	up state = iota
+	frozen
+	down
+)
+
+type node struct {
+	name, role, site, address string
+	seeds                     []string
+	founders                  []string
+	state                     state
+	life                      uint64
+	boot                      time.Duration
+	main                      machine.Machine
+	member                    *member.Member
+	disk                      map[[2]string]json.RawMessage
+	diskSlow                  float64
+	queue                     []func()
+	wakeOrder                 uint64
+	wakeAt                    time.Duration
+	answers                   map[uint64]func(any)
+	sequence                  uint64
+}
+
+// World is one simulated cluster.
+type World struct {
+	Now      time.Duration
+	Seed     uint64
+	chance   *rand.Rand
+	agenda   events
+	order    uint64
+	nodes    map[string]*node
+	cuts     map[[2]string]bool
+	last     map[[2]string]time.Duration
+	wallSkew time.Duration
+	nextAsk  uint64
+	Trace    uint64
+	Lines    int
+	Verbose  func(text string)
+	Logs     map[string]int
+	onPlan   func(n *node, sequence uint64)
+}
+
+func NewWorld(seed uint64) *World {
+	return &World{Seed: seed, chance: rand.New(rand.NewPCG(seed, 77)), nodes: map[string]*node{}, cuts: map[[2]string]bool{},
+		last: map[[2]string]time.Duration{}, Logs: map[string]int{}}
+}
+
+// At puts something on the agenda.
+func (w *World) At(at time.Duration, do func()) {
+	w.order++
+	heap.Push(&w.agenda, event{max(at, w.Now), w.order, do})
+}
+
+func (w *World) After(d time.Duration, do func()) { w.At(w.Now+d, do) }
+
+// Run works the agenda off until the given time.
+func (w *World) Run(until time.Duration) {
+	for len(w.agenda) > 0 && w.agenda[0].at <= until {
+		e := heap.Pop(&w.agenda).(event)
+		w.Now = e.at
+		e.do()
+	}
+	w.Now = until
+}
+
+// trace folds what happened into one number, to compare runs by.
+func (w *World) trace(parts ...any) {
+	h := fnv.New64a()
+	fmt.Fprint(h, w.Trace, w.Now, parts)
+	w.Trace = h.Sum64()
+}
+
+func (w *World) say(format string, args ...any) {
+	if w.Verbose != nil {
+		w.Verbose(fmt.Sprintf("%9.3f ", w.Now.Seconds()) + fmt.Sprintf(format, args...))
+	}
+}
+
+// Add places a daemon and boots it.
+func (w *World) Add(role, name, site, address string, seeds, founders []string) *node {
+	n := &node{name: name, role: role, site: site, address: address, seeds: seeds, founders: founders, state: down, diskSlow: 1, disk: map[[2]string]json.RawMessage{}}
+	w.nodes[address] = n
+	w.Boot(n)
+	return n
+}
+
+func (w *World) records(n *node) []machine.Record {
+	var out []machine.Record
+	for key, value := range n.disk {
+		out = append(out, machine.Record{Bucket: key[0], Key: key[1], Value: value})
+	}
+	sort.Slice(out, func(i, j int) bool {
+		return out[i].Bucket < out[j].Bucket || out[i].Bucket == out[j].Bucket && out[i].Key < out[j].Key
+	})
+	return out
+}
+
+// Boot starts a daemon's process on what its disk holds.
+func (w *World) Boot(n *node) {
+	if n.state != down {
+		return
+	}
+	n.life++
+	n.state, n.boot, n.queue, n.answers, n.sequence = up, w.Now, nil, map[uint64]func(any){}, 0
+	id := n.address
+	first := w.chance.Uint64() >> 1
+	switch n.role {
+	case "keeper":
+		k, err := keeper.New(keeper.Env{Address: n.address, Site: n.site, Founders: n.founders, FreshID: fmt.Sprintf("%s-%d-%x", n.name, n.life, first), Boot: first}, w.records(n))
+		if err != nil {
+			panic(fmt.Sprintf("%s refuses its own disk: %v", n.name, err))
+		}
+		n.main, id = k, k.ID()
+	case "scheduler":
+		n.main = scheduler.New(scheduler.Env{Address: n.address, Site: n.site, First: first})
+	case "front":
+		n.main = front.New(front.Env{Address: n.address, Site: n.site, First: first})
+	}
+	n.member = member.New(member.Env{
+		Self:  wire.Node{ID: id, Role: n.role, Site: n.site, Address: n.address, Incarnation: int64((w.Now + w.wallSkew + 1000*time.Hour) / time.Millisecond)},
+		Seeds: n.seeds, Seed: first,
+	})
+	w.say("boot %s %s", n.name, id)
+	w.step(n, machine.Input{}, true)
+	w.step(n, machine.Input{}, false)
+}
+
+func (n *node) local(now time.Duration) time.Duration { return now - n.boot + time.Microsecond }
+
+// into runs something in a daemon, later if it is frozen, never if it is down.
+func (w *World) into(n *node, life uint64, do func()) {
+	switch {
+	case n.life != life || n.state == down:
+	case n.state == frozen:
+		n.queue = append(n.queue, do)
+	default:
+		do()
+	}
+}
+
+func (w *World) step(n *node, in machine.Input, toMember bool) {
+	m := n.main
+	if toMember {
+		m = n.member
+	}
+	out := m.Step(n.local(w.Now), in)
+	for _, e := range out.Events {
+		w.Logs[e.Name]++
+		w.say("%s %s %v", n.name, e.Name, e.Fields)
+	}
+	for _, s := range out.Sends {
+		w.send(n, s)
+	}
+	for _, b := range out.Writes {
+		w.write(n, b)
+	}
+	for _, a := range out.Answers {
+		if back, ok := n.answers[a.Key]; ok {
+			delete(n.answers, a.Key)
+			back(a.Body)
+		}
+	}
+	if s, ok := n.main.(interface{ Sequence() uint64 }); ok && w.onPlan != nil && !toMember {
+		w.onPlan(n, s.Sequence())
+	}
+	w.wake(n)
+	if out.Stopped && !toMember {
+		w.Kill(n)
+	}
+}
+
+// wake keeps one event on the agenda for the earlier wakeup of both machines.
+func (w *World) wake(n *node) {
+	at := n.main.Wakeup()
+	if other := n.member.Wakeup(); at == 0 || other > 0 && other < at {
+		at = other
+	}
+	at += n.boot - time.Microsecond
+	if n.wakeOrder > 0 && n.wakeAt <= at && n.wakeAt > w.Now {
+		return
+	}
+	n.wakeAt = max(at, w.Now+time.Millisecond)
+	n.wakeOrder++
+	life, order := n.life, n.wakeOrder
+	w.At(n.wakeAt, func() {
+		if n.wakeOrder != order {
+			return
+		}
+		w.into(n, life, func() {
+			if n.member.Wakeup() <= n.local(w.Now) {
+				w.step(n, machine.Input{}, true)
+			}
+			w.step(n, machine.Input{}, false)
+		})
+	})
+}
+
+func (w *World) latency(a, b string) time.Duration {
+	base := 200 * time.Microsecond
+	if a != b {
+		base = time.Millisecond
+	}
+	return base + time.Duration(w.chance.Int64N(int64(base)))
+}
+
+// Cut stops what goes from one name to another; names are addresses.
+func (w *World) Cut(from, to string)      { w.cuts[[2]string{from, to}] = true }
+func (w *World) Mend(from, to string)     { delete(w.cuts, [2]string{from, to}) }
+func (w *World) isCut(a, b string) bool   { return w.cuts[[2]string{a, b}] }
+func (w *World) Isolate(address string)   { w.each(address, w.Cut) }
+func (w *World) Reconnect(address string) { w.each(address, w.Mend) }
+
+func (w *World) each(address string, f func(a, b string)) {
+	for other := range w.nodes {
+		if other != address {
+			f(address, other)
+			f(other, address)
+		}
+	}
+}
+
+func (w *World) send(n *node, s machine.Send) {
+	body := machine.MustJSON(s.Body)
+	line := machine.Line{Wire: machine.WireSequence, Kind: s.Kind, From: n.address, Body: body}
+	life := n.life
+	if s.To == "" || s.To == n.address {
+		w.After(0, func() { w.into(n, life, func() { w.step(n, machine.Input{Line: line}, false) }) })
+		return
+	}
+	w.Lines++
+	w.trace(n.address, s.To, s.Kind, len(body))
+	to, ok := w.nodes[s.To]
+	if !ok || w.isCut(n.address, s.To) {
+		return
+	}
+	pair := [2]string{n.address, s.To}
+	at := max(w.Now+w.latency(n.site, to.site), w.last[pair]+time.Nanosecond)
+	w.last[pair] = at
+	w.At(at, func() {
+		if w.isCut(n.address, to.address) {
+			return
+		}
+		w.into(to, to.life, func() {
+			w.step(to, machine.Input{Line: line}, line.Kind == wire.Shuffle || line.Kind == wire.ShuffleBack)
+		})
+	})
+}
+
+func (w *World) write(n *node, b machine.Write) {
+	life := n.life
+	took := time.Duration(float64(time.Millisecond+time.Duration(w.chance.Int64N(int64(2*time.Millisecond)))) * n.diskSlow)
+	w.After(took, func() {
+		if n.life != life || n.state == down {
+			return
+		}
+		n.apply(b)
+		w.into(n, life, func() { w.step(n, machine.Input{Wrote: b.Done}, false) })
+	})
+}
+
+func (n *node) apply(b machine.Write) {
+	for _, bucket := range b.Wipe {
+		for key := range n.disk {
+			if key[0] == bucket {
+				delete(n.disk, key)
+			}
+		}
+	}
+	for _, r := range b.Records {
+		key := [2]string{r.Bucket, r.Key}
+		if len(r.Value) == 0 {
+			delete(n.disk, key)
+		} else {
+			n.disk[key] = r.Value
+		}
+	}
+}
+
+// Kill ends a process; writes that were not synced are gone, as with power.
+func (w *World) Kill(n *node) {
+	if n.state != down {
+		w.say("kill %s", n.name)
+	}
+	n.state, n.queue, n.answers = down, nil, nil
+}
+
+// Stop asks a daemon to hand over and go.
+func (w *World) Stop(n *node) {
+	w.into(n, n.life, func() { w.step(n, machine.Input{Stop: true}, false) })
+}
+
+func (w *World) Wipe(n *node) {
+	w.Kill(n)
+	w.say("wipe %s", n.name)
+	n.disk = map[[2]string]json.RawMessage{}
+}
+
+func (w *World) Freeze(n *node) {
+	if n.state == up {
+		w.say("freeze %s", n.name)
+		n.state = frozen
+	}
+}
+
+// Wake lets a frozen process go on with all that came meanwhile.
+func (w *World) Wake(n *node) {
+	if n.state != frozen {
+		return
+	}
+	w.say("wake %s", n.name)
+	n.state = up
+	queue := n.queue
+	n.queue = nil
+	for _, do := range queue {
+		do()
+	}
+}
+
+// Call is an HTTP request from outside. The name stands for the client in cuts;
+// back gets false when nothing came in time.
+func (w *World) Call(client, site, address string, ask machine.Ask, timeout time.Duration, back func(front.Reply, bool)) {
+	n, ok := w.nodes[address]
+	done := false
+	finish := func(r front.Reply, good bool) {
+		if !done {
+			done = true
+			back(r, good)
+		}
+	}
+	w.After(timeout, func() { finish(front.Reply{}, false) })
+	if !ok || n.state == down {
+		w.After(2*time.Millisecond, func() { finish(front.Reply{}, false) })
+		return
+	}
+	w.nextAsk++
+	ask.Key = w.nextAsk
+	life := n.life
+	w.After(w.latency(site, n.site), func() {
+		if w.isCut(client, address) || n.life != life || n.state == down {
+			return
+		}
+		w.into(n, life, func() {
+			n.answers[ask.Key] = func(v any) {
+				reply := v.(front.Reply)
+				body := machine.MustJSON(reply.Body)
+				w.trace(client, address, ask.Kind, reply.Status, len(body))
+				w.After(w.latency(site, n.site), func() {
+					if !w.isCut(address, client) {
+						finish(reply, true)
+					}
+				})
+			}
+			w.step(n, machine.Input{Ask: ask}, false)
+		})
+	})
+}
--- a/tool/worker/worker.go
+++ b/tool/worker/worker.go
@@ -226,3 +226,13 @@
 	fail := p.Fail || w.faults.FailEach > 0 && w.count%w.faults.FailEach == 0
 	w.run[s.Attempt] = running{start: s, from: now, until: now + took, fail: fail, hung: w.faults.Hang}
 }
+
+// Open gives the runs that have not ended, as they stand.
+func (w *Worker) Open() []Run {
+	var out []Run
+	for _, a := range w.attempts() {
+		r := w.run[a]
+		out = append(out, Run{a, w.env.ID, r.start.Class, r.start.Service, r.start.Room, r.start.Gang, r.from, 0, ""})
+	}
+	return out
+}
