Move duties by a majority of schedulers; a slow disk costs its keeper the lead

Cause of the first: a duty whose holder went silent went to whoever asked first, and in a fresh fleet one scheduler held all three sites. The holder now names its successor, and a scheduler of another site does so as soon as one of the site is there; when the holder is silent a majority of the schedulers alive decides, by votes that are conditional writes in the ledger.

Cause of the second: the simulator showed a primary with a slow disk go on leading. A leader whose own batch takes over 400 ms while the backup has everything gives the lead to the backup; one whose backup lags takes the third. Ruled out: waiting for the 1.5 s suspicion, which a disk that answers every 0.9 s never meets.

--- a/core/front/front.go
+++ b/core/front/front.go
@@ -12,7 +12,6 @@
 	"fmt"
 	"io"
 	"slices"
-	"sort"
 	"strings"
 	"time"
 
@@ -440,16 +439,7 @@
 	case Workers:
 		f.answer(ask.Key, 200, 0, map[string]any{"workers": f.workers(), "emptied": l.Emptied()}, out)
 	case Duties:
-		var duties []ledger.Duty
-		sites := map[string]bool{}
-		for _, w := range l.Workers() {
-			sites[w.Site] = true
-		}
-		for site := range sites {
-			duties = append(duties, l.Duty(scheduler.DutyOf(site)))
-		}
-		sort.Slice(duties, func(i, j int) bool { return duties[i].Name < duties[j].Name })
-		f.answer(ask.Key, 200, 0, map[string]any{"duties": duties}, out)
+		f.answer(ask.Key, 200, 0, map[string]any{"duties": l.Duties()}, out)
 	case Jobs:
 		views := []JobView{}
 		for _, job := range l.Active() {
--- a/core/keeper/keeper.go
+++ b/core/keeper/keeper.go
@@ -32,6 +32,7 @@
 	vanished  = 6 * time.Second
 	followFor = 3 * time.Second
 	inFlight  = 4096
+	diskLate  = 400 * time.Millisecond
 	dueEach   = 50 * time.Millisecond
 )
 
@@ -97,6 +98,7 @@
 	beatAt    time.Duration
 	soughtAt  time.Duration
 	dueAt     time.Duration
+	lagSince  time.Duration
 	peers     map[string]peer
 	answers   []pending
 	acks      []ack
--- a/core/keeper/view.go
+++ b/core/keeper/view.go
@@ -85,6 +85,9 @@
 		k.next(now, k.view(k.seat, k.spare(now, known.Backup.ID)), out)
 		return
 	}
+	if k.slow(now, out) {
+		return
+	}
 	if k.stopping {
 		k.next(now, k.view(known.Backup, k.spare(now, known.Backup.ID)), out)
 		return
@@ -92,6 +95,28 @@
 	k.replace(now, out)
 }
 
+// slow gives the lead to the backup when this keeper's own disk has been at one
+// batch for long, and takes the third as backup when the backup's has.
+func (k *Keeper) slow(now time.Duration, out *machine.Output) bool {
+	known := k.witness.Known
+	third := k.spare(now, known.Backup.ID)
+	backup, ready := k.peers[known.Backup.ID], k.peers[third.ID].synced && now-k.peers[third.ID].heardAt < suspect
+	if backup.at.Sequence >= k.sent.Sequence {
+		k.lagSince = now
+	}
+	switch {
+	case !ready:
+		return false
+	case len(k.writing) > 0 && now-k.wroteAt > diskLate && backup.synced && backup.at.Sequence >= k.synced:
+		k.next(now, k.view(known.Backup, third), out)
+	case now-k.lagSince > diskLate && k.peers[third.ID].at.Sequence > backup.at.Sequence:
+		k.next(now, k.view(k.seat, third), out)
+	default:
+		return false
+	}
+	return true
+}
+
 // replace changes the witness set for a keeper that has vanished, once another
 // stands ready at a new identity.
 func (k *Keeper) replace(now time.Duration, out *machine.Output) {
@@ -120,7 +145,7 @@
 func (k *Keeper) serve(now time.Duration, out *machine.Output) {
 	k.serving, k.leadingAt, k.beganAt = true, k.ledger.At()+time.Nanosecond, now
 	k.committed, k.told = k.ledger.Position().Sequence, k.ledger.Position().Sequence
-	k.sent = k.ledger.Position()
+	k.sent, k.lagSince = k.ledger.Position(), now
 	out.Log("serving", "epoch", k.witness.Known.Epoch, "sequence", k.committed, "backup", k.witness.Known.Backup.Address)
 }
 
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -404,8 +404,11 @@
 	return out
 }
 
+// liveFor is how long a daemon counts among those whose majority decides.
+const liveFor = 4 * time.Second
+
 // hello keeps a scheduler known and moves duties: the holder may name its
-// successor, and a duty whose holder has gone silent goes to who asks first.
+// successor; when it is silent, a majority of the schedulers that are alive do.
 func (l *Ledger) hello(h Hello) Answer {
 	if h.Leaving {
 		delete(l.daemons, h.Daemon)
@@ -424,21 +427,40 @@
 		return Answer{Code: code.OK}
 	}
 	d := l.duties[h.Want]
-	silent := l.at-d.SeenAt > l.plan.Limits.Silent.Duration/2
+	silent := d.Holder == "" || l.at-d.SeenAt > l.plan.Limits.Silent.Duration/2
 	passed := h.Pass && d.Holder == h.Daemon
-	if h.Epoch != d.Epoch || (d.Holder != "" && !silent && !passed) {
+	if h.Epoch != d.Epoch || !silent && !passed {
 		return bounce(code.StaleEpoch, "duty %s is held by %s at epoch %d", h.Want, d.Holder, d.Epoch)
 	}
-	to := h.For
-	if to == "" {
-		to = h.Daemon
+	if _, ok := l.daemons[h.For]; !ok {
+		return bounce(code.UnknownName, "no scheduler %s has said hello", h.For)
+	}
+	votes := map[string]string{h.Daemon: h.For}
+	for voter, to := range d.Votes {
+		if voter != h.Daemon {
+			votes[voter] = to
+		}
 	}
-	l.duties[h.Want] = Duty{Name: h.Want, Holder: to, Epoch: d.Epoch + 1, SeenAt: l.at}
+	d.Name, d.Votes = h.Want, votes
+	if alive := l.Daemons(liveFor); passed || l.majority(votes, h.For, alive) {
+		d = Duty{Name: h.Want, Holder: h.For, Epoch: d.Epoch + 1, SeenAt: l.at}
+		l.changes = append(l.changes, Changed{All: true})
+	}
+	l.duties[h.Want] = d
 	l.touch("duty", h.Want)
-	l.changes = append(l.changes, Changed{All: true})
 	return Answer{Code: code.OK}
 }
 
+func (l *Ledger) majority(votes map[string]string, to string, alive []Daemon) bool {
+	count := 0
+	for _, d := range alive {
+		if votes[d.ID] == to {
+			count++
+		}
+	}
+	return count > len(alive)/2
+}
+
 func sorted[V any](m map[string]V) []string {
 	keys := make([]string, 0, len(m))
 	for k := range m {
--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -40,6 +40,7 @@
 		}, []string{"j/a@w1"}, code.OK},
 		{"worker silent", func(w *ledgertest.World) { w.Pass(31 * time.Second) }, []string{"j/a@w1"}, code.WorkerSilent},
 		{"duty passed on", func(w *ledgertest.World) {
+			w.Must(ledger.Command{Kind: ledger.KindHello, Hello: ledger.Hello{Daemon: "s2", Site: "a"}})
 			w.Must(ledger.Command{Kind: ledger.KindHello, Hello: ledger.Hello{Daemon: "s1", Want: "dispatch/a", Epoch: 1, Pass: true, For: "s2"}})
 		}, []string{"stale", "j/a@w1"}, code.StaleEpoch},
 		{"gang in part", nil, []string{"g/x@w1"}, code.GangBroken},
@@ -344,3 +345,42 @@
 		same(t, w.Ledger)
 	}
 }
+
+func TestDutyMovesByItsHolderOrByAMajority(t *testing.T) {
+	w := ledgertest.New(t)
+	hello := func(h ledger.Hello) code.Code {
+		return w.Do(ledger.Command{Kind: ledger.KindHello, Hello: h}).Code
+	}
+	vote := func(by, to string, epoch uint64) code.Code {
+		return hello(ledger.Hello{Daemon: by, Want: ledgertest.Duty, For: to, Epoch: epoch})
+	}
+	all := func() {
+		for _, id := range []string{"s2", "s3", "s4", "s5"} {
+			hello(ledger.Hello{Daemon: id})
+		}
+	}
+	all()
+	if c := vote("s2", "s2", 1); c != code.StaleEpoch {
+		t.Errorf("a vote while the holder is alive: %v", c)
+	}
+	w.Pass(20 * time.Second)
+	all()
+	steps := []struct {
+		by, to string
+		epoch  uint64
+		holder string
+	}{{"s2", "s2", 1, "s1"}, {"s3", "s3", 1, "s1"}, {"s4", "s2", 1, "s1"}, {"s5", "s2", 0, "s1"}, {"s3", "s2", 1, "s2"}, {"s4", "s4", 1, "s2"}}
+	for i, step := range steps {
+		vote(step.by, step.to, step.epoch)
+		if d := w.Ledger.Duty(ledgertest.Duty); d.Holder != step.holder {
+			t.Fatalf("step %d: held by %s, want %s; %+v", i, d.Holder, step.holder, d)
+		}
+	}
+	if c := hello(ledger.Hello{Daemon: "s3", Want: ledgertest.Duty, For: "s3", Epoch: 2, Pass: true}); c != code.StaleEpoch {
+		t.Errorf("only the holder names a successor: %v", c)
+	}
+	if c := hello(ledger.Hello{Daemon: "s2", Want: ledgertest.Duty, For: "s3", Epoch: 2, Pass: true}); c != code.OK || w.Ledger.Duty(ledgertest.Duty).Holder != "s3" {
+		t.Errorf("the holder names its successor: %v", c)
+	}
+	same(t, w.Ledger)
+}
--- a/core/ledger/types.go
+++ b/core/ledger/types.go
@@ -123,11 +123,14 @@
 	CutoffAt time.Duration `json:"cutoffAt"`
 }
 
+// Duty is done by one daemon at a time. Votes say, for the epoch after this
+// one, whom each daemon would have hold it.
 type Duty struct {
-	Name   string        `json:"name"`
-	Holder string        `json:"holder"`
-	Epoch  uint64        `json:"epoch"`
-	SeenAt time.Duration `json:"seenAt"`
+	Name   string            `json:"name"`
+	Holder string            `json:"holder"`
+	Epoch  uint64            `json:"epoch"`
+	SeenAt time.Duration     `json:"seenAt"`
+	Votes  map[string]string `json:"votes,omitempty"`
 }
 
 // Daemon is a scheduler that has said hello to the ledger.
@@ -166,8 +169,9 @@
 	Body   json.RawMessage `json:"body"`
 }
 
-// Hello keeps a scheduler's registration and its duties; Want asks for a duty
-// whose holder is silent, Pass names the successor of one that is held.
+// Hello keeps a scheduler's registration and its duties. With Want it is a vote
+// that a duty whose holder is silent go to For; with Pass it is the holder
+// itself that names its successor.
 type Hello struct {
 	Daemon  string `json:"daemon"`
 	Site    string `json:"site"`
--- a/core/ledger/views.go
+++ b/core/ledger/views.go
@@ -29,6 +29,15 @@
 
 func (l *Ledger) Duty(name string) Duty { return l.duties[name] }
 
+// Duties gives every duty by name.
+func (l *Ledger) Duties() []Duty {
+	out := make([]Duty, 0, len(l.duties))
+	for _, name := range sorted(l.duties) {
+		out = append(out, l.duties[name])
+	}
+	return out
+}
+
 func (l *Ledger) Emptied() []string { return sorted(l.emptied) }
 
 // Daemons gives the schedulers that said hello within the given span.
--- a/core/ledgertest/ledgertest.go
+++ b/core/ledgertest/ledgertest.go
@@ -32,7 +32,7 @@
 func New(t *testing.T) *World {
 	w := &World{T: t, Ledger: ledger.New(), At: time.Second, beats: map[string]ledger.Beat{}}
 	w.Must(ledger.Command{Kind: ledger.KindPlan, Plan: ledger.PlanChange{Body: []byte(Plan)}})
-	w.Must(ledger.Command{Kind: ledger.KindHello, Hello: ledger.Hello{Daemon: "s1", Site: "a", Want: Duty}})
+	w.Must(ledger.Command{Kind: ledger.KindHello, Hello: ledger.Hello{Daemon: "s1", Site: "a", Want: Duty, For: "s1"}})
 	return w
 }
 
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -150,45 +150,60 @@
 	return out
 }
 
-// hello keeps the registration, and asks for a duty that nobody looks after:
-// its own site's at once, another's a little later.
+// hello keeps the registration, votes on duties that nobody looks after, and
+// names the successor of a duty that another site's scheduler should hold.
 func (s *Scheduler) hello(now time.Duration, out *machine.Output) {
 	s.helloAt = now + helloEach
 	s.dispatch.Sweep(s.copy.Ledger)
 	if s.stopping || !s.copy.Loaded() {
 		return
 	}
-	hello := ledger.Hello{Daemon: s.env.Address, Site: s.env.Site}
-	silent := s.copy.Ledger.Plan().Limits.Silent.Duration / 2
+	said := false
 	for _, site := range s.sites() {
-		d := s.copy.Ledger.Duty(DutyOf(site))
-		grace := silent
-		if site != s.env.Site && !s.wanted[site] {
-			grace += time.Second
-		}
-		if d.Holder == "" && (site == s.env.Site || s.wanted[site]) || d.Holder != s.env.Address && d.Holder != "" && s.copy.Ledger.At()-d.SeenAt > grace {
-			hello.Want, hello.Epoch = DutyOf(site), d.Epoch
-			break
+		l, name := s.copy.Ledger, DutyOf(site)
+		d, to := l.Duty(name), s.candidate(site)
+		hello := ledger.Hello{Daemon: s.env.Address, Site: s.env.Site, Want: name, For: to.ID, Epoch: d.Epoch}
+		silent := d.Holder == "" || l.At()-d.SeenAt > l.Plan().Limits.Silent.Duration/2
+		hello.Pass = d.Holder == s.env.Address && s.env.Site != site && to.Site == site
+		if to.ID != "" && (silent && d.Holder != s.env.Address || hello.Pass) {
+			s.copy.Submit(now, ledger.Command{Kind: ledger.KindHello, Hello: hello}, helloEach, out)
+			said = true
 		}
 	}
 	s.wanted = map[string]bool{}
-	s.copy.Submit(now, ledger.Command{Kind: ledger.KindHello, Hello: hello}, helloEach, out)
+	if !said {
+		s.copy.Submit(now, ledger.Command{Kind: ledger.KindHello, Hello: ledger.Hello{Daemon: s.env.Address, Site: s.env.Site}}, helloEach, out)
+	}
 }
 
-// handOver names successors for the duties held, from those that said hello.
+// candidate is the scheduler that should hold a site's duty: alive, not the
+// silent holder, of the site itself if there is one, with the fewest duties.
+func (s *Scheduler) candidate(site string) ledger.Daemon {
+	l := s.copy.Ledger
+	load := map[string]int{}
+	for _, d := range l.Duties() {
+		load[d.Holder]++
+	}
+	var best ledger.Daemon
+	for _, d := range l.Daemons(l.Plan().Limits.Silent.Duration / 2) {
+		if d.ID == s.env.Address && s.stopping {
+			continue
+		}
+		near, bestNear := d.Site == site, best.Site == site
+		if best.ID == "" || near && !bestNear || near == bestNear && load[d.ID] < load[best.ID] {
+			best = d
+		}
+	}
+	return best
+}
+
+// handOver names successors for the duties held.
 func (s *Scheduler) handOver(now time.Duration, out *machine.Output) {
-	daemons := s.copy.Ledger.Daemons(2 * time.Second)
 	for _, site := range s.Duties() {
-		to := ""
-		for _, d := range daemons {
-			if d.ID != s.env.Address && (to == "" || d.Site == site) {
-				to = d.ID
-			}
-		}
-		if to != "" {
+		if to := s.candidate(site); to.ID != "" {
 			d := s.copy.Ledger.Duty(DutyOf(site))
 			s.copy.Submit(now, ledger.Command{Kind: ledger.KindHello, Hello: ledger.Hello{
-				Daemon: s.env.Address, Site: s.env.Site, Want: d.Name, For: to, Epoch: d.Epoch, Pass: true, Leaving: true,
+				Daemon: s.env.Address, Site: s.env.Site, Want: d.Name, For: to.ID, Epoch: d.Epoch, Pass: true, Leaving: true,
 			}}, commandWait, out)
 		}
 	}
--- a/tool/sim/sim_test.go
+++ b/tool/sim/sim_test.go
@@ -156,3 +156,36 @@
 		t.Errorf("all gives %d of %d: %v", len(kinds), len(Kinds), err)
 	}
 }
+
+// TestASlowDiskCostsItsKeeperTheLead slows the primary's disk for good, then
+// the backup's: the one names its successor, the other is replaced.
+func TestASlowDiskCostsItsKeeperTheLead(t *testing.T) {
+	for _, who := range []string{"primary", "backup"} {
+		e := env(t, "reseller", 21, "none")
+		e.For = 24 * time.Second
+		slow := ""
+		e.Prepare = func(s *Scenario) {
+			s.w.At(12*time.Second, func() {
+				s.hurt(2 * time.Second)
+				for _, n := range s.keepers {
+					if (who == "primary") == (n == s.primary()) && n.address != s.keepers[2].address {
+						n.diskSlow, slow = 600, n.name
+					}
+				}
+			})
+		}
+		r := Play(e)
+		if len(r.Broken) > 0 || slow == "" || r.Views < 2 {
+			t.Errorf("%s %s slow: views %d, %v", who, slow, r.Views, r.Broken)
+		}
+		var late int
+		for _, ms := range r.QuickMs {
+			if ms > 500 {
+				late++
+			}
+		}
+		if late > 20 {
+			t.Errorf("%s: %d of %d quick jobs waited over 500 ms", who, late, len(r.QuickMs))
+		}
+	}
+}
