--- /dev/null
+++ b/core/code/code_test.go
@@ -0,0 +1,24 @@
+package code
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+)
+
+// TestTheTableInTheDocs keeps docs/codes.md and the codes the same.
+func TestTheTableInTheDocs(t *testing.T) {
+	page, err := os.ReadFile("../../docs/codes.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var rows []string
+	for _, e := range Table() {
+		rows = append(rows, fmt.Sprintf("| %d | %s | %d | %s |", int(e.Code), e.Name, e.Status, e.Means))
+	}
+	_, got, _ := strings.Cut(string(page), "| --- | --- | --- | --- |\n")
+	if want := strings.Join(rows, "\n") + "\n"; got != want {
+		t.Errorf("docs/codes.md differs from the codes; it should end with\n%s", want)
+	}
+}
