--- /dev/null
+++ b/daemon/circuit/circuit_test.go
@@ -0,0 +1,89 @@
+package circuit
+
+import (
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"sorrelloom/core/machine"
+)
+
+const patience = 10 * time.Second
+
+func open(t *testing.T) (*Circuits, string, chan machine.Line) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	l.Close()
+	lines := make(chan machine.Line, 100)
+	c, err := Open(address, func(line machine.Line) { lines <- line })
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	return c, address, lines
+}
+
+func take(t *testing.T, lines chan machine.Line) machine.Line {
+	t.Helper()
+	select {
+	case line := <-lines:
+		return line
+	case <-time.After(patience):
+		t.Fatal("no line came")
+		return machine.Line{}
+	}
+}
+
+func TestLinesComeInOrderBothWays(t *testing.T) {
+	a, addressA, linesA := open(t)
+	b, addressB, linesB := open(t)
+	for i := range 50 {
+		a.Send(addressB, machine.Line{Wire: 1, Kind: fmt.Sprint(i), From: addressA})
+	}
+	for i := range 50 {
+		if line := take(t, linesB); line.Kind != fmt.Sprint(i) || line.From != addressA {
+			t.Fatalf("got %+v, want %d", line, i)
+		}
+	}
+	b.Send(addressA, machine.Line{Wire: 1, Kind: "back", From: addressB})
+	if line := take(t, linesA); line.Kind != "back" {
+		t.Errorf("got %+v", line)
+	}
+}
+
+// TestADamagedLineClosesItsCircuitOnly sends rubbish on one circuit; another
+// goes on, and fields that are not known are passed over.
+func TestADamagedLineClosesItsCircuitOnly(t *testing.T) {
+	_, address, lines := open(t)
+	for _, rubbish := range []string{"not json\n", "{\"kind\":\"x\"}\n", "{}\n", "[1]\n"} {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		conn.SetDeadline(time.Now().Add(patience))
+		fmt.Fprint(conn, rubbish)
+		if _, err := conn.Read(make([]byte, 1)); err == nil || isTimeout(err) {
+			t.Errorf("%q: the circuit was not closed: %v", rubbish, err)
+		}
+		conn.Close()
+	}
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	fmt.Fprint(conn, `{"wire":2,"kind":"later","from":"127.0.0.1:1","color":"blue","body":{"x":1}}`+"\n")
+	if line := take(t, lines); line.Kind != "later" || line.Wire != 2 {
+		t.Errorf("got %+v", line)
+	}
+}
+
+func isTimeout(err error) bool {
+	n, ok := err.(net.Error)
+	return ok && n.Timeout()
+}
