Break a real fleet: freezes, cuts, an empty keeper, racing operators

Cause: only a kill had been tried on real processes. Relays that pass on whole lines let the fleet cut what one daemon sends another, one way if need be; a daemon may listen elsewhere than where others reach it (-listen). One test freezes and wakes the primary, a scheduler and a front, cuts the primary from the other keepers, kills a keeper and seats an empty one at a new address, kills the primary again, and has two operators race; after each it waits for jobs handed in after the fault. The oracle of the simulator judges the workers' own records.

--- a/daemon/circuit/circuit.go
+++ b/daemon/circuit/circuit.go
@@ -26,7 +26,6 @@
 )
 
 type Circuits struct {
-	self     string
 	deliver  func(machine.Line)
 	listener net.Listener
 	mu       sync.Mutex
@@ -41,7 +40,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Circuits{self: address, deliver: deliver, listener: l, out: map[string]chan []byte{}, in: map[net.Conn]bool{}}
+	c := &Circuits{deliver: deliver, listener: l, out: map[string]chan []byte{}, in: map[net.Conn]bool{}}
 	pool.Go(c.accept)
 	return c, nil
 }
--- a/daemon/env/env.go
+++ b/daemon/env/env.go
@@ -29,6 +29,7 @@
 // Env is what every daemon needs to know of its place.
 type Env struct {
 	Address  string
+	Listen   string
 	HTTP     string
 	Site     string
 	Seeds    []string
@@ -47,6 +48,7 @@
 	var version bool
 	fs := flag.NewFlagSet(program, flag.ContinueOnError)
 	fs.StringVar(&e.Address, "address", "", "IP:port where other daemons reach this one (needed)")
+	fs.StringVar(&e.Listen, "listen", "", "IP:port to listen on, where that differs from -address")
 	fs.StringVar(&e.HTTP, "http", "", "IP:port for HTTP: health and metrics, and on a front the API (needed)")
 	fs.StringVar(&e.Site, "site", "", "name of the site this machine stands in (needed)")
 	fs.StringVar(&seeds, "seeds", "", "comma-separated IP:port of up to three daemons to begin from")
@@ -83,6 +85,12 @@
 	}
 	check("address", e.Address)
 	check("http", e.HTTP)
+	if e.Listen == "" {
+		e.Listen = e.Address
+	}
+	if at, err := netip.ParseAddrPort(e.Listen); err != nil && e.Listen != e.Address || err == nil && at.Port() == 0 {
+		fault("-listen: %q is not an IP:port", e.Listen)
+	}
 	if !siteShape.MatchString(e.Site) {
 		fault("-site: %q must match %s", e.Site, siteShape)
 	}
--- a/daemon/host/host.go
+++ b/daemon/host/host.go
@@ -17,11 +17,12 @@
 	"sorrelloom/daemon/store"
 )
 
-// Fatal ends the process; a variable only so that tests can look on.
+// Fatal is told of a write that failed.
 type Fatal func(err error)
 
 type Host struct {
 	address  string
+	listen   string
 	started  time.Time
 	circuits *circuit.Circuits
 	loop     chan machine.Line
@@ -46,8 +47,8 @@
 }
 
 // New makes a host without machines; Add brings them in, Run starts them.
-func New(address string, s *store.Store, fatal Fatal) *Host {
-	return &Host{address: address, started: time.Now(), store: s, fatal: fatal, loop: make(chan machine.Line, 1024), stopped: make(chan struct{}), waiters: map[uint64]chan any{}}
+func New(address, listen string, s *store.Store, fatal Fatal) *Host {
+	return &Host{address: address, listen: listen, started: time.Now(), store: s, fatal: fatal, loop: make(chan machine.Line, 1024), stopped: make(chan struct{}), waiters: map[uint64]chan any{}}
 }
 
 // Add brings a machine in. With kinds it takes these lines only; without, all
@@ -67,7 +68,7 @@
 		s.mu.Lock()
 		s.timer = time.AfterFunc(time.Hour, func() { pool.Go(func() { s.Step(machine.Input{}) }) })
 	}
-	c, err := circuit.Open(h.address, h.deliver)
+	c, err := circuit.Open(h.listen, h.deliver)
 	h.circuits = c
 	for _, s := range h.shards {
 		s.mu.Unlock()
--- a/daemon/run/run.go
+++ b/daemon/run/run.go
@@ -75,14 +75,14 @@
 		return 3
 	}
 	failed := make(chan error, 1)
-	h := host.New(e.Address, data, func(err error) {
+	h := host.New(e.Address, e.Listen, data, func(err error) {
 		select {
 		case failed <- err:
 		default:
 		}
 	})
 	main := h.Add(built.Machine)
-	members := h.Add(member.New(member.Env{
+	h.Add(member.New(member.Env{
 		Self:  wire.Node{ID: built.ID, Role: role, Site: e.Site, Address: e.Address, HTTP: e.HTTP, Incarnation: time.Now().UnixMilli()},
 		Seeds: e.Seeds, Seed: Chance(),
 	}), wire.Shuffle, wire.ShuffleBack)
@@ -94,7 +94,6 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
-	_ = members
 	server.Run()
 	logline.Event("started", "version", env.Release, "site", e.Site, "http", e.HTTP, "id", built.ID)
 	signals := make(chan os.Signal, 1)
--- a/tool/cmd/fleet/main.go
+++ b/tool/cmd/fleet/main.go
@@ -28,6 +28,7 @@
   kill NAME            end it without warning     run NAME    start it again
   stop NAME            ask it to go               freeze NAME / wake NAME
   wipe NAME            empty a keeper's data folder, while it does not run
+  cut FROM TO          drop what one sends another, with -relays; mend FROM TO
   join NAME SITE       add an empty keeper at a new address
   quit
 `
@@ -43,6 +44,7 @@
 	keepers := fs.Int("keepers", deploy.Keepers, "keepers, at least 3")
 	schedulers := fs.Int("schedulers", deploy.Scheds, "schedulers")
 	fronts := fs.Int("fronts", deploy.Fronts, "fronts")
+	relays := fs.Bool("relays", false, "send all lines through relays, so that members can be cut")
 	workers := fs.Int("workers", deploy.Workers, "stand-in workers")
 	if err := ff.Parse(fs, os.Args[1:], ff.WithEnvVarPrefix("FLEET")); err != nil {
 		if errors.Is(err, flag.ErrHelp) {
@@ -55,7 +57,7 @@
 		fmt.Fprintln(os.Stderr, "fleet: bad settings:", err, "(at least 3 keepers, 1 scheduler, 1 front; base from 1024 to 32000, below the ports that systems give out)")
 		return 2
 	}
-	f, err := fleet.Start(fleet.Env{Bin: *bin, Folder: *folder, Base: *base, Deployment: d, Keepers: *keepers, Schedulers: *schedulers, Fronts: *fronts, Workers: *workers})
+	f, err := fleet.Start(fleet.Env{Bin: *bin, Folder: *folder, Base: *base, Deployment: d, Keepers: *keepers, Schedulers: *schedulers, Fronts: *fronts, Workers: *workers, Relays: *relays})
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "fleet:", err)
 		return 1
@@ -131,6 +133,8 @@
 		return nil
 	case len(words) == 2 && simple[words[0]] != nil:
 		return simple[words[0]](words[1])
+	case len(words) == 3 && (words[0] == "cut" || words[0] == "mend"):
+		return f.Cut(words[1], words[2], words[0] == "cut")
 	case len(words) == 3 && words[0] == "join":
 		return f.Join(words[1], words[2], f.Seeds())
 	}
--- a/tool/cmd/standin/main.go
+++ b/tool/cmd/standin/main.go
@@ -121,8 +121,14 @@
 	}
 	h.GET("/runs", func(_ context.Context, c *app.RequestContext) {
 		s.mu.Lock()
-		runs := append([]worker.Run{}, s.worker.Runs...)
+		runs := append(append([]worker.Run{}, s.worker.Runs...), s.worker.Open()...)
 		s.mu.Unlock()
+		for i := range runs {
+			runs[i].From += time.Duration(s.started.UnixNano())
+			if runs[i].To > 0 {
+				runs[i].To += time.Duration(s.started.UnixNano())
+			}
+		}
 		reply(c, runs)
 	})
 	h.POST("/faults", func(_ context.Context, c *app.RequestContext) {
--- a/tool/e2e/e2e_test.go
+++ b/tool/e2e/e2e_test.go
@@ -14,8 +14,14 @@
 	"time"
 
 	"sorrelloom/core/front"
+	"sorrelloom/core/keeper"
+	"sorrelloom/core/ledger"
+	"sorrelloom/core/plan"
+	"sorrelloom/daemon/client"
+	"sorrelloom/daemon/pool"
 	"sorrelloom/tool/deploy"
 	"sorrelloom/tool/fleet"
+	"sorrelloom/tool/sim"
 	"sorrelloom/tool/worker"
 )
 
@@ -66,7 +72,7 @@
 		t.Fatal(err)
 	}
 	folder := t.TempDir()
-	f, err := fleet.Start(fleet.Env{Bin: bin, Folder: folder, Base: freeBase(t, 80), Deployment: d, Keepers: keepers, Schedulers: schedulers, Fronts: fronts, Workers: workers})
+	f, err := fleet.Start(fleet.Env{Bin: bin, Folder: folder, Base: freeBase(t, 80), Deployment: d, Keepers: keepers, Schedulers: schedulers, Fronts: fronts, Workers: workers, Relays: true})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -90,9 +96,9 @@
 	return f
 }
 
-func submit(t *testing.T, f *fleet.Fleet, d deploy.Deployment, kind int, id string) {
+func submit(t *testing.T, f *fleet.Fleet, spec ledger.JobSpec) {
 	t.Helper()
-	body, err := json.Marshal(d.Traffic[kind].Job(d.Service, id))
+	body, err := json.Marshal(spec)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -101,7 +107,7 @@
 		return err == nil && r.Status == 200
 	})
 	if !ok {
-		t.Fatalf("job %s was not accepted", id)
+		t.Fatalf("job %s was not accepted", spec.ID)
 	}
 }
 
@@ -120,37 +126,50 @@
 	}
 }
 
-// runsOf collects the workers' own records.
-func runsOf(t *testing.T, f *fleet.Fleet) map[string]int {
+// judge collects the workers' own records and has the oracle judge them: they
+// know nothing of the ledger. Every task of the jobs must have ended well once.
+func judge(t *testing.T, f *fleet.Fleet, d deploy.Deployment, jobs []ledger.JobSpec) {
 	t.Helper()
-	good := map[string]int{}
+	var runs []worker.Run
+	var workers []worker.Env
 	for _, name := range f.Names() {
 		p, err := f.Member(name)
 		if err != nil || p.Role != "standin" {
 			continue
 		}
+		workers = append(workers, worker.Env{ID: name, Site: p.Site, Service: d.Service, Total: ledger.Room{Slots: deploy.Slots, Cores: d.Cores}})
 		r, err := f.Client.At(p.HTTP, "GET", "/runs", nil, nil, 5*time.Second)
-		var runs []worker.Run
-		if err != nil || r.Decode(&runs) != nil {
+		var own []worker.Run
+		if err != nil || r.Decode(&own) != nil {
 			t.Fatalf("runs of %s: %v", name, err)
 		}
-		for _, run := range runs {
-			if run.Outcome == "good" {
-				good[run.Job+"/"+run.Task]++
+		runs = append(runs, own...)
+	}
+	for _, b := range sim.JudgeRuns(runs, jobs, workers) {
+		t.Errorf("%s: %s", b.Check, b.Why)
+	}
+	good := map[string]int{}
+	for _, r := range runs {
+		if r.Outcome == "good" {
+			good[r.Job+"/"+r.Task]++
+		}
+	}
+	for _, job := range jobs {
+		for _, task := range job.Tasks {
+			if n := good[job.ID+"/"+task.ID]; n != 1 {
+				t.Errorf("task %s/%s ended well %d times", job.ID, task.ID, n)
 			}
 		}
 	}
-	return good
 }
 
 func TestFleetServesAndOutlivesItsPrimary(t *testing.T) {
 	f := start(t, "reseller", 3, 3, 2, 4)
 	d, _ := deploy.Get("reseller")
-	var ids []string
+	var jobs []ledger.JobSpec
 	for i := range 12 {
-		id := fmt.Sprintf("before-%d", i)
-		submit(t, f, d, i%3, id)
-		ids = append(ids, id)
+		jobs = append(jobs, d.Traffic[i%3].Job(d.Service, fmt.Sprintf("before-%d", i)))
+		submit(t, f, jobs[i])
 	}
 	primary := f.Primary()
 	if primary == "" {
@@ -160,19 +179,136 @@
 		t.Fatal(err)
 	}
 	for i := range 6 {
-		id := fmt.Sprintf("after-%d", i)
-		submit(t, f, d, i%2, id)
-		ids = append(ids, id)
+		jobs = append(jobs, d.Traffic[i%2].Job(d.Service, fmt.Sprintf("after-%d", i)))
+		submit(t, f, jobs[12+i])
 	}
-	for _, id := range ids {
-		finish(t, f, id)
+	for _, job := range jobs {
+		finish(t, f, job.ID)
 	}
 	if next := f.Primary(); next == "" || next == primary {
 		t.Fatalf("primary after the kill: %q, before: %q", next, primary)
 	}
-	for task, count := range runsOf(t, f) {
-		if count != 1 {
-			t.Errorf("task %s ended well %d times", task, count)
+	judge(t, f, d, jobs)
+}
+
+// TestFleetUnderFreezesCutsAndAnEmptyKeeper breaks one thing after the other
+// while jobs come, and waits after each until a job handed in after it is done.
+func TestFleetUnderFreezesCutsAndAnEmptyKeeper(t *testing.T) {
+	f := start(t, "podcast", 3, 3, 3, 4)
+	d, _ := deploy.Get("podcast")
+	var jobs []ledger.JobSpec
+	wave := func(name string) {
+		t.Helper()
+		var ids []string
+		for i := range 6 {
+			spec := d.Traffic[i%2].Job(d.Service, fmt.Sprintf("%s-%d", name, i))
+			submit(t, f, spec)
+			jobs, ids = append(jobs, spec), append(ids, spec.ID)
+		}
+		for _, id := range ids {
+			finish(t, f, id)
+		}
+	}
+	must := func(err error) {
+		t.Helper()
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	changed := func(from string) func() bool {
+		return func() bool { now := f.Primary(); return now != "" && now != from }
+	}
+	wave("quiet")
+
+	first := f.Primary()
+	must(f.Freeze(first))
+	wave("primary-frozen")
+	must(f.Wake(first))
+	if !fleet.Until(patience, changed(first)) {
+		t.Fatalf("the frozen primary %s still leads", first)
+	}
+	wave("primary-woken")
+
+	must(f.Freeze("scheduler-1"))
+	must(f.Freeze("front-1"))
+	wave("scheduler-and-front-frozen")
+	must(f.Wake("scheduler-1"))
+	must(f.Wake("front-1"))
+	wave("both-woken")
+
+	second := f.Primary()
+	for _, other := range f.Names() {
+		if p, err := f.Member(other); err == nil && p.Role == "keeper" && other != second {
+			must(f.Cut(other, second, true))
+			must(f.Cut(second, other, true))
+		}
+	}
+	wave("primary-cut")
+	for _, other := range f.Names() {
+		if p, err := f.Member(other); err == nil && p.Role == "keeper" && other != second {
+			must(f.Cut(other, second, false))
+			must(f.Cut(second, other, false))
+		}
+	}
+	wave("primary-mended")
+
+	third := f.Primary()
+	must(f.Kill(third))
+	must(f.Join("keeper-new", "a", f.Seeds()))
+	seated := fleet.Until(patience, func() bool {
+		p, err := f.Member("keeper-new")
+		if err != nil {
+			return false
 		}
+		var status keeper.Status
+		r, err := f.Client.At(p.HTTP, "GET", "/status", nil, nil, time.Second)
+		if err != nil || r.Decode(&status) != nil {
+			return false
+		}
+		for _, w := range status.View.Witnesses {
+			if w.ID == status.ID {
+				return true
+			}
+		}
+		return false
+	})
+	if !seated {
+		t.Fatal("the empty keeper at a new address was not taken in")
+	}
+	wave("keeper-replaced")
+	last := f.Primary()
+	must(f.Kill(last))
+	wave("killed-again")
+	judge(t, f, d, jobs)
+
+	race(t, f)
+}
+
+// race lets two operators change the plan on the same sequence at once.
+func race(t *testing.T, f *fleet.Fleet) {
+	t.Helper()
+	r, err := f.Client.Call("GET", "/v1/plan", nil, nil, 10*time.Second)
+	var now plan.Plan
+	if err != nil || r.Decode(&now) != nil {
+		t.Fatal(err, string(r.Body))
+	}
+	answers := make(chan client.Response, 2)
+	for i := range 2 {
+		pool.Go(func() {
+			body := fmt.Appendf(nil, `{"limits":{"maxLosses":%d}}`, 30+i)
+			r, err := f.Client.Call("PATCH", fmt.Sprintf("/v1/plan?base=%d", now.Sequence), body, map[string]string{"Idempotency-Key": fmt.Sprint("operator", i)}, 10*time.Second)
+			if err != nil {
+				r.Status = -1
+			}
+			answers <- r
+		})
+	}
+	a, b := <-answers, <-answers
+	if a.Status != 200 {
+		a, b = b, a
+	}
+	var lost front.Outcome
+	if a.Status != 200 || b.Status != 409 || b.Decode(&lost) != nil || lost.Sequence != now.Sequence+1 {
+		t.Errorf("one wins, the other is told the sequence: %d %s, %d %s", a.Status, a.Body, b.Status, b.Body)
 	}
 }
--- a/tool/fleet/fleet.go
+++ b/tool/fleet/fleet.go
@@ -28,6 +28,7 @@
 	Schedulers int
 	Fronts     int
 	Workers    int
+	Relays     bool
 }
 
 // Process is one member of the fleet.
@@ -37,6 +38,7 @@
 	Address string
 	HTTP    string
 	Site    string
+	listen  string
 	args    []string
 	command *exec.Cmd
 	ended   chan struct{}
@@ -47,12 +49,16 @@
 	mu      sync.Mutex
 	members map[string]*Process
 	port    int
+	relays  *relays
 	Client  *client.Client
 }
 
 // Start brings up the daemons, then the stand-in workers. It does not wait.
 func Start(e Env) (*Fleet, error) {
 	f := &Fleet{env: e, members: map[string]*Process{}, port: e.Base}
+	if e.Relays {
+		f.relays = newRelays()
+	}
 	var fronts []string
 	add := func(role string, count int) []*Process {
 		var out []*Process
@@ -84,6 +90,13 @@
 			"-slots", fmt.Sprint(deploy.Slots), "-cores", fmt.Sprint(d.Cores), "-fronts", strings.Join(rotate(fronts, i), ","), "-http", p.HTTP}
 	}
 	f.Client = client.Must(fronts)
+	for _, name := range f.Names() {
+		if p := f.members[name]; p.listen != "" {
+			if err := f.relays.open(p.Address, p.listen); err != nil {
+				return nil, err
+			}
+		}
+	}
 	for _, name := range f.Names() {
 		if err := f.Run(name); err != nil {
 			f.Close()
@@ -104,6 +117,10 @@
 }
 
 func (f *Fleet) args(p *Process, seeds []string) []string {
+	if f.relays != nil {
+		p.listen = f.address()
+		return []string{"-address", p.Address, "-listen", p.listen, "-http", p.HTTP, "-site", p.Site, "-seeds", strings.Join(seeds, ",")}
+	}
 	return []string{"-address", p.Address, "-http", p.HTTP, "-site", p.Site, "-seeds", strings.Join(seeds, ",")}
 }
 
@@ -232,11 +249,36 @@
 	p.args = append(f.args(p, seeds), "-data", filepath.Join(f.env.Folder, name))
 	f.members[name] = p
 	f.mu.Unlock()
+	if p.listen != "" {
+		if err := f.relays.open(p.Address, p.listen); err != nil {
+			return err
+		}
+	}
 	return f.Run(name)
 }
 
+// Cut drops what one member sends to another; Mend lets it through again.
+func (f *Fleet) Cut(from, to string, cut bool) error {
+	a, err := f.Member(from)
+	if err != nil {
+		return err
+	}
+	b, err := f.Member(to)
+	if err != nil {
+		return err
+	}
+	if f.relays == nil {
+		return fmt.Errorf("the fleet was started without relays")
+	}
+	f.relays.set(a.Address, b.Address, cut)
+	return nil
+}
+
 // Close ends every member.
 func (f *Fleet) Close() {
+	if f.relays != nil {
+		f.relays.close()
+	}
 	for _, p := range f.members {
 		if p.command != nil {
 			p.command.Process.Signal(syscall.SIGCONT)
--- /dev/null
+++ b/tool/fleet/relay.go
@@ -0,0 +1,87 @@
+// Relays stand before each daemon of a fleet that is to be cut. A relay passes
+// on whole lines and drops those whose sender is cut from its daemon, so a cut
+// can be one-way, and neither side sees its circuit close.
+package fleet
+
+import (
+	"bufio"
+	"encoding/json"
+	"net"
+	"sync"
+	"time"
+
+	"sorrelloom/daemon/pool"
+)
+
+type relays struct {
+	mu        sync.Mutex
+	cuts      map[[2]string]bool
+	listeners []net.Listener
+}
+
+func newRelays() *relays { return &relays{cuts: map[[2]string]bool{}} }
+
+func (r *relays) set(from, to string, cut bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cuts[[2]string{from, to}] = cut
+}
+
+func (r *relays) isCut(from, to string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.cuts[[2]string{from, to}]
+}
+
+func (r *relays) open(address, behind string) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	r.listeners = append(r.listeners, l)
+	r.mu.Unlock()
+	pool.Go(func() {
+		for {
+			in, err := l.Accept()
+			if err != nil {
+				return
+			}
+			pool.Go(func() { r.pass(in, address, behind) })
+		}
+	})
+	return nil
+}
+
+func (r *relays) pass(in net.Conn, address, behind string) {
+	defer in.Close()
+	out, err := net.DialTimeout("tcp", behind, time.Second)
+	if err != nil {
+		return
+	}
+	defer out.Close()
+	reader := bufio.NewReaderSize(in, 64<<10)
+	for {
+		line, err := reader.ReadBytes('\n')
+		if err != nil {
+			return
+		}
+		var head struct {
+			From string `json:"from"`
+		}
+		if json.Unmarshal(line, &head) == nil && r.isCut(head.From, address) {
+			continue
+		}
+		if _, err := out.Write(line); err != nil {
+			return
+		}
+	}
+}
+
+func (r *relays) close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, l := range r.listeners {
+		l.Close()
+	}
+}
--- a/tool/sim/oracle.go
+++ b/tool/sim/oracle.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"sorrelloom/core/ledger"
+	"sorrelloom/tool/worker"
 )
 
 // Violation is one broken promise.
@@ -279,3 +280,25 @@
 		}
 	}
 }
+
+// JudgeRuns judges the records of real workers: runs in one clock, the jobs as
+// handed in, and the workers as they were started. Cancelled jobs and times of
+// acknowledgement are not known here; a good end counts two seconds after it.
+func JudgeRuns(runs []worker.Run, jobs []ledger.JobSpec, workers []worker.Env) []Violation {
+	n := &notes{hands: map[string]*hand{}}
+	for _, e := range workers {
+		n.hands[e.ID] = &hand{env: e, w: worker.New(e), acked: map[ledger.Attempt]time.Duration{}}
+	}
+	for _, spec := range jobs {
+		n.callers = append(n.callers, &caller{spec: spec, state: ledger.Done, overAt: 1 << 62})
+	}
+	for _, r := range runs {
+		n.runs = append(n.runs, run{Run: r, from: r.From, to: r.To})
+		n.end = max(n.end, r.From+time.Millisecond, r.To)
+		if r.Outcome == "good" && n.hands[r.Worker] != nil {
+			n.hands[r.Worker].acked[r.Attempt] = r.To + worker.DropLate
+		}
+	}
+	n.judge()
+	return n.broken
+}
