Keep room for a gang that has waited; lose a disk just after yes; share tests

A gang that has waited 3 s, fits its class's share and the workers that are there now lays claim to the room that comes free: nothing younger that is not quick is given to workers that could take its members. Ruled out: pushing running work out for it, which loses work that will end by itself.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -73,6 +73,7 @@
 	done     map[string]int
 	health   map[string]health
 	usual    map[[2]string]float64
+	claims   claims
 	Counters Counters
 	Central  bool
 }
@@ -94,6 +95,7 @@
 
 // Update takes what changed in the ledger.
 func (d *Dispatch) Update(l *ledger.Ledger, changes []ledger.Changed) {
+	d.claims = claims{}
 	for _, c := range changes {
 		switch {
 		case c.All:
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -162,6 +162,30 @@
 			s.Job("g", "batch", "x[g]", "y[g]", "z[g]")
 			s.Job("j", "batch", "a")
 		}, "w1", false, "j/a@w1", ""},
+		{"a gang that has waited keeps room from younger tasks", map[string]int{"w1": 4, "w2": 4}, []string{"w1", "w2"}, func(s scene) {
+			s.Job("f", "batch", "a", "b", "c", "d", "e")
+			for _, pick := range []string{"f/a@w2", "f/b@w2", "f/c@w2", "f/d@w2", "f/e@w1"} {
+				s.Start(pick)
+			}
+			s.Job("g", "batch", "x[g]", "y[g]", "z[g]", "u[g]")
+			s.Job("j", "batch", "a")
+			s.into("w1", "j/a")
+			s.At += 4 * time.Second
+			s.Beat("w1", nil)
+			s.Beat("w2", nil)
+		}, "w1", true, "", ""},
+		{"quick tasks pass a gang's claim", map[string]int{"w1": 4, "w2": 4}, []string{"w1", "w2"}, func(s scene) {
+			s.Job("f", "batch", "a", "b", "c", "d", "e")
+			for _, pick := range []string{"f/a@w2", "f/b@w2", "f/c@w2", "f/d@w2", "f/e@w1"} {
+				s.Start(pick)
+			}
+			s.Job("g", "batch", "x[g]", "y[g]", "z[g]", "u[g]")
+			s.Job("q", "quick", "a")
+			s.into("w1", "q/a")
+			s.At += 4 * time.Second
+			s.Beat("w1", nil)
+			s.Beat("w2", nil)
+		}, "w1", true, "q/a@w1", ""},
 		{"quick never behind batch, in the own inbox", two, []string{"w1"}, func(s scene) {
 			s.Job("b", "batch", "a", "b<a")
 			s.Finish("b/a@w1")
--- a/core/dispatch/pick.go
+++ b/core/dispatch/pick.go
@@ -158,7 +158,7 @@
 			if !ok || held.Tasks[t.at] || skip[t.at] || ownerTakes && l.At()-job.Tasks[t.at.Task].ReleasedAt < Patience {
 				continue
 			}
-			if d.barred(l, job, t.at.Task, w) {
+			if d.barred(l, job, t.at.Task, w) || d.kept(l, w, g.kind, t.number) {
 				continue
 			}
 			d.Counters.Looked++
--- a/tool/sim/actors.go
+++ b/tool/sim/actors.go
@@ -166,6 +166,7 @@
 			again(100 * time.Millisecond)
 		case r.Status == 200:
 			c.acceptedAt = s.w.Now
+			s.yes()
 			s.w.After(300*time.Millisecond, func() { s.poll(c) })
 		case r.Status == 503 || r.Status == 429:
 			if r.RetryAfter <= 0 {
--- a/tool/sim/scenario.go
+++ b/tool/sim/scenario.go
@@ -40,6 +40,7 @@
 	races    int
 	plans    []planNote
 	repairAt time.Duration
+	armed    bool
 	replaced int
 }
 
@@ -67,6 +68,8 @@
 	LastFault time.Duration
 	Logs      map[string]int
 	QuickMs   []float64
+	First     map[string]time.Duration
+	Stopped   int
 }
 
 const settle = 75 * time.Second
@@ -242,6 +245,9 @@
 	res.BadOn, res.RunsOn = map[string]int{}, map[string]int{}
 	for _, r := range s.runs {
 		res.RunsOn[r.Worker]++
+		if r.Outcome == "stopped" {
+			res.Stopped++
+		}
 		if r.Outcome == "bad" {
 			res.Bad++
 			res.BadOn[r.Worker]++
@@ -264,6 +270,7 @@
 			res.QuickMs = append(res.QuickMs, float64(at-c.sentAt)/float64(time.Millisecond))
 		}
 	}
+	res.First = first
 	for _, k := range s.keepers {
 		if m, ok := k.main.(*keeper.Keeper); ok {
 			res.Views = max(res.Views, m.View().Epoch)
@@ -369,6 +376,13 @@
 		s.w.After(time.Duration(s.w.chance.IntN(4))*time.Second, func() { s.w.Boot(n) })
 		s.hurt(14 * time.Second)
 	},
+	"wipe-after-yes": func(s *Scenario) {
+		if s.w.Now < s.repairAt {
+			return
+		}
+		s.repairAt = s.w.Now + 20*time.Second
+		s.armed = true
+	},
 	"replace": func(s *Scenario) {
 		if s.w.Now < s.repairAt {
 			return
@@ -518,6 +532,19 @@
 	return out
 }
 
+// yes is told of each accepted job; if armed, the primary loses its disk in
+// that very moment, and comes back empty.
+func (s *Scenario) yes() {
+	n := s.primary()
+	if !s.armed || n == nil {
+		return
+	}
+	s.armed = false
+	s.w.Wipe(n)
+	s.w.After(time.Duration(1+s.w.chance.IntN(4000))*time.Millisecond, func() { s.w.Boot(n) })
+	s.hurt(14 * time.Second)
+}
+
 func (s *Scenario) spoil(f worker.Faults, d time.Duration) {
 	h := s.hand(s.w.chance.IntN(deploy.Workers))
 	if !h.up {
--- a/tool/sim/sim.go
+++ b/tool/sim/sim.go
@@ -86,6 +86,7 @@
 	Lines    int
 	Verbose  func(text string)
 	Logs     map[string]int
+	meddle   func(n *node, s machine.Send) bool
 	onPlan   func(n *node, sequence uint64)
 }
 
@@ -273,6 +274,9 @@
 }
 
 func (w *World) send(n *node, s machine.Send) {
+	if w.meddle != nil && w.meddle(n, s) {
+		return
+	}
 	body := machine.MustJSON(s.Body)
 	line := machine.Line{Wire: machine.WireSequence, Kind: s.Kind, From: n.address, Body: body}
 	life := n.life
--- a/tool/sim/sim_test.go
+++ b/tool/sim/sim_test.go
@@ -4,12 +4,15 @@
 package sim
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"sorrelloom/core/machine"
+	"sorrelloom/core/wire"
 	"sorrelloom/daemon/pool"
 	"sorrelloom/tool/deploy"
 	"sorrelloom/tool/worker"
@@ -100,6 +103,33 @@
 			n.diskLies = true
 		}
 	}
+	armed := func(s *Scenario) {
+		s.w.At(14*time.Second, func() { Kinds["wipe-after-yes"](s) })
+	}
+	// The backup's acks are made up: commands reach nobody but the primary.
+	oneDisk := func(s *Scenario) {
+		armed(s)
+		s.w.At(13500*time.Millisecond, func() {
+			s.w.meddle = func(n *node, send machine.Send) bool {
+				b, ok := send.Body.(wire.ReplicateBody)
+				if !ok || s.lastAt > 0 {
+					return false
+				}
+				ack := wire.ReplicateAckBody{Epoch: b.View.Epoch, Token: b.Token, At: b.After, Good: true, Known: b.View}
+				if len(b.Commands) > 0 {
+					ack.At = b.Commands[len(b.Commands)-1].Position
+				}
+				for _, seat := range b.View.Witnesses {
+					if seat.Address == send.To {
+						ack.From = seat
+					}
+				}
+				line := machine.Line{Wire: 1, Kind: wire.ReplicateAck, From: send.To, Body: machine.MustJSON(ack)}
+				s.w.After(time.Millisecond, func() { s.w.into(n, n.life, func() { s.w.step(n, machine.Input{Line: line}, false) }) })
+				return true
+			}
+		})
+	}
 	rushedWorkers := func(s *Scenario) {
 		s.w.At(10*time.Second, func() { s.hand(0).w.Set(worker.Faults{RunOn: true, Slow: 100}) })
 		s.w.At(12*time.Second, func() { s.setCut(s.hand(0), true) })
@@ -126,6 +156,8 @@
 	}{
 		{"power lost on all keepers at once", day(lose), ""},
 		{"the same, with disks that say yes and keep nothing", day(lyingDisks, lose), "job-forgotten"},
+		{"a yes from a primary that does not wait for its backup, and then loses its disk", day(oneDisk), "job-forgotten"},
+		{"a yes from two disks, and then one is lost", day(armed), ""},
 		{"a worker that runs on past its cutoff breaks its contract", day(rushedWorkers), "twice-at-once"},
 		{"a daemon that takes an older plan", day(oldPlans), "plan-went-back"},
 		{"a daemon that hears of no plan, and nobody knows of the cut", day(deafFront), "plan-ignored"},
@@ -238,3 +270,104 @@
 		t.Logf("%s: bad %d failed %d done %d runs on the first two %d of %d", row.name, r.Bad, r.Failed, r.Done, runs, r.Runs)
 	}
 }
+
+// TestALargeGangIsNotStarved keeps more single tasks of its class coming than
+// the class has slots for; the gang must start while they still come.
+func TestALargeGangIsNotStarved(t *testing.T) {
+	e := env(t, "reseller", 41, "none")
+	e.For = 45 * time.Second
+	var gang *caller
+	e.Prepare = func(s *Scenario) {
+		kind := s.env.Deployment.Traffic[2]
+		kind.RunMs = 3000
+		for i := range 700 {
+			one := kind
+			one.Steps = []int{1}
+			s.w.At(8*time.Second+time.Duration(i)*50*time.Millisecond, func() { s.submit(s.job(one, fmt.Sprintf("single-%d", i))) })
+		}
+		kind.Steps = []int{24}
+		s.w.At(12*time.Second, func() {
+			gang = s.job(kind, "gang")
+			for i := range gang.spec.Tasks {
+				gang.spec.Tasks[i].Gang = "g"
+			}
+			s.submit(gang)
+		})
+	}
+	r := Play(e)
+	if len(r.Broken) > 0 || gang.overAt == 0 || gang.overAt > 30*time.Second {
+		t.Errorf("gang handed in at 12 s, over at %s; %v", secs(gang.overAt), r.Broken)
+	}
+	t.Logf("gang over at %s", secs(gang.overAt))
+}
+
+// TestBorrowedRoomComesBack fills all slots with long work that borrows, then
+// has the owners come: their room must be theirs within two seconds.
+func TestBorrowedRoomComesBack(t *testing.T) {
+	e := env(t, "reseller", 51, "none")
+	e.For = 40 * time.Second
+	var owners []*caller
+	e.Prepare = func(s *Scenario) {
+		s.w.At(7*time.Second, func() { s.change(1, `{"policies":{"borrow":"waiting == 0"}}`) })
+		long := s.env.Deployment.Traffic[2]
+		long.Steps, long.RunMs, long.Cores = []int{1}, 20000, 1
+		for i := range 120 {
+			s.w.At(10*time.Second, func() { s.submit(s.job(long, fmt.Sprintf("long-%d", i))) })
+		}
+		owner := s.env.Deployment.Traffic[1]
+		owner.Steps, owner.RunMs = []int{1}, 1000
+		for i := range 20 {
+			s.w.At(14*time.Second, func() {
+				c := s.job(owner, fmt.Sprintf("owner-%d", i))
+				owners = append(owners, c)
+				s.submit(c)
+			})
+		}
+	}
+	r := Play(e)
+	if len(r.Broken) > 0 {
+		t.Errorf("%v", r.Broken)
+	}
+	var lastMs time.Duration
+	for _, c := range owners {
+		lastMs = max(lastMs, r.First[c.spec.ID]-c.sentAt)
+	}
+	if len(owners) != 20 || lastMs <= 0 || lastMs > 2*time.Second {
+		t.Errorf("%d owners, the last began after %s", len(owners), lastMs)
+	}
+	t.Logf("20 owners' tasks began within %s; %d stopped runs", lastMs, r.Stopped)
+}
+
+// TestQuickLoadDoesNotStarveLongWork asks for more quick work than all slots
+// can do; the long class must still get its share done.
+func TestQuickLoadDoesNotStarveLongWork(t *testing.T) {
+	e := env(t, "reseller", 61, "none")
+	e.For = 40 * time.Second
+	var longs []*caller
+	e.Prepare = func(s *Scenario) {
+		quick := s.env.Deployment.Traffic[0]
+		quick.RunMs = 2500
+		for i := range 1200 {
+			s.w.At(8*time.Second+time.Duration(i)*25*time.Millisecond, func() { s.submit(s.job(quick, fmt.Sprintf("flood-%d", i))) })
+		}
+		long := s.env.Deployment.Traffic[2]
+		for i := range 30 {
+			s.w.At(12*time.Second, func() {
+				c := s.job(long, fmt.Sprintf("long-%d", i))
+				longs = append(longs, c)
+				s.submit(c)
+			})
+		}
+	}
+	r := Play(e)
+	done := 0
+	for _, c := range longs {
+		if c.overAt > 0 && c.overAt < 34*time.Second {
+			done++
+		}
+	}
+	if done < 30 {
+		t.Errorf("%d of 30 long jobs were over 22 s after they came, under a flood of quick ones", done)
+	}
+	t.Logf("long done in 22 s: %d of 30, %d runs", done, r.Runs)
+}
