Write an audit log of decisions that others can check; pass a duty by hand

Cause: what the ledger decided could not be checked by anybody outside. Each command's decisions become one entry that names the decision before it; the primary writes the committed ones as a Merkle log with signed checkpoints, by golang.org/x/mod/sumdb. sorrelctl audit verify names altered and missing entries, over the logs of several keepers at once. A new primary repeats the last entries it knows, so a change of primary leaves no gap; a half written end is cut off. The keeper never waits for it. Operators may hand a duty over by hand.

Ruled out: the audit inside the ledger's own data file, which would grow every copy, and one writer elected for it, since only the primary knows what is committed at once.

--- a/core/front/front.go
+++ b/core/front/front.go
@@ -45,6 +45,7 @@
 	Workers   = "workers"
 	Nodes     = "nodes"
 	Duties    = "duties"
+	Pass      = "pass"
 	Jobs      = "jobs"
 )
 
@@ -257,6 +258,9 @@
 		command.Kind, command.On = ledger.KindSite, ask.On
 	case Drain:
 		command.Kind, command.On = ledger.KindDrain, ask.On
+	case Pass:
+		command.Kind, command.Name = ledger.KindMove, scheduler.DutyOf(ask.Name)
+		command.Hello.For = ask.To
 	case PlanPut, PlanPatch:
 		if !json.Valid(ask.Body) {
 			var body any
--- a/core/keeper/keeper.go
+++ b/core/keeper/keeper.go
@@ -32,6 +32,7 @@
 	vanished  = 6 * time.Second
 	followFor = 3 * time.Second
 	inFlight  = 4096
+	entryMax  = 1024
 	diskLate  = 400 * time.Millisecond
 	dueEach   = 50 * time.Millisecond
 )
@@ -110,6 +111,7 @@
 	wroteAt   time.Duration
 	followers map[string]follower
 	told      uint64
+	entries   []ledger.Entry
 	found     map[string]wire.FoundBody
 	nodes     []wire.Node
 	stopping  bool
@@ -315,6 +317,9 @@
 		return
 	}
 	k.ledger.TakeChanges()
+	if k.entries = append(k.entries, k.ledger.TakeEntries()...); !k.serving && len(k.entries) > 2*entryMax {
+		k.entries = slices.Clone(k.entries[len(k.entries)-entryMax:])
+	}
 	k.records = append(k.records, k.ledger.TakeDirty()...)
 	if len(k.records) == 0 && len(k.sends) == 0 {
 		k.settle(out)
@@ -395,6 +400,11 @@
 		out.Send(a.to, wire.CommandBack, a.body)
 	}
 	k.answers = slices.Clone(k.answers[n:])
+	done := 0
+	for ; done < len(k.entries) && k.entries[done].Sequence <= k.committed; done++ {
+		out.Audits = append(out.Audits, machine.Audit{Sequence: k.entries[done].Sequence, Entry: machine.MustJSON(k.entries[done])})
+	}
+	k.entries = slices.Clone(k.entries[done:])
 	k.tell(out)
 }
 
--- a/core/keeper/view.go
+++ b/core/keeper/view.go
@@ -330,7 +330,7 @@
 		out.Log("copy_damaged", "from", from)
 		return
 	}
-	k.ledger = l
+	k.ledger, k.entries = l, nil
 	k.reset()
 	var own []machine.Record
 	for _, r := range k.records {
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -59,6 +59,10 @@
 	dirty   map[[2]string]bool
 	changes []Changed
 	lookups lookups
+
+	decision uint64
+	decided  []Decision
+	entries  []Entry
 }
 
 // lookups keeps what several questions at one position have in common.
@@ -174,7 +178,10 @@
 // looks at a clock: cmd.At is ledger time, and never runs backwards.
 func (l *Ledger) Apply(cmd Command) Answer {
 	l.position = cmd.Position
-	defer func() { l.lookups = lookups{} }()
+	defer func() {
+		l.lookups = lookups{}
+		l.enter()
+	}()
 	l.at = max(l.at, cmd.At)
 	l.touch("meta", "position")
 	switch cmd.Kind {
@@ -196,6 +203,8 @@
 		return l.drain(cmd.Name, cmd.On)
 	case KindHello:
 		return l.hello(cmd.Hello)
+	case KindMove:
+		return l.move(cmd.Name, cmd.Hello.For)
 	case KindTick:
 		return l.tick()
 	}
@@ -221,6 +230,7 @@
 	}
 	l.jobs[spec.ID], l.active[spec.ID] = job, true
 	l.touch("job", spec.ID)
+	l.decide(Decision{Kind: "accept", Job: spec.ID, Digest: digest(spec)})
 	for i := range job.Tasks {
 		l.count(job, i, 1)
 	}
@@ -280,6 +290,7 @@
 	if state != job.State {
 		job.State = state
 		if ended(job) {
+			l.decide(Decision{Kind: "over", Job: id, Good: state == Done})
 			job.EndedAt = l.at
 			delete(l.active, id)
 		}
@@ -319,6 +330,7 @@
 	if ended(job) || job.Ending != "" {
 		return Answer{Code: code.Same, Job: job}
 	}
+	l.decide(Decision{Kind: "cancel", Job: id})
 	l.finish(id, Cancelled, "cancelled by the caller")
 	return Answer{Code: code.OK, Job: l.jobs[id]}
 }
@@ -347,6 +359,7 @@
 	next.Sequence = l.plan.Sequence + 1
 	l.plan, l.rules, l.token = next, next.Compile(), c.Token
 	l.touch("meta", "plan")
+	l.decide(Decision{Kind: "plan", Plan: next.Sequence, Digest: digest(next)})
 	l.changes = append(l.changes, Changed{All: true})
 	return Answer{Code: code.OK, Sequence: next.Sequence}
 }
@@ -360,6 +373,7 @@
 		delete(l.emptied, name)
 	}
 	l.touch("site", name)
+	l.decide(Decision{Kind: map[bool]string{true: "empty", false: "refill"}[on], Name: name})
 	for _, id := range sorted(l.workers) {
 		if w := l.workers[id]; on && w.Site == name {
 			l.stopAll(id, "the site is emptied")
@@ -375,6 +389,7 @@
 		return bounce(code.UnknownName, "worker %s is not known", name)
 	}
 	w.Drained = on
+	l.decide(Decision{Kind: map[bool]string{true: "drain", false: "undrain"}[on], Worker: name})
 	l.workers[name] = w
 	l.touch("worker", name)
 	l.changes = append(l.changes, Changed{Worker: name})
@@ -443,6 +458,7 @@
 	}
 	d.Name, d.Votes = h.Want, votes
 	if alive := l.Daemons(liveFor); passed || l.majority(votes, h.For, alive) {
+		l.decide(Decision{Kind: "duty", Name: h.Want, Worker: h.For})
 		d = Duty{Name: h.Want, Holder: h.For, Epoch: d.Epoch + 1, SeenAt: l.at}
 		l.changes = append(l.changes, Changed{All: true})
 	}
@@ -451,6 +467,22 @@
 	return Answer{Code: code.OK}
 }
 
+// move hands a duty over because an operator asks for it.
+func (l *Ledger) move(name, to string) Answer {
+	d, known := l.duties[name]
+	if _, ok := l.daemons[to]; !known || !ok {
+		return bounce(code.UnknownName, "no duty %s, or no scheduler %s has said hello", name, to)
+	}
+	if d.Holder == to {
+		return Answer{Code: code.Same}
+	}
+	l.decide(Decision{Kind: "duty", Name: name, Worker: to})
+	l.duties[name] = Duty{Name: name, Holder: to, Epoch: d.Epoch + 1, SeenAt: l.at}
+	l.touch("duty", name)
+	l.changes = append(l.changes, Changed{All: true})
+	return Answer{Code: code.OK}
+}
+
 func (l *Ledger) majority(votes map[string]string, to string, alive []Daemon) bool {
 	count := 0
 	for _, d := range alive {
@@ -475,6 +507,7 @@
 	At       time.Duration `json:"at"`
 	Next     uint64        `json:"next"`
 	Token    string        `json:"token,omitempty"`
+	Decision uint64        `json:"decision,omitempty"`
 }
 
 // TakeDirty gives the records that changed since it was last called.
@@ -493,7 +526,10 @@
 }
 
 // ForgetDirty is for a copy that nobody writes to a disk.
-func (l *Ledger) ForgetDirty() { clear(l.dirty) }
+func (l *Ledger) ForgetDirty() {
+	clear(l.dirty)
+	l.entries = nil
+}
 
 var Buckets = []string{"meta", "job", "worker", "site", "duty", "daemon"}
 
@@ -524,7 +560,7 @@
 		if key == "plan" {
 			put(l.plan, true)
 		} else {
-			put(meta{l.position, l.at, l.next, l.token}, true)
+			put(meta{l.position, l.at, l.next, l.token, l.decision}, true)
 		}
 	}
 	return r
@@ -567,7 +603,7 @@
 			} else {
 				var m meta
 				err = json.Unmarshal(r.Value, &m)
-				l.position, l.at, l.next, l.token = m.Position, m.At, m.Next, m.Token
+				l.position, l.at, l.next, l.token, l.decision = m.Position, m.At, m.Next, m.Token, m.Decision
 			}
 		default:
 			err = fmt.Errorf("unknown bucket")
--- a/core/ledger/turns.go
+++ b/core/ledger/turns.go
@@ -74,6 +74,7 @@
 		at, t, ok := l.find(a)
 		mine := ok && holds(t.Turn, b) && t.Turn.Try == a.Try
 		if ok && !mine && l.adoptable(at, t, a, b) {
+			l.decide(Decision{Kind: "adopt", Job: a.Job, Task: a.Task, Try: a.Try, Worker: b.Worker})
 			t.Turn = Turn{Try: a.Try, Worker: b.Worker, Incarnation: b.Incarnation, Beat: b.Number, GrantedAt: l.at, StartedAt: l.at}
 			l.setTask(at, t)
 			mine = true
@@ -140,6 +141,7 @@
 	current := t.Turn.Held() && holds(t.Turn, b) && t.Turn.Try == end.Try
 	if end.Good && t.State != Done {
 		t.State, t.EndedAt, t.Holder = Done, l.at, b.Worker
+		l.decide(Decision{Kind: "end", Job: end.Job, Task: end.Task, Try: end.Try, Worker: b.Worker, Good: true})
 		if current {
 			t.Turn = Turn{}
 		} else if t.Turn.Held() && t.Turn.Stop == "" {
@@ -160,6 +162,7 @@
 		return
 	}
 	t.Defects++
+	l.decide(Decision{Kind: "end", Job: end.Job, Task: end.Task, Try: end.Try, Worker: b.Worker})
 	t.FailedOn = failedOn(t.FailedOn, t.Turn.Worker)
 	t.Turn = Turn{}
 	t.Why = end.Why
@@ -186,6 +189,7 @@
 		t.FailedOn = failedOn(t.FailedOn, t.Turn.Worker)
 		why = limit
 	}
+	l.decide(Decision{Kind: "back", Job: at.job, Task: l.jobs[at.job].Spec.Tasks[at.task].ID, Try: t.Turn.Try, Worker: t.Turn.Worker})
 	if lost {
 		t.Losses++
 	}
@@ -413,6 +417,7 @@
 		t.Tries++
 		t.Turn = Turn{Try: t.Tries, Worker: p.Worker, Incarnation: w.Incarnation, Beat: w.Number, GrantedAt: l.at, Borrowed: borrowed}
 		l.setTask(at, t)
+		l.decide(Decision{Kind: "grant", Job: p.Job, Task: p.Task, Try: t.Tries, Worker: p.Worker})
 	}
 	return Answer{Code: code.OK}
 }
@@ -428,6 +433,7 @@
 			return bounce(code.TaskNotOpen, "task %s/%s holds no borrowed turn", p.Job, p.Task)
 		}
 		t.Turn.Stop = "pushed out for the owner of the room"
+		l.decide(Decision{Kind: "push-out", Job: p.Job, Task: p.Task, Try: t.Turn.Try, Worker: p.Worker})
 		l.setTask(at, t)
 	}
 	return Answer{Code: code.OK}
--- a/core/ledger/types.go
+++ b/core/ledger/types.go
@@ -193,6 +193,7 @@
 	KindSite    = "site"
 	KindDrain   = "drain"
 	KindHello   = "hello"
+	KindMove    = "move"
 	KindTick    = "tick"
 	KindRead    = "read"
 )
--- a/core/machine/machine.go
+++ b/core/machine/machine.go
@@ -50,6 +50,7 @@
 	Base   uint64
 	Forced bool
 	Token  string
+	To     string
 	On     bool
 }
 
@@ -70,11 +71,18 @@
 	Fields []any
 }
 
+// Audit is one entry for the audit log; it may be lost without harm.
+type Audit struct {
+	Sequence uint64
+	Entry    json.RawMessage
+}
+
 type Output struct {
 	Sends   []Send
 	Writes  []Write
 	Answers []Answer
 	Events  []Event
+	Audits  []Audit
 	Stopped bool
 }
 
@@ -90,14 +98,6 @@
 	o.Events = append(o.Events, Event{Name: name, Fields: fields})
 }
 
-func (o *Output) Add(other Output) {
-	o.Sends = append(o.Sends, other.Sends...)
-	o.Writes = append(o.Writes, other.Writes...)
-	o.Answers = append(o.Answers, other.Answers...)
-	o.Events = append(o.Events, other.Events...)
-	o.Stopped = o.Stopped || other.Stopped
-}
-
 // Machine is stepped with one input at a time. Wakeup says when it wants to be
 // stepped with an empty input at the latest; zero is never.
 type Machine interface {
--- /dev/null
+++ b/daemon/audit/audit_test.go
@@ -0,0 +1,137 @@
+package audit
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"sorrelloom/core/ledger"
+	"sorrelloom/core/machine"
+)
+
+func entry(sequence, previous uint64) machine.Audit {
+	e := ledger.Entry{Position: ledger.Position{Epoch: 1, Sequence: sequence}, Previous: previous, Decisions: []ledger.Decision{{Kind: "accept", Job: "j"}}}
+	return machine.Audit{Sequence: sequence, Entry: machine.MustJSON(e)}
+}
+
+// written makes a log of entries with sequences 10, 20, … and signs it.
+func written(t *testing.T, from, to uint64) string {
+	t.Helper()
+	folder := t.TempDir()
+	l, err := Open(folder, "k1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for s := from; s <= to; s += 10 {
+		if err := l.write(entry(s, s-10)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := l.sign(); err != nil {
+		t.Fatal(err)
+	}
+	return folder
+}
+
+func spoil(t *testing.T, folder, name string, f func([]byte) []byte) {
+	t.Helper()
+	path := filepath.Join(folder, name)
+	data, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(path, f(data), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestVerifyNamesWhatIsWrong(t *testing.T) {
+	lines := func(f func([][]byte) [][]byte) func([]byte) []byte {
+		return func(data []byte) []byte {
+			return append(bytes.Join(f(bytes.Split(bytes.TrimSuffix(data, []byte("\n")), []byte("\n"))), []byte("\n")), '\n')
+		}
+	}
+	table := []struct {
+		name  string
+		file  string
+		do    func([]byte) []byte
+		entry int64
+		why   string
+	}{
+		{"whole", entriesName, func(b []byte) []byte { return b }, 0, ""},
+		{"altered", entriesName, func(b []byte) []byte { return bytes.Replace(b, []byte(`"sequence":50`), []byte(`"sequence":51`), 1) }, 4, "altered"},
+		{"one taken out", entriesName, lines(func(l [][]byte) [][]byte { return append(l[:3:3], l[4:]...) }), -1, "sequence 40 is missing"},
+		{"a half written end after the checkpoint", entriesName, func(b []byte) []byte { return append(b, `{"ep`...) }, 0, ""},
+		{"the end cut off", entriesName, lines(func(l [][]byte) [][]byte { return l[:5] }), 5, "covers 9 entries, 5 are there"},
+		{"two exchanged", entriesName, lines(func(l [][]byte) [][]byte { l[1], l[2] = l[2], l[1]; return l }), 1, "altered"},
+		{"checkpoint altered", checkpointName, func(b []byte) []byte { return bytes.Replace(b, []byte("\n9\n"), []byte("\n8\n"), 1) }, -1, "signature"},
+		{"another key", publicName, func(b []byte) []byte {
+			return bytes.Replace(b, []byte("sorrelloom/k1"), []byte("sorrelloom/k2"), 1)
+		}, -1, ""},
+	}
+	for _, row := range table {
+		folder := written(t, 10, 90)
+		spoil(t, folder, row.file, row.do)
+		r, err := Verify([]string{folder}, nil)
+		if row.name == "another key" {
+			if err == nil && len(r.Findings) == 0 {
+				t.Errorf("%s: taken", row.name)
+			}
+			continue
+		}
+		if err != nil {
+			t.Errorf("%s: %v", row.name, err)
+			continue
+		}
+		found := row.why == "" && len(r.Findings) == 0
+		for _, f := range r.Findings {
+			found = found || row.why != "" && f.Entry == row.entry && strings.Contains(f.Why, row.why)
+		}
+		if !found {
+			t.Errorf("%s: %+v", row.name, r.Findings)
+		}
+	}
+}
+
+func TestSeveralLogsAreOneChain(t *testing.T) {
+	first, second, later := written(t, 10, 50), written(t, 40, 90), written(t, 70, 90)
+	if r, err := Verify([]string{first, second}, nil); err != nil || len(r.Findings) > 0 || r.Entries != 9 {
+		t.Errorf("overlapping: %+v %v", r, err)
+	}
+	r, err := Verify([]string{first, later}, nil)
+	if err != nil || len(r.Findings) != 1 || !strings.Contains(r.Findings[0].Why, "sequence 60 is missing") {
+		t.Errorf("with a gap: %+v %v", r, err)
+	}
+	spoil(t, second, entriesName, func(b []byte) []byte { return bytes.Replace(b, []byte("accept"), []byte("cancel"), 1) })
+	if r, _ = Verify([]string{first, second}, nil); len(r.Findings) < 2 {
+		t.Errorf("two logs that differ: %+v", r.Findings)
+	}
+}
+
+func TestALogGoesOnAfterAHalfWrittenEnd(t *testing.T) {
+	folder := written(t, 10, 50)
+	spoil(t, folder, entriesName, func(b []byte) []byte { return append(b, `{"epoch":1,"sequ`...) })
+	l, err := Open(folder, "k1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, s := range []uint64{50, 60} {
+		if err := l.write(entry(s, s-10)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := l.sign(); err != nil {
+		t.Fatal(err)
+	}
+	r, err := Verify([]string{folder}, nil)
+	if err != nil || len(r.Findings) > 0 || r.Entries != 6 {
+		t.Errorf("%+v %v", r, err)
+	}
+	data, err := os.ReadFile(filepath.Join(folder, entriesName))
+	if err != nil || !json.Valid(bytes.Split(data, []byte("\n"))[5]) {
+		t.Errorf("%v %s", err, data)
+	}
+}
--- a/daemon/cmd/sorrelctl/main.go
+++ b/daemon/cmd/sorrelctl/main.go
@@ -18,6 +18,8 @@
 	"github.com/peterbourgon/ff/v3"
 
 	"sorrelloom/core/front"
+	"sorrelloom/core/machine"
+	"sorrelloom/daemon/audit"
 	"sorrelloom/daemon/client"
 	"sorrelloom/daemon/env"
 )
@@ -36,6 +38,8 @@
   site empty|refill SITE      empty or refill a site
   worker drain|undrain ID     drain a worker or take it back
   workers | nodes | duties    show what the cluster knows
+  duty pass SITE ADDRESS      hand a site's dispatch duty to that scheduler
+  audit verify FOLDER...      check audit logs and their checkpoints
   version                     show the version
 
 Flags:
@@ -56,6 +60,7 @@
 	timeout := fs.Duration("timeout", 10*time.Second, "how long one front may take")
 	base := fs.Uint64("base", 0, "plan put, patch: the sequence the change is made on")
 	force := fs.Bool("force", false, "plan put, patch: whatever the sequence is")
+	keys := fs.String("keys", "", "audit verify: comma-separated public keys; else those in the folders")
 	fs.Usage = func() {
 		fmt.Fprint(errs, usage)
 		fs.PrintDefaults()
@@ -71,6 +76,9 @@
 		fmt.Fprintln(out, env.Version("sorrelctl"))
 		return 0
 	}
+	if len(words) > 2 && words[0] == "audit" && words[1] == "verify" {
+		return verify(words[2:], *keys, out, errs)
+	}
 	baseGiven := false
 	fs.Visit(func(f *flag.Flag) { baseGiven = baseGiven || f.Name == "base" })
 	change := ""
@@ -124,6 +132,24 @@
 	return 0
 }
 
+// verify prints a report and ends with 1 if anything is wrong.
+func verify(folders []string, keys string, out, errs io.Writer) int {
+	var known []string
+	if keys != "" {
+		known = strings.Split(keys, ",")
+	}
+	report, err := audit.Verify(folders, known)
+	if err != nil {
+		fmt.Fprintln(errs, "sorrelctl:", err)
+		return 2
+	}
+	fmt.Fprintln(out, string(machine.MustJSON(report)))
+	if len(report.Findings) > 0 {
+		return 1
+	}
+	return 0
+}
+
 func read(file string) ([]byte, error) {
 	if file == "-" {
 		return io.ReadAll(os.Stdin)
@@ -154,6 +180,10 @@
 		if words[0] == "plan" && words[1] == "get" {
 			return call{"GET", "/v1/plan", ""}, true
 		}
+	case 4:
+		if words[0] == "duty" && words[1] == "pass" {
+			return call{"POST", "/v1/duties/" + url.PathEscape(words[2]) + "/pass?to=" + url.QueryEscape(words[3]), ""}, true
+		}
 	case 3:
 		switch words[0] + " " + words[1] {
 		case "plan check":
--- a/daemon/env/env.go
+++ b/daemon/env/env.go
@@ -35,6 +35,7 @@
 	Seeds    []string
 	Founders []string
 	Data     string
+	Audit    bool
 }
 
 var ErrShown = errors.New("shown")
@@ -56,6 +57,7 @@
 	fs.String("settings", "", "settings file with one 'name value' a line")
 	if keeper {
 		fs.StringVar(&e.Data, "data", "", "folder for the data file (needed)")
+		fs.BoolVar(&e.Audit, "audit", true, "write the audit log into the data folder")
 		fs.StringVar(&founders, "founders", "", "comma-separated IP:port of the three keepers that found the cluster")
 	}
 	fs.Usage = func() {
--- a/daemon/host/host.go
+++ b/daemon/host/host.go
@@ -28,6 +28,7 @@
 	loop     chan machine.Line
 	store    *store.Store
 	fatal    Fatal
+	Audit    func(machine.Audit)
 	shards   []*Shard
 	stopped  chan struct{}
 	once     sync.Once
@@ -134,6 +135,11 @@
 	for _, w := range out.Writes {
 		s.writes <- w
 	}
+	for _, a := range out.Audits {
+		if s.host.Audit != nil {
+			s.host.Audit(a)
+		}
+	}
 	if at := s.machine.Wakeup(); at > 0 && s.timer != nil {
 		s.timer.Reset(max(at-now, time.Millisecond))
 	}
--- a/daemon/run/run.go
+++ b/daemon/run/run.go
@@ -11,12 +11,14 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"syscall"
 	"time"
 
 	"sorrelloom/core/machine"
 	"sorrelloom/core/member"
 	"sorrelloom/core/wire"
+	"sorrelloom/daemon/audit"
 	"sorrelloom/daemon/env"
 	"sorrelloom/daemon/host"
 	"sorrelloom/daemon/logline"
@@ -82,6 +84,19 @@
 		}
 	})
 	main := h.Add(built.Machine)
+	if e.Audit {
+		// The audit must never stop scheduling: without it the keeper goes on.
+		if log, err := audit.Open(filepath.Join(e.Data, "audit"), built.ID); err != nil {
+			logline.Event("audit_failed", "why", err.Error())
+		} else {
+			h.Audit = func(a machine.Audit) {
+				if !log.Put(a) {
+					logline.Event("audit_dropped", "sequence", a.Sequence)
+				}
+			}
+			log.Run()
+		}
+	}
 	h.Add(member.New(member.Env{
 		Self:  wire.Node{ID: built.ID, Role: role, Site: e.Site, Address: e.Address, HTTP: e.HTTP, Incarnation: time.Now().UnixMilli()},
 		Seeds: e.Seeds, Seed: Chance(),
--- a/daemon/web/web.go
+++ b/daemon/web/web.go
@@ -115,6 +115,7 @@
 	{"POST", "/v1/workers/:name/undrain", front.Drain, false},
 	{"GET", "/v1/nodes", front.Nodes, false},
 	{"GET", "/v1/duties", front.Duties, false},
+	{"POST", "/v1/duties/:name/pass", front.Pass, false},
 }
 
 // API serves the routes from a front's shard.
@@ -141,7 +142,7 @@
 }
 
 func read(c *app.RequestContext, route Route) (machine.Ask, error) {
-	ask := machine.Ask{Kind: route.Kind, Name: c.Param("name"), On: route.On, Token: string(c.GetHeader("Idempotency-Key"))}
+	ask := machine.Ask{Kind: route.Kind, Name: c.Param("name"), On: route.On, Token: string(c.GetHeader("Idempotency-Key")), To: c.Query("to")}
 	ask.Body = append(json.RawMessage(nil), c.Request.Body()...)
 	for _, name := range []string{"wait", "hold"} {
 		if text := c.Query(name); text != "" {
--- a/tool/e2e/e2e_test.go
+++ b/tool/e2e/e2e_test.go
@@ -17,6 +17,7 @@
 	"sorrelloom/core/keeper"
 	"sorrelloom/core/ledger"
 	"sorrelloom/core/plan"
+	"sorrelloom/daemon/audit"
 	"sorrelloom/daemon/client"
 	"sorrelloom/daemon/pool"
 	"sorrelloom/tool/deploy"
@@ -282,6 +283,18 @@
 	judge(t, f, d, jobs)
 
 	race(t, f)
+	f.Close()
+	var logs []string
+	for _, name := range f.Names() {
+		folder := filepath.Join(f.Folder(), name, "audit")
+		if _, err := os.Stat(filepath.Join(folder, "checkpoint")); err == nil {
+			logs = append(logs, folder)
+		}
+	}
+	report, err := audit.Verify(logs, nil)
+	if err != nil || len(report.Findings) > 0 || report.Entries < 4*len(jobs) {
+		t.Errorf("audit of %d keepers: %+v %v", len(logs), report, err)
+	}
 }
 
 // race lets two operators change the plan on the same sequence at once.
--- a/tool/fleet/fleet.go
+++ b/tool/fleet/fleet.go
@@ -274,6 +274,9 @@
 	return nil
 }
 
+// Folder is where data and logs are, one folder per keeper.
+func (f *Fleet) Folder() string { return f.env.Folder }
+
 // Close ends every member.
 func (f *Fleet) Close() {
 	if f.relays != nil {
