Forgotten members stay forgotten; a newcomer is believed about its own address

The old entry should have aged out, but each node that forgot it was told of it again by one that had not, for ever.

Changed: what is forgotten is kept as dead for two minutes and taken back only with a newer sequence; a node that speaks for itself is believed about its address; the primary also takes as newcomers the keepers that asked it for the view a moment ago. Ruled out: ordering identities by address alone, which would let hearsay replace a living node.

--- a/core/keeper/keeper.go
+++ b/core/keeper/keeper.go
@@ -72,6 +72,12 @@
 	sequence uint64
 }
 
+// finding is what another keeper said of itself, and when.
+type finding struct {
+	wire.FoundBody
+	at time.Duration
+}
+
 type follower struct {
 	at    ledger.Position
 	until time.Duration
@@ -112,7 +118,7 @@
 	followers map[string]follower
 	told      uint64
 	entries   []ledger.Entry
-	found     map[string]wire.FoundBody
+	found     map[string]finding
 	nodes     []wire.Node
 	stopping  bool
 	wakeAt    time.Duration
@@ -121,7 +127,7 @@
 // New rebuilds a keeper from its data file. Without an identity on the disk it
 // is a new keeper, whatever stood at its address before.
 func New(env Env, records []machine.Record) (*Keeper, error) {
-	k := &Keeper{env: env, peers: map[string]peer{}, writing: map[uint64]after{}, followers: map[string]follower{}, found: map[string]wire.FoundBody{}}
+	k := &Keeper{env: env, peers: map[string]peer{}, writing: map[uint64]after{}, followers: map[string]follower{}, found: map[string]finding{}}
 	k.seat = wire.Seat{Address: env.Address, Site: env.Site}
 	var rest []machine.Record
 	for _, r := range records {
--- a/core/keeper/view.go
+++ b/core/keeper/view.go
@@ -125,11 +125,7 @@
 		if old.ID == k.seat.ID || old.ID == known.Backup.ID || now-max(k.peers[old.ID].heardAt, k.beganAt) < vanished {
 			continue
 		}
-		for _, n := range k.nodes {
-			if n.Role != "keeper" || register.Has(known.Witnesses, n.ID) {
-				continue
-			}
-			seat := wire.Seat{ID: n.ID, Address: n.Address, Site: n.Site}
+		for _, seat := range k.newcomers(now) {
 			v := k.view(k.seat, known.Backup)
 			v.Witnesses = slices.Clone(known.Witnesses)
 			v.Witnesses[slices.IndexFunc(v.Witnesses, func(s wire.Seat) bool { return s.ID == old.ID })] = seat
@@ -142,6 +138,24 @@
 	}
 }
 
+// newcomers are keepers without a seat: those that asked for the view a moment
+// ago, then those that the members know.
+func (k *Keeper) newcomers(now time.Duration) []wire.Seat {
+	var out []wire.Seat
+	for _, f := range k.found {
+		if now-f.at < suspect && !register.Has(k.witness.Known.Witnesses, f.Seat.ID) {
+			out = append(out, f.Seat)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	for _, n := range k.nodes {
+		if n.Role == "keeper" && !register.Has(k.witness.Known.Witnesses, n.ID) && !register.Has(out, n.ID) {
+			out = append(out, wire.Seat{ID: n.ID, Address: n.Address, Site: n.Site})
+		}
+	}
+	return out
+}
+
 func (k *Keeper) serve(now time.Duration, out *machine.Output) {
 	k.serving, k.leadingAt, k.beganAt = true, k.ledger.At()+time.Nanosecond, now
 	k.committed, k.told = k.ledger.Position().Sequence, k.ledger.Position().Sequence
@@ -407,7 +421,7 @@
 		k.sends = append(k.sends, machine.Send{To: line.From, Kind: wire.FoundBack, Body: k.self()})
 	}
 	k.learn(now, b.View, out)
-	k.found[b.Seat.Address] = b
+	k.found[b.Seat.Address] = finding{b, now}
 	if k.witness.Known.Epoch > 0 || len(k.env.Founders) < 3 || slices.Min(k.env.Founders) != k.seat.Address {
 		return
 	}
@@ -415,7 +429,7 @@
 	for _, address := range k.env.Founders {
 		f := k.found[address]
 		if address == k.seat.Address {
-			f = k.self()
+			f.FoundBody = k.self()
 		}
 		if f.Seat.ID == "" || !f.Empty || register.Has(seats, f.Seat.ID) {
 			return
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -24,6 +24,7 @@
 const (
 	shuffleEach = 300 * time.Millisecond
 	forgetAfter = 6 * time.Second
+	graveFor    = 2 * time.Minute
 	perRoleSite = 8
 	sampleSize  = 8
 )
@@ -38,11 +39,12 @@
 	self    wire.Node
 	chance  *rand.Rand
 	entries map[string]entry
+	graves  map[string]entry
 	next    time.Duration
 }
 
 func New(env Env) *Member {
-	return &Member{env: env, self: env.Self, chance: rand.New(rand.NewPCG(env.Seed, 1)), entries: map[string]entry{}}
+	return &Member{env: env, self: env.Self, chance: rand.New(rand.NewPCG(env.Seed, 1)), entries: map[string]entry{}, graves: map[string]entry{}}
 }
 
 func (m *Member) Wakeup() time.Duration { return m.next }
@@ -69,8 +71,8 @@
 		if in.Line.Kind == wire.Shuffle {
 			out.Send(in.Line.From, wire.ShuffleBack, wire.Gossip{Nodes: m.sample()})
 		}
-		for _, n := range b.Nodes {
-			m.hear(now, n)
+		for i, n := range b.Nodes {
+			m.hear(now, n, i == 0 && n.Address == in.Line.From)
 		}
 	}
 	if now >= m.next {
@@ -85,12 +87,17 @@
 	var addresses []string
 	for id, e := range m.entries {
 		if now-e.seen > forgetAfter {
-			delete(m.entries, id)
+			m.bury(now, id)
 			out.Log("node_forgotten", "node", id, "address", e.node.Address)
 			continue
 		}
 		addresses = append(addresses, e.node.Address)
 	}
+	for id, e := range m.graves {
+		if now-e.seen > graveFor {
+			delete(m.graves, id)
+		}
+	}
 	sort.Strings(addresses)
 	if seed := m.env.Seeds; len(seed) > 0 && (len(addresses) < 2 || m.self.Sequence%10 == 0) {
 		addresses = append(addresses, seed[m.chance.IntN(len(seed))])
@@ -117,7 +124,15 @@
 	return a.Sequence > b.Sequence
 }
 
-func (m *Member) hear(now time.Duration, n wire.Node) {
+func (m *Member) bury(now time.Duration, id string) {
+	m.graves[id] = entry{m.entries[id].node, now}
+	delete(m.entries, id)
+}
+
+// hear takes one entry. A node that speaks for itself is believed about its
+// address, whatever its clock made of its incarnation; of two others at one
+// address the newer stays.
+func (m *Member) hear(now time.Duration, n wire.Node, itself bool) {
 	if n.ID == m.self.ID {
 		if n.Address != m.self.Address || n.Incarnation > m.self.Incarnation {
 			m.self.Incarnation = max(m.self.Incarnation, n.Incarnation) + 1
@@ -127,8 +142,12 @@
 	if n.ID == "" || n.Address == "" || n.Address == m.self.Address {
 		return
 	}
+	if dead, ok := m.graves[n.ID]; ok && !itself && !newer(n, dead.node) {
+		return
+	}
+	delete(m.graves, n.ID)
 	if old, ok := m.entries[n.ID]; ok {
-		if newer(n, old.node) {
+		if newer(n, old.node) || itself && n.Incarnation < old.node.Incarnation {
 			m.entries[n.ID] = entry{n, now}
 		}
 		return
@@ -136,10 +155,10 @@
 	count, oldest := 0, ""
 	for id, e := range m.entries {
 		if e.node.Address == n.Address {
-			if !newer(n, e.node) {
+			if !itself && !newer(n, e.node) {
 				return
 			}
-			delete(m.entries, id)
+			m.bury(now, id)
 			continue
 		}
 		if e.node.Role == n.Role && e.node.Site == n.Site {
