--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -75,13 +75,21 @@
 	usual    map[[2]string]float64
 	claims   claims
 	Counters Counters
-	Central  bool
+	central  bool
 }
 
 // Patience is how long a task may wait in the inbox of a worker that has room
 // for it before others may take it: its scheduler may be gone.
 const Patience = 300 * time.Millisecond
 
+// NewCentral is the variant that measurements compare with: one inbox for all
+// workers, in the same order otherwise.
+func NewCentral() *Dispatch {
+	d := New()
+	d.central = true
+	return d
+}
+
 func New() *Dispatch {
 	d := &Dispatch{health: map[string]health{}, usual: map[[2]string]float64{}}
 	d.clear()
@@ -251,7 +259,7 @@
 func (d *Dispatch) Sweep(l *ledger.Ledger) {
 	ids := make([]string, 0, len(d.inbox))
 	for id, inbox := range d.inbox {
-		if w, ok := l.Worker(id); len(inbox) > 0 && (!ok || !l.Live(w)) {
+		if w, ok := l.Worker(id); len(inbox) > 0 && id != "" && (!ok || !l.Live(w)) {
 			ids = append(ids, id)
 		}
 	}
@@ -277,30 +285,74 @@
 	d.inbox[worker] = groups
 }
 
-// seed puts a released task into the inbox of the fitting worker that holds
-// most of its inputs, one that is not spared if there is any; among equals the least busy one, by waiting and running
-// slots against its capacity, then the smallest identity.
+// window is how much busier than the least busy worker, in parts of its slots,
+// a worker may be and still be chosen for what it holds.
+const window = 0.5
+
+type seat struct {
+	worker             string
+	spared             bool
+	locality, busyness float64
+	siblings           int
+}
+
+// seed puts a released task into the inbox of a fitting worker, one that is not
+// spared if there is any. Among those that are about as busy as the least busy
+// one, it is the worker that holds most of its inputs, then the one that has
+// most tasks of the same job and step, whose outputs are likely to be wanted
+// together; then the least busy, then the smallest identity.
 func (d *Dispatch) seed(l *ledger.Ledger, job ledger.Job, at Ref) {
-	best, bestSpared, bestLocality, bestBusyness := "", true, -1.0, 0.0
+	if d.central {
+		d.put(job, at, "")
+		return
+	}
+	var seats []seat
+	least, allSpared := math.Inf(1), true
 	for _, w := range l.Workers() {
 		if l.Fits(job, at.Task, w) != code.OK || !w.Capacity.Holds(job.Spec.Tasks[at.Task].Room) || d.barred(l, job, at.Task, w) {
 			continue
 		}
-		spared, locality, busyness := d.spared(l, w) && !d.probes(l, job, w), d.Locality(job, at, w.ID()), d.busyness(l, w)
-		if spared != bestSpared {
-			if spared {
-				continue
-			}
-		} else if locality < bestLocality || locality == bestLocality && busyness >= bestBusyness && best != "" {
-			continue
+		s := seat{w.ID(), d.spared(l, w) && !d.probes(l, job, w), d.Locality(job, at, w.ID()), d.busyness(l, w), d.siblings(job, at, w.ID())}
+		if allSpared && !s.spared {
+			least, allSpared = s.busyness, false
+		} else if s.spared == allSpared {
+			least = math.Min(least, s.busyness)
 		}
-		best, bestSpared, bestLocality, bestBusyness = w.ID(), spared, locality, busyness
+		seats = append(seats, s)
 	}
-	if best == "" {
+	best := -1
+	for i, s := range seats {
+		if s.spared == allSpared && s.busyness <= least+window && (best < 0 || s.before(seats[best])) {
+			best = i
+		}
+	}
+	if best < 0 {
 		d.unplaced[at] = true
 		return
 	}
-	d.put(job, at, best)
+	d.put(job, at, seats[best].worker)
+}
+
+func (s seat) before(o seat) bool {
+	switch {
+	case s.locality != o.locality:
+		return s.locality > o.locality
+	case s.siblings != o.siblings:
+		return s.siblings > o.siblings
+	}
+	return s.busyness < o.busyness
+}
+
+// siblings counts tasks of the same job and step that a worker has.
+func (d *Dispatch) siblings(job ledger.Job, at Ref, worker string) int {
+	count := 0
+	for i, t := range job.Tasks {
+		other := Ref{at.Job, i}
+		if i != at.Task && t.Level == job.Tasks[at.Task].Level && (d.place[other].worker == worker || d.entries[worker][other] != "") {
+			count++
+		}
+	}
+	return count
 }
 
 func (d *Dispatch) busyness(l *ledger.Ledger, w ledger.Worker) float64 {
--- a/core/dispatch/pick.go
+++ b/core/dispatch/pick.go
@@ -95,8 +95,12 @@
 	}
 	skip := map[Ref]bool{}
 	for {
-		chosen := d.bestOf(l, w, worker, free, held, skip)
-		if help {
+		inbox := worker
+		if d.central {
+			inbox = ""
+		}
+		chosen := d.bestOf(l, w, inbox, free, held, skip)
+		if help && !d.central {
 			chosen = d.bestHelp(l, w, free, held, skip, chosen)
 		}
 		if !chosen.found {
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -24,6 +24,7 @@
 	Address string
 	Site    string
 	First   uint64
+	Central bool
 }
 
 const (
@@ -74,8 +75,12 @@
 }
 
 func New(env Env) *Scheduler {
-	return &Scheduler{env: env, copy: follow.New(env.Address, env.Site, env.First), dispatch: dispatch.New(), records: map[string]record{},
+	s := &Scheduler{env: env, copy: follow.New(env.Address, env.Site, env.First), dispatch: dispatch.New(), records: map[string]record{},
 		proposals: map[uint64]proposal{}, told: map[ledger.Attempt]time.Duration{}, wanted: map[string]bool{}}
+	if env.Central {
+		s.dispatch = dispatch.NewCentral()
+	}
+	return s
 }
 
 func (s *Scheduler) Wakeup() time.Duration        { return s.wakeAt }
--- a/tool/sim/scenario.go
+++ b/tool/sim/scenario.go
@@ -24,6 +24,8 @@
 	Faults     []string
 	For        time.Duration
 	Verbose    func(string)
+	Central    bool
+	Quiet      bool
 	Prepare    func(*Scenario)
 }
 
@@ -70,6 +72,8 @@
 	QuickMs   []float64
 	First     map[string]time.Duration
 	Stopped   int
+	Locality  float64
+	LastEnd   time.Duration
 }
 
 const settle = 75 * time.Second
@@ -77,7 +81,7 @@
 // Play runs one scenario to its end.
 func Play(e Env) Result {
 	s := &Scenario{env: e, w: NewWorld(e.Seed), sites: e.Deployment.Sites}
-	s.w.Verbose = e.Verbose
+	s.w.Verbose, s.w.central = e.Verbose, e.Central
 	s.hands = map[string]*hand{}
 	s.end = e.For + settle
 	s.build()
@@ -94,7 +98,9 @@
 			}
 		})
 	})
-	s.traffic()
+	if !e.Quiet {
+		s.traffic()
+	}
 	s.breakThings()
 	s.w.Run(e.For + serveBound + 5*time.Second)
 	for s.w.Now < s.end && s.open() {
@@ -270,7 +276,12 @@
 			res.QuickMs = append(res.QuickMs, float64(at-c.sentAt)/float64(time.Millisecond))
 		}
 	}
-	res.First = first
+	res.First, res.Locality = first, s.locality()
+	for _, r := range s.runs {
+		if !strings.HasPrefix(r.Job, "probe-") {
+			res.LastEnd = max(res.LastEnd, r.to)
+		}
+	}
 	for _, k := range s.keepers {
 		if m, ok := k.main.(*keeper.Keeper); ok {
 			res.Views = max(res.Views, m.View().Epoch)
--- a/tool/sim/sim.go
+++ b/tool/sim/sim.go
@@ -86,6 +86,7 @@
 	Lines    int
 	Verbose  func(text string)
 	Logs     map[string]int
+	central  bool
 	meddle   func(n *node, s machine.Send) bool
 	onPlan   func(n *node, sequence uint64)
 }
@@ -162,7 +163,7 @@
 		}
 		n.main, id = k, k.ID()
 	case "scheduler":
-		n.main = scheduler.New(scheduler.Env{Address: n.address, Site: n.site, First: first})
+		n.main = scheduler.New(scheduler.Env{Address: n.address, Site: n.site, First: first, Central: w.central})
 	case "front":
 		n.main = front.New(front.Env{Address: n.address, Site: n.site, First: first})
 	}
--- a/tool/sim/sim_test.go
+++ b/tool/sim/sim_test.go
@@ -7,13 +7,11 @@
 	"fmt"
 	"slices"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
 	"sorrelloom/core/machine"
 	"sorrelloom/core/wire"
-	"sorrelloom/daemon/pool"
 	"sorrelloom/tool/deploy"
 	"sorrelloom/tool/worker"
 )
@@ -31,21 +29,6 @@
 	return Env{Seed: seed, Deployment: d, Faults: kinds, For: 45 * time.Second}
 }
 
-// playAll plays several days at once; each is a world of its own.
-func playAll(days []Env) []Result {
-	results := make([]Result, len(days))
-	var open sync.WaitGroup
-	for i, e := range days {
-		open.Add(1)
-		pool.Go(func() {
-			defer open.Done()
-			results[i] = Play(e)
-		})
-	}
-	open.Wait()
-	return results
-}
-
 func TestSeeds(t *testing.T) {
 	var days []Env
 	for seed := range uint64(6) {
@@ -54,7 +37,7 @@
 	for seed := range uint64(2) {
 		days = append(days, env(t, "reseller", 300+seed, "crowd,large,impossible,plan-storm,plan-large"), env(t, "podcast", 400+seed, "kill-primary,freeze,wipe,worker-cut"))
 	}
-	for i, r := range playAll(days) {
+	for i, r := range PlayAll(days) {
 		e := days[i]
 		for _, b := range r.Broken {
 			t.Errorf("%s: %s\n  again: simulate -deployment %s -faults %s -for %s -from %d -to %d", b.Check, b.Why, e.Deployment.Name, strings.Join(e.Faults, ","), e.For, e.Seed, e.Seed)
@@ -65,7 +48,7 @@
 func TestOneSeedIsOneRun(t *testing.T) {
 	e := env(t, "reseller", 7, "all")
 	e.For = 25 * time.Second
-	results := playAll([]Env{e, e})
+	results := PlayAll([]Env{e, e})
 	if results[0].Trace != results[1].Trace || results[0].Lines != results[1].Lines {
 		t.Errorf("two runs of one seed differ: %x %d, %x %d", results[0].Trace, results[0].Lines, results[1].Trace, results[1].Lines)
 	}
@@ -166,7 +149,7 @@
 	for i, row := range table {
 		days[i] = row.day
 	}
-	for i, r := range playAll(days) {
+	for i, r := range PlayAll(days) {
 		row := table[i]
 		var found []string
 		for _, b := range r.Broken {
@@ -262,7 +245,7 @@
 	for i, row := range table {
 		days[i] = sick(t, row.faults, row.spoiled, row.until)
 	}
-	for i, r := range playAll(days) {
+	for i, r := range PlayAll(days) {
 		row, runs := table[i], r.RunsOn["worker-01"]+r.RunsOn["worker-02"]
 		if r.Bad > row.badMost || r.Failed > row.failedMost || runs < row.runsLeast || runs > row.runsMost || r.Done < 300 {
 			t.Errorf("%s: %d bad ends, %d failed and %d done jobs, %d runs on the spoiled; %+v", row.name, r.Bad, r.Failed, r.Done, runs, r.RunsOn)
--- a/tool/worker/worker.go
+++ b/tool/worker/worker.go
@@ -42,10 +42,12 @@
 	Outcome string        `json:"outcome"`
 }
 
-// Payload is what the stand-in understands of a task.
+// Payload is what the stand-in understands of a task. FetchMs is what each input
+// costs that another worker holds.
 type Payload struct {
-	RunMs int64 `json:"runMs"`
-	Fail  bool  `json:"fail,omitempty"`
+	RunMs   int64 `json:"runMs"`
+	FetchMs int64 `json:"fetchMs,omitempty"`
+	Fail    bool  `json:"fail,omitempty"`
 }
 
 const (
@@ -221,6 +223,11 @@
 	}
 	w.count++
 	took := time.Duration(p.RunMs) * time.Millisecond
+	for _, holder := range s.Holders {
+		if holder != w.env.ID {
+			took += time.Duration(p.FetchMs) * time.Millisecond
+		}
+	}
 	if w.faults.Slow > 1 {
 		took = time.Duration(float64(took) * w.faults.Slow)
 	}
