Make two broken variants break for every schedule, not for a lucky one

Four workers now run on past their cutoff, and the deaf daemon is a scheduler, which no operator asks.

--- a/tool/sim/sim_test.go
+++ b/tool/sim/sim_test.go
@@ -114,9 +114,11 @@
 		})
 	}
 	rushedWorkers := func(s *Scenario) {
-		s.w.At(10*time.Second, func() { s.hand(0).w.Set(worker.Faults{RunOn: true, Slow: 100}) })
-		s.w.At(12*time.Second, func() { s.setCut(s.hand(0), true) })
-		s.w.At(24*time.Second, func() { s.setCut(s.hand(0), false) })
+		for i := range 4 {
+			s.w.At(9*time.Second, func() { s.hand(i).w.Set(worker.Faults{RunOn: true, Slow: 100}) })
+			s.w.At(12*time.Second, func() { s.setCut(s.hand(i), true) })
+			s.w.At(24*time.Second, func() { s.setCut(s.hand(i), false) })
+		}
 	}
 	oldPlans := func(s *Scenario) {
 		s.w.At(12*time.Second, func() {
@@ -127,10 +129,10 @@
 			s.sawPlan(n, n.sequence-1)
 		})
 	}
-	deafFront := func(s *Scenario) {
-		s.w.At(11*time.Second, func() { s.w.Isolate(s.daemons[len(s.daemons)-1].address) })
+	deafScheduler := func(s *Scenario) {
+		s.w.At(11*time.Second, func() { s.w.Isolate(s.daemons[8].address) })
 		s.w.At(13*time.Second, func() { s.change(1, `{"limits":{"keep":"20m"}}`) })
-		s.w.At(17*time.Second, func() { s.w.Reconnect(s.daemons[len(s.daemons)-1].address) })
+		s.w.At(17*time.Second, func() { s.w.Reconnect(s.daemons[8].address) })
 	}
 	table := []struct {
 		name string
@@ -143,7 +145,7 @@
 		{"a yes from two disks, and then one is lost", day(armed), ""},
 		{"a worker that runs on past its cutoff breaks its contract", day(rushedWorkers), "twice-at-once"},
 		{"a daemon that takes an older plan", day(oldPlans), "plan-went-back"},
-		{"a daemon that hears of no plan, and nobody knows of the cut", day(deafFront), "plan-ignored"},
+		{"a daemon that hears of no plan, and nobody knows of the cut", day(deafScheduler), "plan-ignored"},
 	}
 	days := make([]Env, len(table))
 	for i, row := range table {
