Announce the primary; bounce hopeless writes at once; restart without notice

Commands went to the old primary until their own clock of 0.8 s; a new primary waited 150 ms before it checked its backup; a front that stops sent callers away for a second or two. Now a leader that goes names its successor to its followers, a new one announces itself to the daemons it knows, the backup is checked at once, a request that finds no keeper known is tried again soon, and a stopping front sends callers on after 50 ms.

Ruled out: a shorter suspicion, which slow disks and pauses would trip.

Also: when no keeper has been heard of for 4 s a write is bounced in the same moment instead of after 4 s more, and those sent away come back spread over a second. The fleet test kills a scheduler and a front as well.

--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -24,6 +24,7 @@
 	resendAfter = 800 * time.Millisecond
 	bounceWait  = 60 * time.Millisecond
 	freshFor    = 2 * time.Second
+	lostAfter   = 4 * time.Second
 )
 
 type request struct {
@@ -72,6 +73,10 @@
 // Fresh says whether the copy was confirmed a moment ago by a proven primary.
 func (c *Copy) Fresh(now time.Duration) bool { return c.loaded && now-c.heardAt < freshFor }
 
+// Lost says whether no proven primary has been heard of for so long that asking
+// for a write now would only make the caller wait.
+func (c *Copy) Lost(now time.Duration) bool { return now-c.heardAt > lostAfter }
+
 func (c *Copy) Loaded() bool { return c.loaded }
 
 // Submit sends a command and gives the number its result will carry.
@@ -90,6 +95,9 @@
 		out.Send(c.primary, wire.Command, r.body)
 	}
 	r.sentAt, r.again = now, now+resendAfter
+	if c.primary == "" {
+		r.again = now + bounceWait
+	}
 	return r
 }
 
@@ -160,9 +168,12 @@
 
 func (c *Copy) news(now time.Duration, from string, b wire.NewsBody, out *machine.Output) {
 	if b.Bounced {
-		if b.Relayed {
+		switch {
+		case b.Relayed:
 			c.direct = now + directFor
-		} else {
+		case b.Primary != "" && b.Epoch > c.Ledger.Position().Epoch:
+			c.lead(now, b.Primary)
+		default:
 			c.hint(from, b.Primary)
 		}
 		c.askedAt = min(c.askedAt, now-askEach+bounceWait)
--- a/core/front/front.go
+++ b/core/front/front.go
@@ -49,6 +49,9 @@
 	Jobs      = "jobs"
 )
 
+// writes are the kinds that a keeper must answer.
+var writes = map[string]bool{Submit: true, Cancel: true, PlanPut: true, PlanPatch: true, Site: true, Drain: true, Pass: true}
+
 const (
 	commandWait = 4 * time.Second
 	beatWait    = 1800 * time.Millisecond
@@ -188,15 +191,22 @@
 }
 
 func (f *Front) bounce(key uint64, a ledger.Answer, out *machine.Output) {
+	if a.Code == code.Stopping {
+		a.RetryAfter = 50 * time.Millisecond
+	} else if status := a.Code.Status(); status == 503 || status == 429 {
+		a.RetryAfter = comeBack(key, max(a.RetryAfter, time.Second))
+	}
 	f.answer(key, a.Code.Status(), a.RetryAfter, outcome(a), out)
 }
 
 func bounced(c code.Code, format string, args ...any) ledger.Answer {
-	a := ledger.Answer{Code: c, Why: fmt.Sprintf(format, args...)}
-	if c.Status() == 503 || c.Status() == 429 {
-		a.RetryAfter = time.Second
-	}
-	return a
+	return ledger.Answer{Code: c, Why: fmt.Sprintf(format, args...)}
+}
+
+// comeBack spreads those who are sent away over a second, so that a crowd does
+// not return as one.
+func comeBack(key uint64, at time.Duration) time.Duration {
+	return at + time.Duration(key*2654435761%1000)*time.Millisecond
 }
 
 // strict decodes exactly one JSON value without unknown fields.
@@ -231,6 +241,10 @@
 		f.bounce(ask.Key, bounced(code.InboxFull, "this front has %d requests open", len(f.table)), out)
 		return
 	}
+	if writes[ask.Kind] && f.copy.Lost(now) {
+		f.bounce(ask.Key, bounced(code.NoAuthority, "no keeper has been heard of for a while"), out)
+		return
+	}
 	r := record{ask: ask, until: now + commandWait}
 	command := ledger.Command{Name: ask.Name}
 	switch ask.Kind {
--- a/core/front/front_test.go
+++ b/core/front/front_test.go
@@ -90,3 +90,26 @@
 		t.Errorf("a stale copy must not be shown as the truth: %v %+v", ok, r)
 	}
 }
+
+// TestWithoutKeepersAWriteIsBouncedAtOnce asks when no keeper has been heard of
+// for long: the answer comes in the same step, and does not send all who ask
+// back at the same moment.
+func TestWithoutKeepersAWriteIsBouncedAtOnce(t *testing.T) {
+	f := served(t)
+	f.Step(10*time.Second, machine.Input{})
+	back := map[time.Duration]bool{}
+	for key := range uint64(20) {
+		out := f.Step(10*time.Second, machine.Input{Ask: machine.Ask{Key: key + 1, Kind: Submit, Body: json.RawMessage(`{"id":"x","service":"tickets","class":"quick","tasks":[{"id":"a"}]}`)}})
+		if len(out.Answers) != 1 {
+			t.Fatalf("no answer at once: %+v", out.Answers)
+		}
+		r := out.Answers[0].Body.(Reply)
+		if r.Status != 503 || r.RetryAfter < time.Second || r.RetryAfter > 2*time.Second {
+			t.Fatalf("%+v", r)
+		}
+		back[r.RetryAfter] = true
+	}
+	if len(back) < 15 {
+		t.Errorf("20 callers come back at %d moments", len(back))
+	}
+}
--- a/core/keeper/view.go
+++ b/core/keeper/view.go
@@ -160,9 +160,30 @@
 	k.serving, k.leadingAt, k.beganAt = true, k.ledger.At()+time.Nanosecond, now
 	k.committed, k.told = k.ledger.Position().Sequence, k.ledger.Position().Sequence
 	k.sent, k.lagSince = k.ledger.Position(), now
+	k.announce(out)
 	out.Log("serving", "epoch", k.witness.Known.Epoch, "sequence", k.committed, "backup", k.witness.Known.Backup.Address)
 }
 
+// announce names the primary: a leader that goes to its followers, a new one to
+// every daemon it knows, so that nobody has to find it by trying.
+func (k *Keeper) announce(out *machine.Output) {
+	to := make([]string, 0, len(k.followers)+len(k.nodes))
+	for address := range k.followers {
+		to = append(to, address)
+	}
+	if k.leads() {
+		for _, n := range k.nodes {
+			if n.Role != "keeper" {
+				to = append(to, n.Address)
+			}
+		}
+	}
+	slices.Sort(to)
+	for _, address := range slices.Compact(to) {
+		out.Send(address, wire.News, wire.NewsBody{Bounced: true, Epoch: k.witness.Known.Epoch, Primary: k.witness.Known.Primary.Address})
+	}
+}
+
 // sync brings a peer to where this keeper stands: a check, a tail or a copy.
 func (k *Keeper) sync(now time.Duration, to wire.Seat, out *machine.Output) {
 	p := k.peers[to.ID]
@@ -276,10 +297,11 @@
 	k.answers, k.acks, k.serving = nil, nil, false
 	k.beganAt = now
 	for id, p := range k.peers {
-		p.synced, p.token = false, 0
+		p.synced, p.token, p.resentAt = false, 0, 0
 		k.peers[id] = p
 	}
 	if !k.leads() {
+		k.announce(out)
 		k.followers = map[string]follower{}
 	}
 	if p := k.peers[v.Primary.ID]; p.heardAt < now {
--- a/tool/e2e/e2e_test.go
+++ b/tool/e2e/e2e_test.go
@@ -237,6 +237,12 @@
 	must(f.Wake("front-1"))
 	wave("both-woken")
 
+	must(f.Kill("scheduler-2"))
+	must(f.Kill("front-2"))
+	wave("scheduler-and-front-killed")
+	must(f.Run("scheduler-2"))
+	must(f.Run("front-2"))
+
 	second := f.Primary()
 	for _, other := range f.Names() {
 		if p, err := f.Member(other); err == nil && p.Role == "keeper" && other != second {
--- a/tool/sim/actors.go
+++ b/tool/sim/actors.go
@@ -143,6 +143,7 @@
 	forgotten  time.Duration
 	early      string
 	turn       int
+	sends      int
 	probe      bool
 	impossible bool
 	dependable bool
@@ -153,6 +154,7 @@
 		c.sentAt = s.w.Now
 	}
 	site := s.sites[c.turn%len(s.sites)]
+	c.sends++
 	body := machine.MustJSON(c.spec)
 	again := func(after time.Duration) {
 		c.turn++
--- a/tool/sim/sim_test.go
+++ b/tool/sim/sim_test.go
@@ -356,3 +356,67 @@
 	}
 	t.Logf("long done in 22 s: %d of 30, %d runs", done, r.Runs)
 }
+
+// TestRollingRestart stops and starts every daemon in turn, as for a new
+// release, with speed judged all the time: nobody is to notice.
+func TestRollingRestart(t *testing.T) {
+	e := env(t, "reseller", 71, "none")
+	e.For = 60 * time.Second
+	restarts := 0
+	e.Prepare = func(s *Scenario) {
+		for i, n := range s.daemons {
+			at := 9*time.Second + time.Duration(i)*3*time.Second
+			s.w.At(at, func() { s.w.Stop(n) })
+			s.w.At(at+1500*time.Millisecond, func() {
+				if n.state != down {
+					t.Errorf("%s is still there 1.5 s after it was asked to go", n.name)
+					s.w.Kill(n)
+				}
+				restarts++
+				s.w.Boot(n)
+			})
+		}
+	}
+	r := Play(e)
+	slow := 0
+	for _, ms := range r.QuickMs {
+		if ms > 1000 {
+			slow++
+		}
+	}
+	if len(r.Broken) > 0 || restarts != 17 || slow > 5 {
+		t.Errorf("%d restarts, %d of %d quick jobs over 1 s, %v", restarts, slow, len(r.QuickMs), r.Broken)
+	}
+	t.Logf("views %d, quick jobs p99 %.1f ms, %d over 1 s", r.Views, percentile(r.QuickMs, .99), slow)
+}
+
+// TestARetryStormDoesNotGrow hands in far more than the inbox of a class takes.
+// All must end well, each caller asking again only when told to, and quick jobs
+// and status must not suffer.
+func TestARetryStormDoesNotGrow(t *testing.T) {
+	e := env(t, "reseller", 81, "none")
+	e.For = 40 * time.Second
+	var storm []*caller
+	e.Prepare = func(s *Scenario) {
+		s.w.At(8*time.Second, func() {
+			s.change(1, `{"services":{"tickets":{"classes":{"check":{"inboxMax":60}}}}}`)
+		})
+		kind := s.env.Deployment.Traffic[1]
+		for i := range 300 {
+			s.w.At(10*time.Second, func() {
+				c := s.job(kind, fmt.Sprintf("storm-%d", i))
+				storm = append(storm, c)
+				s.submit(c)
+			})
+		}
+	}
+	r := Play(e)
+	sends := 0
+	for _, c := range storm {
+		sends += c.sends
+	}
+	if len(r.Broken) > 0 || sends > 10*len(storm) || percentile(r.QuickMs, .99) > 500 {
+		t.Errorf("%d sends for %d jobs, quick p99 %.1f ms, %v", sends, len(storm), percentile(r.QuickMs, .99), r.Broken)
+	}
+	t.Logf("%d sends for %d jobs, quick p99 %.1f ms", sends, len(storm), percentile(r.QuickMs, .99))
+}
