--- a/core/front/front.go
+++ b/core/front/front.go
@@ -105,6 +105,12 @@
 	LeaseMs int64         `json:"leaseMs"`
 }
 
+// CheckView is the answer to a plan that passes its checks.
+type CheckView struct {
+	Outcome
+	DryRun []ledger.DryRow `json:"dryRun,omitempty"`
+}
+
 type WorkerView struct {
 	ID       string           `json:"id"`
 	Site     string           `json:"site"`
@@ -446,14 +452,20 @@
 	case PlanGet:
 		f.answer(ask.Key, 200, 0, l.Plan(), out)
 	case PlanCheck:
-		_, faults := plan.Parse(ask.Body)
+		p, faults := plan.Parse(ask.Body)
 		a := ledger.Answer{Faults: faults, Sequence: l.Plan().Sequence}
 		if len(faults) > 0 {
 			a.Code, a.Why = faults[0].Code, faults[0].Place+": "+faults[0].Why
+			f.bounce(ask.Key, a, out)
+			return
+		}
+		v := CheckView{Outcome: outcome(a)}
+		if f.copy.Fresh(now) {
+			v.DryRun = l.DryRun(p)
 		}
-		f.bounce(ask.Key, a, out)
+		f.answer(ask.Key, 200, 0, v, out)
 	case Nodes:
-		f.answer(ask.Key, 200, 0, map[string]any{"nodes": f.nodes}, out)
+		f.answer(ask.Key, 200, 0, map[string]any{"nodes": append([]wire.Node{}, f.nodes...)}, out)
 	case Workers:
 		f.answer(ask.Key, 200, 0, map[string]any{"workers": f.workers(), "emptied": l.Emptied()}, out)
 	case Duties:
