Do not ask again for a class over its share until the copy has caught up

Cause: in a crowd three schedulers fill one class's share at once; each asks on a copy that is a few milliseconds old, and each bounce is a write. A class that the ledger found over its share stays closed to a scheduler until its copy has passed that position.

Ruled out: splitting a share by site, which would leave room unused.

--- a/core/dispatch/pick.go
+++ b/core/dispatch/pick.go
@@ -19,6 +19,8 @@
 	Tasks map[Ref]bool
 	Room  map[string]ledger.Room
 	Slots map[[2]string]int
+	// Closed are classes that were over their share a moment ago.
+	Closed map[[2]string]bool
 }
 
 type tier struct {
@@ -152,6 +154,9 @@
 		if !ok || !free.Holds(g.kind.room) || l.Fits(head, g.tasks[0].at.Task, w) != code.OK {
 			continue
 		}
+		if held.Closed[[2]string{g.kind.service, g.kind.class}] {
+			continue
+		}
 		if allowed, _ := l.Allowed(g.kind.service, g.kind.class, max(g.kind.room.Slots, g.kind.gangSlots), held.Slots); !allowed {
 			continue
 		}
--- a/core/ledger/turns.go
+++ b/core/ledger/turns.go
@@ -449,7 +449,6 @@
 }
 
 type due struct {
-	at  time.Duration
 	job string
 	do  func()
 }
@@ -463,7 +462,7 @@
 	for _, id := range sorted(l.active) {
 		job := l.jobs[id]
 		if job.Spec.Cutoff.Duration > 0 && job.Ending == "" && now > job.AcceptedAt+job.Spec.Cutoff.Duration {
-			out = append(out, due{now, id, func() { l.finish(id, Failed, "the job's cutoff passed") }})
+			out = append(out, due{id, func() { l.finish(id, Failed, "the job's cutoff passed") }})
 			continue
 		}
 		for i, t := range job.Tasks {
@@ -479,7 +478,7 @@
 			switch {
 			case now > l.expiry(t.Turn):
 				lost := t.Turn.StartedAt > 0
-				out = append(out, due{now, id, func() { l.giveBack(at, lost, "the worker went silent") }})
+				out = append(out, due{id, func() { l.giveBack(at, lost, "the worker went silent") }})
 			case t.Turn.Stop != "":
 			case t.Turn.StartedAt > 0 && now > t.Turn.StartedAt+runLimit:
 				stop = limit
@@ -487,23 +486,28 @@
 				stop = gangStop
 			}
 			if stop != "" {
-				out = append(out, due{now, id, func() { l.stopTurn(at, stop) }})
+				out = append(out, due{id, func() { l.stopTurn(at, stop) }})
 			}
 		}
 	}
-	for _, id := range sorted(l.jobs) {
-		if job := l.jobs[id]; ended(job) && now > job.EndedAt+limits.Keep.Duration {
-			out = append(out, due{now, "", func() { l.forget(id) }})
+	var kept []string
+	for id, job := range l.jobs {
+		if ended(job) && now > job.EndedAt+limits.Keep.Duration {
+			kept = append(kept, id)
 		}
 	}
+	slices.Sort(kept)
+	for _, id := range kept {
+		out = append(out, due{"", func() { l.forget(id) }})
+	}
 	for _, id := range sorted(l.workers) {
 		if w := l.workers[id]; now > w.CutoffAt+limits.Margin.Duration+limits.Keep.Duration && len(l.turns[id]) == 0 {
-			out = append(out, due{now, "", func() { delete(l.workers, id); l.touch("worker", id) }})
+			out = append(out, due{"", func() { delete(l.workers, id); l.touch("worker", id) }})
 		}
 	}
 	for _, id := range sorted(l.daemons) {
 		if now > l.daemons[id].SeenAt+limits.Keep.Duration {
-			out = append(out, due{now, "", func() { delete(l.daemons, id); l.touch("daemon", id) }})
+			out = append(out, due{"", func() { delete(l.daemons, id); l.touch("daemon", id) }})
 		}
 	}
 	return out
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -67,6 +67,7 @@
 	records   map[string]record
 	proposals map[uint64]proposal
 	told      map[ledger.Attempt]time.Duration
+	overShare map[[2]string]uint64
 	helloAt   time.Duration
 	wanted    map[string]bool
 	wakeAt    time.Duration
@@ -76,7 +77,7 @@
 
 func New(env Env) *Scheduler {
 	s := &Scheduler{env: env, copy: follow.New(env.Address, env.Site, env.First), dispatch: dispatch.New(), records: map[string]record{},
-		proposals: map[uint64]proposal{}, told: map[ledger.Attempt]time.Duration{}, wanted: map[string]bool{}}
+		proposals: map[uint64]proposal{}, told: map[ledger.Attempt]time.Duration{}, overShare: map[[2]string]uint64{}, wanted: map[string]bool{}}
 	if env.Central {
 		s.dispatch = dispatch.NewCentral()
 	}
@@ -243,8 +244,13 @@
 			p.at = r.At
 		} else {
 			p.until, p.at = now+refusedFor, 0
-			if !p.pushOut && r.Answer.Code == code.TaskNotOpen {
+			switch {
+			case p.pushOut:
+			case r.Answer.Code == code.TaskNotOpen:
 				s.dispatch.Counters.Reserved++
+			case r.Answer.Code == code.OverShare:
+				s.overShare[p.class] = max(s.overShare[p.class], r.At)
+				p.until = now
 			}
 			out.Log("grant_bounced", "code", r.Answer.Code.String(), "job", p.picks[0].Job, "task", p.picks[0].Task, "worker", p.picks[0].Worker)
 			p.rooms = nil
@@ -277,9 +283,17 @@
 }
 
 // held is what is under way: tasks and room that a grant was asked for and the
-// copy does not show yet, and tasks that were refused a moment ago.
+// copy does not show yet, tasks that were refused a moment ago, and classes that
+// the ledger found over their share at a position that the copy has not reached.
 func (s *Scheduler) held(now time.Duration) dispatch.Held {
-	h := dispatch.Held{Tasks: map[dispatch.Ref]bool{}, Room: map[string]ledger.Room{}, Slots: map[[2]string]int{}}
+	h := dispatch.Held{Tasks: map[dispatch.Ref]bool{}, Room: map[string]ledger.Room{}, Slots: map[[2]string]int{}, Closed: map[[2]string]bool{}}
+	for class, at := range s.overShare {
+		if s.copy.Ledger.Position().Sequence >= at {
+			delete(s.overShare, class)
+		} else {
+			h.Closed[class] = true
+		}
+	}
 	for id, p := range s.proposals {
 		if p.at > 0 && s.copy.Ledger.Position().Sequence >= p.at || now > p.until {
 			delete(s.proposals, id)
--- a/daemon/host/host.go
+++ b/daemon/host/host.go
@@ -44,7 +44,7 @@
 	kinds   map[string]bool
 	writes  chan machine.Write
 	mu      sync.Mutex
-	timer   *time.Timer
+	wakeup  *time.Timer
 }
 
 // New makes a host without machines; Add brings them in, Run starts them.
@@ -67,7 +67,7 @@
 func (h *Host) Run() error {
 	for _, s := range h.shards {
 		s.mu.Lock()
-		s.timer = time.AfterFunc(time.Hour, func() { pool.Go(func() { s.Step(machine.Input{}) }) })
+		s.wakeup = time.AfterFunc(time.Hour, func() { pool.Go(func() { s.Step(machine.Input{}) }) })
 	}
 	c, err := circuit.Open(h.listen, h.deliver)
 	h.circuits = c
@@ -140,8 +140,8 @@
 			s.host.Audit(a)
 		}
 	}
-	if at := s.machine.Wakeup(); at > 0 && s.timer != nil {
-		s.timer.Reset(max(at-now, time.Millisecond))
+	if at := s.machine.Wakeup(); at > 0 && s.wakeup != nil {
+		s.wakeup.Reset(max(at-now, time.Millisecond))
 	}
 	s.mu.Unlock()
 	for _, a := range out.Answers {
--- a/tool/sim/sim.go
+++ b/tool/sim/sim.go
@@ -61,7 +61,7 @@
 	disk                      map[[2]string]json.RawMessage
 	diskSlow                  float64
 	diskLies                  bool
-	queue                     []func()
+	inbox                     []func()
 	stalls                    bool
 	limbo                     []machine.Send
 	wakeOrder                 uint64
@@ -152,7 +152,7 @@
 		return
 	}
 	n.life++
-	n.state, n.boot, n.queue, n.answers, n.sequence = up, w.Now, nil, map[uint64]func(any){}, 0
+	n.state, n.boot, n.inbox, n.answers, n.sequence = up, w.Now, nil, map[uint64]func(any){}, 0
 	id := n.address
 	first := w.chance.Uint64() >> 1
 	switch n.role {
@@ -183,7 +183,7 @@
 	switch {
 	case n.life != life || n.state == down:
 	case n.state == frozen:
-		n.queue = append(n.queue, do)
+		n.inbox = append(n.inbox, do)
 	default:
 		do()
 	}
@@ -341,7 +341,7 @@
 	if n.state != down {
 		w.say("kill %s", n.name)
 	}
-	n.state, n.queue, n.answers, n.stalls, n.limbo = down, nil, nil, false, nil
+	n.state, n.inbox, n.answers, n.stalls, n.limbo = down, nil, nil, false, nil
 }
 
 // Stop asks a daemon to hand over and go.
@@ -378,12 +378,12 @@
 	}
 	w.say("wake %s", n.name)
 	n.state, n.stalls = up, false
-	queue, limbo := n.queue, n.limbo
-	n.queue, n.limbo = nil, nil
+	inbox, limbo := n.inbox, n.limbo
+	n.inbox, n.limbo = nil, nil
 	for _, s := range limbo {
 		w.send(n, s)
 	}
-	for _, do := range queue {
+	for _, do := range inbox {
 		do()
 	}
 }
