--- a/daemon/web/web.go
+++ b/daemon/web/web.go
@@ -26,7 +26,12 @@
 	"sorrelloom/daemon/pool"
 )
 
-const bodyMax = 4 << 20
+// A body over bodyMax is bounced with its code; over hardMax hertz closes the
+// circuit before it is read whole.
+const (
+	bodyMax = 4 << 20
+	hardMax = 16 << 20
+)
 
 // Gauge is one number on the metrics page, read when it is asked for.
 type Gauge struct {
@@ -46,7 +51,7 @@
 
 func New(listener net.Listener, page Page) *Server {
 	hlog.SetLevel(hlog.LevelFatal)
-	h := server.New(server.WithListener(listener), server.WithHostPorts(listener.Addr().String()), server.WithMaxRequestBodySize(bodyMax),
+	h := server.New(server.WithListener(listener), server.WithHostPorts(listener.Addr().String()), server.WithMaxRequestBodySize(hardMax),
 		server.WithDisablePrintRoute(true), server.WithExitWaitTime(time.Second), server.WithHandleMethodNotAllowed(true),
 		server.WithIdleTimeout(time.Minute), server.WithReadTimeout(time.Minute))
 	registry := prometheus.NewRegistry()
@@ -122,6 +127,10 @@
 func (s *Server) API(shard *host.Shard) {
 	for _, route := range Routes {
 		s.engine.Handle(route.Method, route.Path, func(ctx context.Context, c *app.RequestContext) {
+			if len(c.Request.Body()) > bodyMax {
+				fail(c, code.TooLarge, fmt.Sprintf("the body has %d bytes, %d are taken", len(c.Request.Body()), bodyMax))
+				return
+			}
 			ask, err := read(c, route)
 			if err != nil {
 				fail(c, code.Malformed, err.Error())
--- a/tool/e2e/e2e_test.go
+++ b/tool/e2e/e2e_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"sorrelloom/core/code"
 	"sorrelloom/core/front"
 	"sorrelloom/core/keeper"
 	"sorrelloom/core/ledger"
@@ -172,6 +173,11 @@
 		jobs = append(jobs, d.Traffic[i%3].Job(d.Service, fmt.Sprintf("before-%d", i)))
 		submit(t, f, jobs[i])
 	}
+	large, err := f.Client.Call("POST", "/v1/jobs", make([]byte, 5<<20), nil, 10*time.Second)
+	var out front.Outcome
+	if err != nil || large.Status != 413 || large.Decode(&out) != nil || out.Code != code.TooLarge {
+		t.Errorf("a body of 5 MiB: %v %d %s", err, large.Status, large.Body)
+	}
 	primary := f.Primary()
 	if primary == "" {
 		t.Fatal("no keeper says that it serves")
