Judge draining by the process that said it; use the library's sorted keys

The worker had crashed in between and come back as a new incarnation that does not leave; the oracle's window now ends with the process. The ledger was right.

The schema test caught the one difference: an empty list must not become null.

--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -8,6 +8,7 @@
 import (
 	"encoding/json"
 	"hash/fnv"
+	"maps"
 	"slices"
 	"time"
 
@@ -213,7 +214,7 @@
 		c.ask(now, out)
 	}
 	if len(b.Commands) > 0 || len(b.Records) > 0 {
-		for _, to := range sortedKeys(c.subs) {
+		for _, to := range slices.Sorted(maps.Keys(c.subs)) {
 			c.pass(now, to, out)
 		}
 	}
@@ -232,15 +233,6 @@
 	}
 }
 
-func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
-}
-
 // know takes the nodes: the keepers, and the home of the site's news, which is
 // the daemon of the site that ranks highest by a hash of its address.
 func (c *Copy) know(nodes []wire.Node) {
--- a/core/keeper/keeper.go
+++ b/core/keeper/keeper.go
@@ -170,14 +170,13 @@
 	k.records = append(k.records, machine.Record{Bucket: bucketSelf, Key: key, Value: machine.MustJSON(v)})
 }
 
-func (k *Keeper) ID() string                                       { return k.seat.ID }
-func (k *Keeper) Wakeup() time.Duration                            { return k.wakeAt }
-func (k *Keeper) View() wire.View                                  { return k.witness.Known }
-func (k *Keeper) Serving() bool                                    { return k.serving }
-func (k *Keeper) Ledger() *ledger.Ledger                           { return k.ledger }
-func (k *Keeper) leads() bool                                      { return k.witness.Known.Primary.ID == k.seat.ID }
-func (k *Keeper) backs() bool                                      { return k.witness.Known.Backup.ID == k.seat.ID }
-func (k *Keeper) send(out *machine.Output, to, kind string, b any) { out.Send(to, kind, b) }
+func (k *Keeper) ID() string             { return k.seat.ID }
+func (k *Keeper) Wakeup() time.Duration  { return k.wakeAt }
+func (k *Keeper) View() wire.View        { return k.witness.Known }
+func (k *Keeper) Serving() bool          { return k.serving }
+func (k *Keeper) Ledger() *ledger.Ledger { return k.ledger }
+func (k *Keeper) leads() bool            { return k.witness.Known.Primary.ID == k.seat.ID }
+func (k *Keeper) backs() bool            { return k.witness.Known.Backup.ID == k.seat.ID }
 
 // Step is the whole keeper.
 func (k *Keeper) Step(now time.Duration, in machine.Input) machine.Output {
@@ -202,69 +201,42 @@
 }
 
 func (k *Keeper) line(now time.Duration, line machine.Line, out *machine.Output) {
-	take := func(v any) bool {
-		if err := json.Unmarshal(line.Body, v); err != nil {
-			out.Log("line_damaged", "kind", line.Kind, "from", line.From, "why", err.Error())
-			return false
-		}
-		return true
-	}
 	switch line.Kind {
 	case wire.Command:
-		var b wire.CommandBody
-		if take(&b) {
-			k.command(now, line.From, b, out)
-		}
+		take(line, out, func(b wire.CommandBody) { k.command(now, line.From, b, out) })
 	case wire.Replicate:
-		var b wire.ReplicateBody
-		if take(&b) {
-			k.replicate(now, line.From, b, out)
-		}
+		take(line, out, func(b wire.ReplicateBody) { k.replicate(now, line.From, b, out) })
 	case wire.Copy:
-		var b wire.CopyBody
-		if take(&b) {
-			k.copied(now, line.From, b, out)
-		}
+		take(line, out, func(b wire.CopyBody) { k.copied(now, line.From, b, out) })
 	case wire.ReplicateAck:
-		var b wire.ReplicateAckBody
-		if take(&b) {
-			k.acked(now, line.From, b, out)
-		}
+		take(line, out, func(b wire.ReplicateAckBody) { k.acked(now, line.From, b, out) })
 	case wire.Follow:
-		var b wire.FollowBody
-		if take(&b) {
-			k.follow(now, line.From, b, out)
-		}
+		take(line, out, func(b wire.FollowBody) { k.follow(now, line.From, b, out) })
 	case wire.Prepare, wire.Accept:
-		var b wire.RegisterBody
-		if take(&b) {
-			k.vote(now, line.From, line.Kind, b, out)
-		}
+		take(line, out, func(b wire.RegisterBody) { k.vote(now, line.From, line.Kind, b, out) })
 	case wire.PrepareBack, wire.AcceptBack:
-		var b wire.RegisterBody
-		if take(&b) {
-			k.voted(now, line.Kind, b, out)
-		}
+		take(line, out, func(b wire.RegisterBody) { k.voted(now, line.Kind, b, out) })
 	case wire.Decided:
-		var b wire.RegisterBody
-		if take(&b) {
-			k.learn(now, b.Known, out)
-		}
+		take(line, out, func(b wire.RegisterBody) { k.learn(now, b.Known, out) })
 	case wire.Found, wire.FoundBack:
-		var b wire.FoundBody
-		if take(&b) {
-			k.founding(now, line, b, out)
-		}
+		take(line, out, func(b wire.FoundBody) { k.founding(now, line, b, out) })
 	case wire.Nodes:
-		var b wire.Gossip
-		if take(&b) {
-			k.nodes = b.Nodes
-		}
+		take(line, out, func(b wire.Gossip) { k.nodes = b.Nodes })
 	default:
 		out.Log("line_unknown", "kind", line.Kind, "from", line.From)
 	}
 }
 
+// take decodes a line's body; a damaged one is logged and dropped.
+func take[B any](line machine.Line, out *machine.Output, do func(B)) {
+	var b B
+	if err := json.Unmarshal(line.Body, &b); err != nil {
+		out.Log("line_damaged", "kind", line.Kind, "from", line.From, "why", err.Error())
+		return
+	}
+	do(b)
+}
+
 // proven says whether the backup has answered in this epoch a moment ago.
 func (k *Keeper) proven(now time.Duration) bool {
 	return k.serving && now-k.peers[k.witness.Known.Backup.ID].heardAt < suspect
@@ -272,11 +244,11 @@
 
 func (k *Keeper) command(now time.Duration, from string, b wire.CommandBody, out *machine.Output) {
 	if !k.proven(now) {
-		k.send(out, from, wire.CommandBack, k.notPrimary(b.ID))
+		out.Send(from, wire.CommandBack, k.notPrimary(b.ID))
 		return
 	}
 	if len(k.answers) > inFlight {
-		k.send(out, from, wire.CommandBack, wire.CommandBackBody{ID: b.ID, Answer: ledger.Answer{
+		out.Send(from, wire.CommandBack, wire.CommandBackBody{ID: b.ID, Answer: ledger.Answer{
 			Code: code.InboxFull, Why: "too many writes are under way", RetryAfter: time.Second,
 		}})
 		return
@@ -358,7 +330,7 @@
 	k.beatAt = now
 	for _, seat := range k.witness.Known.Witnesses {
 		if seat.ID != k.seat.ID {
-			k.send(out, seat.Address, wire.Replicate, wire.ReplicateBody{View: k.witness.Known, From: k.seat, Token: k.token, After: k.sent, Commands: slices.Clone(commands)})
+			out.Send(seat.Address, wire.Replicate, wire.ReplicateBody{View: k.witness.Known, From: k.seat, Token: k.token, After: k.sent, Commands: slices.Clone(commands)})
 		}
 	}
 	k.sent = position
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -9,6 +9,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"sort"
 	"strings"
@@ -374,7 +375,7 @@
 	}
 	l.touch("site", name)
 	l.decide(Decision{Kind: map[bool]string{true: "empty", false: "refill"}[on], Name: name})
-	for _, id := range sorted(l.workers) {
+	for _, id := range slices.Sorted(maps.Keys(l.workers)) {
 		if w := l.workers[id]; on && w.Site == name {
 			l.stopAll(id, "the site is emptied")
 		}
@@ -431,7 +432,7 @@
 		l.daemons[h.Daemon] = Daemon{ID: h.Daemon, Site: h.Site, SeenAt: l.at}
 	}
 	l.touch("daemon", h.Daemon)
-	for _, name := range sorted(l.duties) {
+	for _, name := range slices.Sorted(maps.Keys(l.duties)) {
 		if d := l.duties[name]; d.Holder == h.Daemon && !h.Leaving {
 			d.SeenAt = l.at
 			l.duties[name] = d
@@ -493,15 +494,6 @@
 	return count > len(alive)/2
 }
 
-func sorted[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	sort.Strings(keys)
-	return keys
-}
-
 type meta struct {
 	Position Position      `json:"position"`
 	At       time.Duration `json:"at"`
@@ -570,8 +562,8 @@
 func (l *Ledger) Records() []machine.Record {
 	out := []machine.Record{l.record("meta", "position"), l.record("meta", "plan")}
 	for bucket, keys := range map[string][]string{
-		"job": sorted(l.jobs), "worker": sorted(l.workers), "site": sorted(l.emptied),
-		"duty": sorted(l.duties), "daemon": sorted(l.daemons),
+		"job": slices.Sorted(maps.Keys(l.jobs)), "worker": slices.Sorted(maps.Keys(l.workers)), "site": slices.Sorted(maps.Keys(l.emptied)),
+		"duty": slices.Sorted(maps.Keys(l.duties)), "daemon": slices.Sorted(maps.Keys(l.daemons)),
 	} {
 		for _, key := range keys {
 			out = append(out, l.record(bucket, key))
--- a/core/ledger/turns.go
+++ b/core/ledger/turns.go
@@ -5,6 +5,7 @@
 package ledger
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -109,7 +110,7 @@
 	l.workers[b.Worker] = w
 	l.touch("worker", b.Worker)
 	l.changes = append(l.changes, Changed{Worker: b.Worker})
-	for _, id := range sorted(touched) {
+	for _, id := range slices.Sorted(maps.Keys(touched)) {
 		l.release(id)
 	}
 	return answer
@@ -459,7 +460,7 @@
 func (l *Ledger) dues(now time.Duration) []due {
 	var out []due
 	limits := l.plan.Limits
-	for _, id := range sorted(l.active) {
+	for _, id := range slices.Sorted(maps.Keys(l.active)) {
 		job := l.jobs[id]
 		if job.Spec.Cutoff.Duration > 0 && job.Ending == "" && now > job.AcceptedAt+job.Spec.Cutoff.Duration {
 			out = append(out, due{id, func() { l.finish(id, Failed, "the job's cutoff passed") }})
@@ -500,12 +501,12 @@
 	for _, id := range kept {
 		out = append(out, due{"", func() { l.forget(id) }})
 	}
-	for _, id := range sorted(l.workers) {
+	for _, id := range slices.Sorted(maps.Keys(l.workers)) {
 		if w := l.workers[id]; now > w.CutoffAt+limits.Margin.Duration+limits.Keep.Duration && len(l.turns[id]) == 0 {
 			out = append(out, due{"", func() { delete(l.workers, id); l.touch("worker", id) }})
 		}
 	}
-	for _, id := range sorted(l.daemons) {
+	for _, id := range slices.Sorted(maps.Keys(l.daemons)) {
 		if now > l.daemons[id].SeenAt+limits.Keep.Duration {
 			out = append(out, due{"", func() { delete(l.daemons, id); l.touch("daemon", id) }})
 		}
--- a/core/ledger/views.go
+++ b/core/ledger/views.go
@@ -2,6 +2,8 @@
 package ledger
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -21,7 +23,7 @@
 
 func (l *Ledger) Workers() []Worker {
 	out := make([]Worker, 0, len(l.workers))
-	for _, id := range sorted(l.workers) {
+	for _, id := range slices.Sorted(maps.Keys(l.workers)) {
 		out = append(out, l.workers[id])
 	}
 	return out
@@ -32,18 +34,20 @@
 // Duties gives every duty by name.
 func (l *Ledger) Duties() []Duty {
 	out := make([]Duty, 0, len(l.duties))
-	for _, name := range sorted(l.duties) {
+	for _, name := range slices.Sorted(maps.Keys(l.duties)) {
 		out = append(out, l.duties[name])
 	}
 	return out
 }
 
-func (l *Ledger) Emptied() []string { return sorted(l.emptied) }
+func (l *Ledger) Emptied() []string {
+	return append([]string{}, slices.Sorted(maps.Keys(l.emptied))...)
+}
 
 // Daemons gives the schedulers that said hello within the given span.
 func (l *Ledger) Daemons(within time.Duration) []Daemon {
 	var out []Daemon
-	for _, id := range sorted(l.daemons) {
+	for _, id := range slices.Sorted(maps.Keys(l.daemons)) {
 		if d := l.daemons[id]; l.at-d.SeenAt <= within {
 			out = append(out, d)
 		}
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -9,7 +9,8 @@
 	_ "embed"
 	"encoding/json"
 	"fmt"
-	"sort"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -200,7 +201,7 @@
 
 func (p Plan) faults() []Fault {
 	var faults []Fault
-	for _, name := range sortedKeys(p.Services) {
+	for _, name := range slices.Sorted(maps.Keys(p.Services)) {
 		sum := 0
 		for _, class := range p.Services[name].Classes {
 			sum += class.Share
@@ -228,15 +229,6 @@
 	return err.Error()
 }
 
-func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	sort.Strings(keys)
-	return keys
-}
-
 // Now and its kin are switched off: a policy sees only the names it is given,
 // so that every copy of the ledger reaches the same result.
 var pure = []expr.Option{expr.DisableBuiltin("now"), expr.MaxNodes(200)}
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -8,6 +8,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"slices"
 	"sort"
 	"time"
@@ -258,7 +259,7 @@
 		s.proposals[r.ID] = p
 		return
 	}
-	for _, worker := range sortedKeys(s.records) {
+	for _, worker := range slices.Sorted(maps.Keys(s.records)) {
 		rec := s.records[worker]
 		if rec.command != r.ID {
 			continue
@@ -273,15 +274,6 @@
 	}
 }
 
-func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	sort.Strings(keys)
-	return keys
-}
-
 // held is what is under way: tasks and room that a grant was asked for and the
 // copy does not show yet, tasks that were refused a moment ago, and classes that
 // the ledger found over their share at a position that the copy has not reached.
@@ -314,7 +306,7 @@
 // room, own inboxes before helping, then replies to each beat that has orders
 // or has been held long enough.
 func (s *Scheduler) pass(now time.Duration, out *machine.Output) {
-	workers := sortedKeys(s.records)
+	workers := slices.Sorted(maps.Keys(s.records))
 	l := s.copy.Ledger
 	if !s.stopping && s.copy.Fresh(now) {
 		for _, help := range []bool{false, true} {
--- a/tool/sim/actors.go
+++ b/tool/sim/actors.go
@@ -66,6 +66,9 @@
 	for _, r := range h.w.Open() {
 		h.past = append(h.past, run{Run: r, from: r.From + h.boot, to: s.w.Now})
 	}
+	if n := len(h.lefts); n > 0 {
+		h.lefts[n-1][1] = min(h.lefts[n-1][1], s.w.Now)
+	}
 	h.up = false
 	h.life++
 }
