Make a ballot belong to one run of a keeper; four causes of a stalled view

Found while reading for these: two runs of one keeper could use the same ballot for different views, and a witness takes an equal ballot. Shown by exploring a candidate and its next run with the same round: one epoch decided twice.

--- a/core/keeper/keeper.go
+++ b/core/keeper/keeper.go
@@ -27,14 +27,15 @@
 }
 
 const (
-	heartbeat = 150 * time.Millisecond
-	suspect   = 1500 * time.Millisecond
-	vanished  = 6 * time.Second
-	followFor = 3 * time.Second
-	inFlight  = 4096
-	entryMax  = 1024
-	diskLate  = 400 * time.Millisecond
-	dueEach   = 50 * time.Millisecond
+	heartbeat  = 150 * time.Millisecond
+	suspect    = 1500 * time.Millisecond
+	vanished   = 3 * time.Second
+	followFor  = 3 * time.Second
+	inFlight   = 4096
+	entryMax   = 1024
+	diskLate   = 400 * time.Millisecond
+	backoffMax = 3 * time.Second
+	dueEach    = 50 * time.Millisecond
 )
 
 const (
@@ -330,7 +331,7 @@
 	k.beatAt = now
 	for _, seat := range k.witness.Known.Witnesses {
 		if seat.ID != k.seat.ID {
-			out.Send(seat.Address, wire.Replicate, wire.ReplicateBody{View: k.witness.Known, From: k.seat, Token: k.token, After: k.sent, Commands: slices.Clone(commands)})
+			out.Send(seat.Address, wire.Replicate, wire.ReplicateBody{Boot: k.env.Boot, View: k.witness.Known, From: k.seat, Token: k.token, After: k.sent, Commands: slices.Clone(commands)})
 		}
 	}
 	k.sent = position
--- a/core/keeper/view.go
+++ b/core/keeper/view.go
@@ -9,6 +9,7 @@
 	"hash/fnv"
 	"slices"
 	"sort"
+	"strconv"
 	"time"
 
 	"sorrelloom/core/code"
@@ -63,7 +64,11 @@
 func (k *Keeper) lead(now time.Duration, out *machine.Output) {
 	known := k.witness.Known
 	if known.Boot != k.env.Boot {
-		k.next(now, k.view(k.seat, known.Backup), out)
+		backup := known.Backup
+		if now-max(k.peers[backup.ID].heardAt, k.beganAt) > suspect {
+			backup = k.spare(now, backup.ID)
+		}
+		k.next(now, k.view(k.seat, backup), out)
 		return
 	}
 	if !k.serving {
@@ -90,7 +95,6 @@
 	}
 	if k.stopping {
 		k.next(now, k.view(known.Backup, k.spare(now, known.Backup.ID)), out)
-		return
 	}
 	k.replace(now, out)
 }
@@ -194,7 +198,7 @@
 	k.peers[to.ID] = p
 	k.token++
 	position := k.ledger.Position()
-	out.Send(to.Address, wire.Replicate, wire.ReplicateBody{View: k.witness.Known, From: k.seat, Token: k.token, After: position})
+	out.Send(to.Address, wire.Replicate, wire.ReplicateBody{Boot: k.env.Boot, View: k.witness.Known, From: k.seat, Token: k.token, After: position})
 }
 
 // next makes sure that the new backup has everything, then asks the witnesses.
@@ -228,18 +232,20 @@
 		}
 	}
 	var asks []wire.RegisterBody
-	k.proposal, asks = register.Begin(k.witness.Known, v, k.seat, above)
+	k.proposal, asks = register.Begin(k.witness.Known, v, k.seat, strconv.FormatUint(k.env.Boot, 36), above)
 	k.asked = k.proposal.Ballot
 	out.Log("view_proposed", "epoch", v.Epoch, "primary", v.Primary.Address, "backup", v.Backup.Address, "round", k.asked.Round)
 	k.ask(wire.Prepare, asks, out)
 }
 
-// backoff spreads two candidates apart, without a clock or chance.
+// backoff spreads two candidates apart, without a clock or chance, and grows,
+// so that votes from slow disks come before the next ballot makes them void.
 func (k *Keeper) backoff() time.Duration {
 	h := fnv.New32a()
 	h.Write([]byte{byte(k.asked.Round)})
 	h.Write([]byte(k.seat.ID))
-	return 200*time.Millisecond + time.Duration(h.Sum32()%300)*time.Millisecond
+	wait := 200*time.Millisecond + time.Duration(h.Sum32()%300)*time.Millisecond
+	return min(wait<<min(k.asked.Round/2, 10), backoffMax)
 }
 
 func (k *Keeper) ask(kind string, asks []wire.RegisterBody, out *machine.Output) {
@@ -290,11 +296,11 @@
 	}
 	k.witness = state
 	k.put(keyRegister, k.witness)
-	k.proposal = register.Proposal{}
+	k.proposal, k.asked = register.Proposal{}, wire.Ballot{}
 	for _, a := range k.answers {
 		out.Send(a.to, wire.CommandBack, k.notPrimary(a.body.ID))
 	}
-	k.answers, k.acks, k.serving = nil, nil, false
+	k.answers, k.acks, k.serving, k.committed = nil, nil, false, 0
 	k.beganAt = now
 	for id, p := range k.peers {
 		p.synced, p.token, p.resentAt = false, 0, 0
@@ -313,7 +319,7 @@
 
 // replicate follows a member of the known view, and acks once all is synced.
 func (k *Keeper) replicate(now time.Duration, from string, b wire.ReplicateBody, out *machine.Output) {
-	if k.bouncedView(now, from, b.View, b.From, b.Token, out) {
+	if k.bouncedView(now, from, b.View, b.From, b.Boot, b.Token, out) {
 		return
 	}
 	position := k.ledger.Position()
@@ -321,7 +327,7 @@
 		b.After, b.Commands = position, b.Commands[i+1:]
 	}
 	if b.After != position {
-		body := wire.ReplicateAckBody{Epoch: b.View.Epoch, From: k.seat, Token: b.Token, At: position, Known: k.witness.Known}
+		body := wire.ReplicateAckBody{Boot: b.Boot, Epoch: b.View.Epoch, From: k.seat, Token: b.Token, At: position, Known: k.witness.Known}
 		out.Send(from, wire.ReplicateAck, body)
 		return
 	}
@@ -329,22 +335,22 @@
 		k.tail.Add(cmd)
 		k.ledger.Apply(cmd)
 	}
-	k.willAck(from, b.View.Epoch, b.Token)
+	k.willAck(from, b.Boot, b.View.Epoch, b.Token)
 }
 
-func (k *Keeper) willAck(to string, epoch, token uint64) {
+func (k *Keeper) willAck(to string, boot, epoch, token uint64) {
 	at := k.ledger.Position()
-	k.acks = append(k.acks, ack{to, wire.ReplicateAckBody{Epoch: epoch, From: k.seat, Token: token, At: at, Good: true, Known: k.witness.Known}, at.Sequence})
+	k.acks = append(k.acks, ack{to, wire.ReplicateAckBody{Boot: boot, Epoch: epoch, From: k.seat, Token: token, At: at, Good: true, Known: k.witness.Known}, at.Sequence})
 }
 
 // bouncedView refuses the lines of a leader whose epoch has passed, and those
 // of one that is neither primary nor backup of the known view.
-func (k *Keeper) bouncedView(now time.Duration, from string, v wire.View, sender wire.Seat, token uint64, out *machine.Output) bool {
+func (k *Keeper) bouncedView(now time.Duration, from string, v wire.View, sender wire.Seat, boot, token uint64, out *machine.Output) bool {
 	k.learn(now, v, out)
 	known := k.witness.Known
 	member := sender.ID == known.Primary.ID || sender.ID == known.Backup.ID && !k.leads()
 	if v.Epoch != known.Epoch || !member || sender.ID == k.seat.ID || k.leads() && k.serving {
-		body := wire.ReplicateAckBody{Epoch: v.Epoch, From: k.seat, Token: token, At: k.ledger.Position(), Known: known}
+		body := wire.ReplicateAckBody{Boot: boot, Epoch: v.Epoch, From: k.seat, Token: token, At: k.ledger.Position(), Known: known}
 		out.Send(from, wire.ReplicateAck, body)
 		return true
 	}
@@ -355,7 +361,7 @@
 }
 
 func (k *Keeper) copied(now time.Duration, from string, b wire.CopyBody, out *machine.Output) {
-	if k.bouncedView(now, from, b.View, b.From, b.Token, out) {
+	if k.bouncedView(now, from, b.View, b.From, b.Boot, b.Token, out) {
 		return
 	}
 	if k.backs() && b.From.ID != k.witness.Known.Primary.ID {
@@ -380,13 +386,13 @@
 		k.writing[id] = after{w.sends, 0}
 	}
 	out.Log("copied", "from", from, "epoch", b.At.Epoch, "sequence", b.At.Sequence, "records", len(b.Records))
-	k.willAck(from, b.View.Epoch, b.Token)
+	k.willAck(from, b.Boot, b.View.Epoch, b.Token)
 }
 
 // acked hears how far a peer has come.
 func (k *Keeper) acked(now time.Duration, from string, b wire.ReplicateAckBody, out *machine.Output) {
 	k.learn(now, b.Known, out)
-	if b.Epoch != k.witness.Known.Epoch || !k.leads() && !k.backs() {
+	if b.Boot != k.env.Boot || b.Epoch != k.witness.Known.Epoch || !k.leads() && !k.backs() {
 		return
 	}
 	p := k.peers[b.From.ID]
@@ -408,9 +414,9 @@
 	k.peers[b.From.ID] = p
 	k.token++
 	if commands, ok := k.tail.Since(b.At); ok {
-		out.Send(from, wire.Replicate, wire.ReplicateBody{View: k.witness.Known, From: k.seat, Token: k.token, After: b.At, Commands: slices.Clone(commands)})
+		out.Send(from, wire.Replicate, wire.ReplicateBody{Boot: k.env.Boot, View: k.witness.Known, From: k.seat, Token: k.token, After: b.At, Commands: slices.Clone(commands)})
 	} else {
-		out.Send(from, wire.Copy, wire.CopyBody{View: k.witness.Known, From: k.seat, Token: k.token, At: k.ledger.Position(), Records: k.ledger.Records()})
+		out.Send(from, wire.Copy, wire.CopyBody{Boot: k.env.Boot, View: k.witness.Known, From: k.seat, Token: k.token, At: k.ledger.Position(), Records: k.ledger.Records()})
 	}
 }
 
--- a/core/register/register.go
+++ b/core/register/register.go
@@ -57,9 +57,10 @@
 	Highest   wire.Ballot
 }
 
-// Begin opens a proposal with a ballot above any seen.
-func Begin(base, wanted wire.View, me wire.Seat, above wire.Ballot) (Proposal, []wire.RegisterBody) {
-	p := Proposal{Base: base, Wanted: wanted, Ballot: wire.Ballot{Round: above.Round + 1, ID: me.ID}, votes: map[string]bool{}}
+// Begin opens a proposal with a ballot above any seen. The run must differ
+// between two processes of one keeper, which may both want the same round.
+func Begin(base, wanted wire.View, me wire.Seat, run string, above wire.Ballot) (Proposal, []wire.RegisterBody) {
+	p := Proposal{Base: base, Wanted: wanted, Ballot: wire.Ballot{Round: above.Round + 1, ID: me.ID + "/" + run}, votes: map[string]bool{}}
 	return p, p.ask(me, base.Witnesses)
 }
 
--- a/core/wire/wire.go
+++ b/core/wire/wire.go
@@ -99,7 +99,10 @@
 
 // ReplicateBody carries commands from the primary. Token is echoed, so that an
 // empty body serves as a check that the backup still follows this epoch.
+// Boot names the process, so that an ack never reaches the next run of the same
+// keeper as its own.
 type ReplicateBody struct {
+	Boot     uint64           `json:"boot"`
 	View     View             `json:"view"`
 	From     Seat             `json:"from"`
 	Token    uint64           `json:"token"`
@@ -108,6 +111,7 @@
 }
 
 type ReplicateAckBody struct {
+	Boot  uint64          `json:"boot"`
 	Epoch uint64          `json:"epoch"`
 	From  Seat            `json:"from"`
 	Token uint64          `json:"token"`
@@ -117,6 +121,7 @@
 }
 
 type CopyBody struct {
+	Boot    uint64           `json:"boot"`
 	View    View             `json:"view"`
 	From    Seat             `json:"from"`
 	Token   uint64           `json:"token"`
