--- a/tool/sim/sim_test.go
+++ b/tool/sim/sim_test.go
@@ -37,6 +37,11 @@
 	for seed := range uint64(2) {
 		days = append(days, env(t, "reseller", 300+seed, "crowd,large,impossible,plan-storm,plan-large"), env(t, "podcast", 400+seed, "kill-primary,freeze,wipe,worker-cut"))
 	}
+	const keepers = "wipe,replace,kill-primary,split,cut-one-way,slow-disk,freeze,wipe-after-yes,stop"
+	for _, found := range []Env{env(t, "podcast", 4019, keepers), env(t, "podcast", 4025, keepers), env(t, "podcast", 4028, keepers), env(t, "reseller", 4016, keepers)} {
+		found.For = 60 * time.Second
+		days = append(days, found)
+	}
 	for i, r := range PlayAll(days) {
 		e := days[i]
 		for _, b := range r.Broken {
