Pull quick work from every inbox before any other work

Cause: class first held only within one inbox. A worker with a batch task of its own took it while a quick task waited in the inbox of a worker whose scheduler was gone; helping came only after every own inbox was empty.

Changed: a pass pulls in four rounds: quick from the own inbox, quick by helping, then all work the same way.

Ruled out: a larger patience before helping, which would only hide it.

A conformance row failed first.

--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -29,9 +29,11 @@
 
 func (s scene) next(worker string, help bool) (string, string) {
 	s.update()
-	c, ok := s.d.Next(s.Ledger, worker, Held{}, help)
-	if !ok {
-		return "", ""
+	var c Choice
+	for _, pull := range Pulls {
+		if len(c.Picks) == 0 && (help || !pull.Help) {
+			c, _ = s.d.Next(s.Ledger, worker, Held{}, pull)
+		}
 	}
 	text := ""
 	for i, p := range c.Picks {
@@ -109,6 +111,14 @@
 			s.At += time.Second
 			s.Beat("w1", nil)
 		}, "w1", true, "flat/x@w1", ""},
+		{"a quick task first, though it lies in another's inbox and the own has work", two, []string{"w1", "w2"}, func(s scene) {
+			s.Job("flat", "batch", "x")
+			s.into("w1", "flat/x")
+			s.Job("q", "quick", "x")
+			s.into("w2", "q/x")
+			s.At += time.Second
+			s.Beat("w1", nil)
+		}, "w1", true, "q/x@w1", "w2"},
 		{"with its own inbox empty it helps", two, []string{"w1", "w2"}, func(s scene) {
 			s.Job("j", "batch", "x")
 			s.into("w2", "j/x")
--- a/core/dispatch/pick.go
+++ b/core/dispatch/pick.go
@@ -84,9 +84,15 @@
 	sawLater           bool
 }
 
-// Next answers the pull of one worker. Helping is asked for only once no worker
-// of the pass found anything of its own.
-func (d *Dispatch) Next(l *ledger.Ledger, worker string, held Held, help bool) (Choice, bool) {
+// Pull is one round over the workers that wait for work: their own inboxes or
+// others' too, quick classes alone or all. Pulls is their order: class first,
+// whatever inbox a quick task lies in, then own inbox, then help.
+type Pull struct{ Help, Quick bool }
+
+var Pulls = []Pull{{Quick: true}, {Help: true, Quick: true}, {}, {Help: true}}
+
+// Next answers the pull of one worker in one round.
+func (d *Dispatch) Next(l *ledger.Ledger, worker string, held Held, pull Pull) (Choice, bool) {
 	w, ok := l.Worker(worker)
 	if !ok {
 		return Choice{}, false
@@ -101,9 +107,9 @@
 		if d.central {
 			inbox = ""
 		}
-		chosen := d.bestOf(l, w, inbox, free, held, skip)
-		if help && !d.central {
-			chosen = d.bestHelp(l, w, free, held, skip, chosen)
+		chosen := d.bestOf(l, w, inbox, free, held, skip, pull)
+		if pull.Help && !d.central {
+			chosen = d.bestHelp(l, w, free, held, skip, pull, chosen)
 		}
 		if !chosen.found {
 			return Choice{}, false
@@ -141,7 +147,7 @@
 const lookAt = 64
 
 // bestOf looks through one inbox with the eyes of one worker.
-func (d *Dispatch) bestOf(l *ledger.Ledger, w ledger.Worker, inbox string, free ledger.Room, held Held, skip map[Ref]bool) best {
+func (d *Dispatch) bestOf(l *ledger.Ledger, w ledger.Worker, inbox string, free ledger.Room, held Held, skip map[Ref]bool, pull Pull) best {
 	var out best
 	own := inbox == w.ID()
 	owner, _ := l.Worker(inbox)
@@ -150,6 +156,9 @@
 		ownerRoom = ledger.Room{}
 	}
 	for _, g := range d.inbox[inbox] {
+		if pull.Quick && !l.Plan().Services[g.kind.service].Classes[g.kind.class].Quick {
+			continue
+		}
 		head, ok := l.Job(g.tasks[0].at.Job)
 		if !ok || !free.Holds(g.kind.room) || l.Fits(head, g.tasks[0].at.Task, w) != code.OK {
 			continue
@@ -201,7 +210,7 @@
 }
 
 // bestHelp looks for a straggler, unless its own inbox has as good a tier.
-func (d *Dispatch) bestHelp(l *ledger.Ledger, w ledger.Worker, free ledger.Room, held Held, skip map[Ref]bool, own best) best {
+func (d *Dispatch) bestHelp(l *ledger.Ledger, w ledger.Worker, free ledger.Room, held Held, skip map[Ref]bool, pull Pull, own best) best {
 	helpers := map[string]int{}
 	for _, from := range d.helping {
 		helpers[from]++
@@ -211,7 +220,7 @@
 		if other.ID() == w.ID() || len(d.inbox[other.ID()]) == 0 {
 			continue
 		}
-		b := d.bestOf(l, w, other.ID(), free, held, skip)
+		b := d.bestOf(l, w, other.ID(), free, held, skip, pull)
 		if !b.found {
 			continue
 		}
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -309,14 +309,14 @@
 	workers := slices.Sorted(maps.Keys(s.records))
 	l := s.copy.Ledger
 	if !s.stopping && s.copy.Fresh(now) {
-		for _, help := range []bool{false, true} {
+		for _, pull := range dispatch.Pulls {
 			for _, worker := range workers {
 				r := s.records[worker]
 				if !r.recorded || r.beat.Leaving || !s.holds(r.beat.Site) || s.behind(r) {
 					continue
 				}
 				for {
-					choice, ok := s.dispatch.Next(l, worker, s.held(now), help)
+					choice, ok := s.dispatch.Next(l, worker, s.held(now), pull)
 					if !ok {
 						break
 					}
