--- a/core/code/code.go
+++ b/core/code/code.go
@@ -35,6 +35,7 @@
 	OverShare    Code = 408
 	GangBroken   Code = 409
 	WorkerSilent Code = 410
+	WorkerHeard  Code = 411
 	InboxFull    Code = 500
 	NoAuthority  Code = 501
 	NotPrimary   Code = 502
@@ -76,6 +77,7 @@
 	{OverShare, "over-share", 409, "the class is over its share and may not borrow now"},
 	{GangBroken, "gang-broken", 409, "not every member of the gang was granted in this write"},
 	{WorkerSilent, "worker-silent", 409, "the worker has not beaten lately"},
+	{WorkerHeard, "worker-heard", 409, "the worker was heard a moment ago, so it is not gone"},
 	{InboxFull, "inbox-full", 429, "too much is waiting; come back after the time given"},
 	{NoAuthority, "no-authority", 503, "the keepers cannot be reached now; come back after the time given"},
 	{NotPrimary, "not-primary", 503, "this keeper does not lead; the answer may name the one that does"},
--- a/core/front/front.go
+++ b/core/front/front.go
@@ -42,6 +42,7 @@
 	PlanCheck = "plan-check"
 	Site      = "site"
 	Drain     = "drain"
+	Gone      = "gone"
 	Workers   = "workers"
 	Nodes     = "nodes"
 	Duties    = "duties"
@@ -50,7 +51,7 @@
 )
 
 // writes are the kinds that a keeper must answer.
-var writes = map[string]bool{Submit: true, Cancel: true, PlanPut: true, PlanPatch: true, Site: true, Drain: true, Pass: true}
+var writes = map[string]bool{Submit: true, Cancel: true, PlanPut: true, PlanPatch: true, Site: true, Drain: true, Gone: true, Pass: true}
 
 const (
 	commandWait = 4 * time.Second
@@ -278,6 +279,8 @@
 		command.Kind, command.On = ledger.KindSite, ask.On
 	case Drain:
 		command.Kind, command.On = ledger.KindDrain, ask.On
+	case Gone:
+		command.Kind = ledger.KindGone
 	case Pass:
 		command.Kind, command.Name = ledger.KindMove, scheduler.DutyOf(ask.Name)
 		command.Hello.For = ask.To
@@ -303,13 +306,16 @@
 		state, worker := t.State, t.Holder
 		if t.Turn.Held() {
 			worker = t.Turn.Worker
-			if !t.Closed() {
-				state = ledger.Running
-				if t.Turn.StartedAt == 0 {
-					state = "granted"
-				}
-			} else {
+			w, _ := f.copy.Ledger.Worker(worker)
+			switch {
+			case t.Closed():
 				state = "stopping"
+			case !f.copy.Ledger.Live(w):
+				state = "unheard"
+			case t.Turn.StartedAt == 0:
+				state = "granted"
+			default:
+				state = ledger.Running
 			}
 		}
 		v.Tasks = append(v.Tasks, TaskView{job.Spec.Tasks[i].ID, state, worker, t.Tries, t.Defects, t.Losses, t.Why})
@@ -487,6 +493,8 @@
 	for _, w := range l.Workers() {
 		state := "ready"
 		switch {
+		case w.Gone:
+			state = "gone"
 		case !l.Live(w):
 			state = "silent"
 		case w.Leaving:
--- a/core/ledger/check.go
+++ b/core/ledger/check.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"sorrelloom/core/code"
+	"sorrelloom/core/plan"
 )
 
 var nameShape = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._:-]{0,127}$`)
@@ -76,6 +77,9 @@
 				return bounce(code.Impossible, "/tasks/%d/labels/%d: no worker of %s may have %q", i, j, spec.Service, label)
 			}
 		}
+		if t.Silence != "" && t.Silence != plan.Restart && t.Silence != plan.Hold {
+			return bounce(code.BadJob, "/tasks/%d/silence: %q is neither %s nor %s", i, t.Silence, plan.Restart, plan.Hold)
+		}
 		if t.AllowedDefects < 1 || t.AllowedDefects > 1000 {
 			return bounce(code.BadJob, "/tasks/%d/allowedDefects: between 1 and 1000", i)
 		}
--- a/core/ledger/dryrun.go
+++ b/core/ledger/dryrun.go
@@ -62,7 +62,7 @@
 	rows := []DryRow{}
 	for key := range keys {
 		h := heads[key]
-		row := DryRow{Service: key[0], Class: key[1], Waiting: h.waiting, Used: l.used[key]}
+		row := DryRow{Service: key[0], Class: key[1], Waiting: h.waiting, Used: l.Busyness(key[0]).Used[key[1]]}
 		row.Now = l.drySide(l.plan, l.rules, key, h.names)
 		row.Then = l.drySide(next, next.Compile(), key, h.names)
 		rows = append(rows, row)
@@ -75,14 +75,14 @@
 
 func (l *Ledger) drySide(p plan.Plan, rules plan.Rules, key [2]string, names plan.OrderNames) DrySide {
 	class, known := p.Services[key[0]].Classes[key[1]]
-	totalSlots, usedSlots := l.Busyness(key[0])
-	share := (totalSlots*class.Share + 99) / 100
-	names.Priority, names.Share, names.Used = class.Priority, share, l.used[key]
+	b := l.Busyness(key[0])
+	share, used := (b.Slots*class.Share+99)/100, b.Used[key[1]]
+	names.Priority, names.Share, names.Used = class.Priority, share, used
 	return DrySide{
 		Known: known, Share: share, Order: rules.Order(names),
 		Borrow: known && rules.Borrow(plan.BorrowNames{
-			Total: totalSlots, Idle: totalSlots - usedSlots, Asked: 1, Used: max(l.used[key], share), Share: share,
-			Waiting: l.Owed(key[0], key[1], totalSlots), Class: key[1], Service: key[0],
+			Total: b.Slots, Idle: b.Idle, Asked: 1, Used: max(used, share), Share: share,
+			Waiting: l.Owed(key[0], key[1]), Class: key[1], Service: key[0],
 		}),
 	}
 }
--- a/core/ledger/explain.go
+++ b/core/ledger/explain.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"strings"
+	"time"
 
 	"sorrelloom/core/code"
 )
@@ -27,6 +28,8 @@
 		switch {
 		case t.Turn.Held() && t.Turn.Stop != "":
 			parts = append(parts, fmt.Sprintf("task %s is being stopped on %s: %s", name, t.Turn.Worker, t.Turn.Stop))
+		case t.Turn.Held() && !l.Live(l.workers[t.Turn.Worker]):
+			parts = append(parts, fmt.Sprintf("task %s is %s", name, l.silence(job, i)))
 		case t.Turn.StartedAt > 0:
 			parts = append(parts, fmt.Sprintf("task %s runs on %s", name, t.Turn.Worker))
 		case t.Turn.Held():
@@ -40,6 +43,16 @@
 	return "job " + id + ": " + strings.Join(parts, "; ")
 }
 
+// silence says what a task on a silent worker waits for.
+func (l *Ledger) silence(job Job, i int) string {
+	turn := job.Tasks[i].Turn
+	since := (l.at - l.workers[turn.Worker].SeenAt).Round(100 * time.Millisecond)
+	if l.Held(job, i) {
+		return fmt.Sprintf("held: %s has been silent for %s and may have ended it well; it goes on when the worker is heard, or an operator says that it is gone", turn.Worker, since)
+	}
+	return fmt.Sprintf("on %s, which has been silent for %s; without a word it is free in %s", turn.Worker, since, max(0, l.endedBy(turn)-l.at).Round(100*time.Millisecond))
+}
+
 func (l *Ledger) missing(job Job, i int) []string {
 	var out []string
 	for j, spec := range job.Spec.Tasks {
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -53,7 +53,6 @@
 	daemons  map[string]Daemon
 
 	turns   map[string]map[ref]bool
-	used    map[[2]string]int
 	inbox   map[[2]string]int
 	waiting map[need]int
 	active  map[string]bool
@@ -69,13 +68,13 @@
 // lookups keeps what several questions at one position have in common.
 type lookups struct {
 	at       Position
-	busyness map[string][2]int
+	busyness map[string]Busyness
 	meetable map[need]bool
 }
 
 func (l *Ledger) cached() lookups {
 	if l.lookups.at != l.position || l.lookups.busyness == nil {
-		l.lookups = lookups{l.position, map[string][2]int{}, map[need]bool{}}
+		l.lookups = lookups{l.position, map[string]Busyness{}, map[need]bool{}}
 	}
 	return l.lookups
 }
@@ -92,7 +91,7 @@
 
 // index rebuilds what is derived from the records.
 func (l *Ledger) index() {
-	l.turns, l.used, l.inbox = map[string]map[ref]bool{}, map[[2]string]int{}, map[[2]string]int{}
+	l.turns, l.inbox = map[string]map[ref]bool{}, map[[2]string]int{}
 	l.waiting, l.active = map[need]int{}, map[string]bool{}
 	for id, job := range l.jobs {
 		if !ended(job) {
@@ -110,13 +109,12 @@
 }
 
 func (l *Ledger) count(job Job, i, by int) {
-	t, spec := job.Tasks[i], job.Spec.Tasks[i]
+	t := job.Tasks[i]
 	class := [2]string{job.Spec.Service, job.Spec.Class}
 	if !t.Closed() {
 		l.inbox[class] += by
 	}
 	if t.Turn.Held() {
-		l.used[class] += by * spec.Room.Slots
 		at := ref{job.Spec.ID, i}
 		if l.turns[t.Turn.Worker] == nil {
 			l.turns[t.Turn.Worker] = map[ref]bool{}
@@ -202,6 +200,8 @@
 		return l.site(cmd.Name, cmd.On)
 	case KindDrain:
 		return l.drain(cmd.Name, cmd.On)
+	case KindGone:
+		return l.gone(cmd.Name)
 	case KindHello:
 		return l.hello(cmd.Hello)
 	case KindMove:
@@ -397,6 +397,26 @@
 	return Answer{Code: code.OK}
 }
 
+// gone takes an operator's word that a silent worker will not come back: what is
+// held for it waits only until its attempts must have ended.
+func (l *Ledger) gone(name string) Answer {
+	w, ok := l.workers[name]
+	switch {
+	case !ok:
+		return bounce(code.UnknownName, "worker %s is not known", name)
+	case l.Live(w):
+		return bounce(code.WorkerHeard, "worker %s was heard %s ago", name, l.at-w.SeenAt)
+	case w.Gone:
+		return Answer{Code: code.Same}
+	}
+	w.Gone = true
+	l.decide(Decision{Kind: "gone", Worker: name})
+	l.workers[name] = w
+	l.touch("worker", name)
+	l.changes = append(l.changes, Changed{Worker: name})
+	return Answer{Code: code.OK}
+}
+
 // stopAll sends back what a worker has not started yet; what runs may end.
 func (l *Ledger) stopAll(worker, why string) {
 	for _, at := range l.turnsOn(worker) {
--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -95,10 +95,8 @@
 		t.Errorf("a copy differs: %s", diff)
 	}
 	for _, service := range []string{"tickets", "podcasts"} {
-		total, used := l.Busyness(service)
-		copyTotal, copyUsed := copied.Busyness(service)
-		if total != copyTotal || used != copyUsed {
-			t.Errorf("busyness of %s: %d/%d, copy %d/%d", service, used, total, copyUsed, copyTotal)
+		if diff := cmp.Diff(l.Busyness(service), copied.Busyness(service)); diff != "" {
+			t.Errorf("busyness of %s: %s", service, diff)
 		}
 	}
 }
@@ -210,9 +208,11 @@
 			w.Beat("w1", nil)
 		}, want{ledger.Open, true, 0, 1}},
 		{"run limit counts as a defect once the worker has stopped", func(w *ledgertest.World) {
-			w.Must(ledger.Command{Kind: ledger.KindPlan, Plan: ledger.PlanChange{Base: 1, Patch: true, Body: []byte(`{"limits":{"runLimit":"2s"}}`)}})
+			w.Must(ledger.Command{Kind: ledger.KindPlan, Plan: ledger.PlanChange{Base: 1, Patch: true, Body: []byte(`{"services":{"tickets":{"classes":{"quick":{"runLimit":"2s"}}}}}`)}})
 			a := w.Start("j/a@w1")
 			w.Pass(3 * time.Second)
+			w.Beat("w1", nil)
+			w.Pass(time.Second)
 			w.End("w1", ledger.End{Attempt: a, Stopped: true})
 		}, want{ledger.Open, false, 1, 0}},
 		{"a good end while it was being stopped still counts", func(w *ledgertest.World) {
@@ -251,6 +251,80 @@
 	}
 }
 
+// TestSilenceFreesNothingThatMayStillRunOrHaveEnded follows one task whose
+// worker goes silent: when, if ever, another may have it.
+func TestSilenceFreesNothingThatMayStillRunOrHaveEnded(t *testing.T) {
+	gone := func(w *ledgertest.World) code.Code {
+		return w.Do(ledger.Command{Kind: ledger.KindGone, Name: "w1"}).Code
+	}
+	back := func(w *ledgertest.World, ends ...ledger.End) {
+		w.Beat("w1", func(b *ledger.Beat) { b.Incarnation, b.Number, b.Running, b.Ended = 2, 1, nil, ends })
+	}
+	a := ledger.Attempt{Job: "j", Task: "a", Try: 1}
+	table := []struct {
+		name, class, silence string
+		limit                time.Duration
+		do                   func(w *ledgertest.World)
+		held                 bool
+		state                string
+	}{
+		{"restart: not while the run limit lasts, though the lease is over", "quick", "", 30 * time.Second, func(w *ledgertest.World) { w.Pass(30 * time.Second) }, true, ledger.Open},
+		{"restart: once the run limit and the margin are over", "quick", "", 30 * time.Second, func(w *ledgertest.World) { w.Pass(32 * time.Second) }, false, ledger.Open},
+		{"restart: not while the lease lasts, though the run limit is over", "quick", "", time.Second, func(w *ledgertest.World) { w.Pass(6 * time.Second) }, true, ledger.Open},
+		{"hold: for a day", "batch", "", time.Second, func(w *ledgertest.World) { w.Pass(24 * time.Hour) }, true, ledger.Open},
+		{"hold by the task in a class that restarts", "quick", "hold", time.Second, func(w *ledgertest.World) { w.Pass(time.Hour) }, true, ledger.Open},
+		{"restart by the task in a class that holds", "batch", "restart", time.Second, func(w *ledgertest.World) { w.Pass(time.Hour) }, false, ledger.Open},
+		{"hold: heard again, it runs on", "batch", "", time.Minute, func(w *ledgertest.World) { w.Pass(time.Hour); w.Beat("w1", nil) }, true, ledger.Open},
+		{"hold: heard again, it ended well meanwhile", "batch", "", time.Minute, func(w *ledgertest.World) {
+			w.Pass(time.Hour)
+			w.End("w1", ledger.End{Attempt: a, Good: true})
+		}, false, ledger.Done},
+		{"hold: heard again, it does not run", "batch", "", time.Minute, func(w *ledgertest.World) {
+			w.Pass(time.Hour)
+			w.Beat("w1", func(b *ledger.Beat) { b.Running = nil })
+		}, false, ledger.Open},
+		{"hold: restarted with a note of the good end", "batch", "", time.Second, func(w *ledgertest.World) {
+			w.Pass(time.Hour)
+			back(w, ledger.End{Attempt: a, Good: true})
+		}, false, ledger.Done},
+		{"hold: restarted without one, the old run may still last", "batch", "", time.Minute, func(w *ledgertest.World) { w.Pass(20 * time.Second); back(w); w.Pass(20 * time.Second) }, true, ledger.Open},
+		{"hold: restarted without one, and the old run is over", "batch", "", time.Minute, func(w *ledgertest.World) { w.Pass(50 * time.Second); back(w); w.Pass(12 * time.Second) }, false, ledger.Open},
+		{"an operator cannot say it of a worker that is heard", "batch", "", time.Second, func(w *ledgertest.World) {
+			if c := gone(w); c != code.WorkerHeard {
+				w.T.Errorf("gone: %v", c)
+			}
+			w.Pass(time.Hour)
+		}, true, ledger.Open},
+		{"an operator says that it is gone", "batch", "", time.Second, func(w *ledgertest.World) {
+			w.Pass(time.Hour)
+			if first, again := gone(w), gone(w); first != code.OK || again != code.Same {
+				w.T.Errorf("gone: %v, %v", first, again)
+			}
+			w.Pass(time.Second)
+		}, false, ledger.Open},
+		{"an operator says so too early: the run limit still counts", "batch", "", 50 * time.Second, func(w *ledgertest.World) { w.Pass(40 * time.Second); gone(w); w.Pass(9 * time.Second) }, true, ledger.Open},
+		{"a cancelled task is held no longer than it can run", "batch", "", time.Second, func(w *ledgertest.World) {
+			w.Do(ledger.Command{Kind: ledger.KindCancel, Name: "j"})
+			w.Pass(time.Hour)
+		}, false, ledger.Cancelled},
+	}
+	for _, row := range table {
+		t.Run(row.name, func(t *testing.T) {
+			w := ledgertest.New(t)
+			w.Worker("w1", 4)
+			spec := ledgertest.Spec("j", row.class, "a")
+			spec.Tasks[0].RunLimit.Duration, spec.Tasks[0].Silence = row.limit, row.silence
+			w.Must(ledger.Command{Kind: ledger.KindAccept, Accept: spec})
+			w.Start("j/a@w1")
+			row.do(w)
+			if task := w.Task("j/a"); task.Turn.Held() != row.held || task.State != row.state {
+				t.Errorf("held %v, state %s; want %v, %s", task.Turn.Held(), task.State, row.held, row.state)
+			}
+			same(t, w.Ledger)
+		})
+	}
+}
+
 func TestStaleBeatsAreBounced(t *testing.T) {
 	w := ledgertest.New(t)
 	w.Worker("w1", 4)
--- a/core/ledger/turns.go
+++ b/core/ledger/turns.go
@@ -1,7 +1,9 @@
 // Turns: how a task is granted, confirmed, renewed, stopped and given back. A
 // turn leaves its worker only when the worker says that it does not run it, or
-// when the last cutoff that the worker can have been told, and a margin, have
-// passed. A good end counts from any attempt.
+// when the attempt must have ended: its run limit, the last cutoff that the
+// worker can have been told, and a margin have passed. Even then a task that may
+// have ended well is held for a word, unless its class or itself says restart. A
+// good end counts from any attempt.
 package ledger
 
 import (
@@ -52,7 +54,7 @@
 		for _, at := range l.turnsOn(b.Worker) {
 			t := l.jobs[at.job].Tasks[at.task]
 			if t.Turn.OrphanUntil == 0 {
-				t.Turn.OrphanUntil = max(old.CutoffAt, t.Turn.GrantedAt+l.plan.Limits.Lease.Duration) + l.plan.Limits.Margin.Duration
+				t.Turn.OrphanUntil = l.endedBy(t.Turn)
 				l.setTask(at, t)
 			}
 		}
@@ -76,7 +78,7 @@
 		mine := ok && holds(t.Turn, b) && t.Turn.Try == a.Try
 		if ok && !mine && l.adoptable(at, t, a, b) {
 			l.decide(Decision{Kind: "adopt", Job: a.Job, Task: a.Task, Try: a.Try, Worker: b.Worker})
-			t.Turn = Turn{Try: a.Try, Worker: b.Worker, Incarnation: b.Incarnation, Beat: b.Number, GrantedAt: l.at, StartedAt: l.at}
+			t.Turn = Turn{Try: a.Try, Worker: b.Worker, Incarnation: b.Incarnation, Beat: b.Number, GrantedAt: l.at, StartedAt: l.at, Limit: l.runLimit(at)}
 			l.setTask(at, t)
 			mine = true
 		}
@@ -127,7 +129,7 @@
 func (l *Ledger) start(at ref) Start {
 	job := l.jobs[at.job]
 	spec := job.Spec.Tasks[at.task]
-	s := Start{Attempt: l.attempt(at), Service: job.Spec.Service, Class: job.Spec.Class, Room: spec.Room, Gang: spec.Gang, RunLimit: spec.RunLimit, Payload: spec.Payload}
+	s := Start{Attempt: l.attempt(at), Service: job.Spec.Service, Class: job.Spec.Class, Room: spec.Room, Gang: spec.Gang, RunLimit: plan.Span{Duration: job.Tasks[at.task].Turn.Limit}, Payload: spec.Payload}
 	for i, other := range job.Spec.Tasks {
 		if slices.Contains(spec.After, other.ID) {
 			s.Holders = append(s.Holders, job.Tasks[i].Holder)
@@ -139,7 +141,7 @@
 // end takes one reported end. A good one closes the task whichever attempt it
 // was; a bad one counts once, and only for the turn that is in force.
 func (l *Ledger) end(at ref, t Task, end End, b Beat) {
-	current := t.Turn.Held() && holds(t.Turn, b) && t.Turn.Try == end.Try
+	current := t.Turn.Held() && t.Turn.Worker == b.Worker && t.Turn.Try == end.Try
 	if end.Good && t.State != Done {
 		t.State, t.EndedAt, t.Holder = Done, l.at, b.Worker
 		l.decide(Decision{Kind: "end", Job: end.Job, Task: end.Task, Try: end.Try, Worker: b.Worker, Good: true})
@@ -263,24 +265,38 @@
 
 func (l *Ledger) Live(w Worker) bool { return l.at-w.SeenAt <= l.plan.Limits.Silent.Duration }
 
-// Busyness counts the slots of a service: all that may take work, and in use.
-func (l *Ledger) Busyness(service string) (totalSlots, usedSlots int) {
+// Busyness is how a service's slots stand. Slots are those that shares are
+// parts of: of all workers that take work and may still hold a lease. Idle are
+// the free ones among those heard lately. Used counts turns by class; a turn
+// that waits for a word from a lost worker is no use of what is left.
+type Busyness struct {
+	Slots, Idle int
+	Used        map[string]int
+}
+
+func (l *Ledger) Busyness(service string) Busyness {
 	cache := l.cached().busyness
 	if known, ok := cache[service]; ok {
-		return known[0], known[1]
+		return known
 	}
-	for _, w := range l.workers {
-		if w.Service == service && l.Live(w) && !w.Leaving && !w.Drained && !l.emptied[w.Site] {
-			totalSlots += w.Capacity.Slots
+	b := Busyness{Used: map[string]int{}}
+	for id, w := range l.workers {
+		if w.Service != service || w.Leaving || w.Drained || l.emptied[w.Site] || l.at > w.CutoffAt && !l.Live(w) {
+			continue
 		}
-	}
-	for class, slots := range l.used {
-		if class[0] == service {
-			usedSlots += slots
+		used := 0
+		for at := range l.turns[id] {
+			spec := l.jobs[at.job].Spec
+			b.Used[spec.Class] += spec.Tasks[at.task].Room.Slots
+			used += spec.Tasks[at.task].Room.Slots
+		}
+		b.Slots += w.Capacity.Slots
+		if l.Live(w) {
+			b.Idle += w.Capacity.Slots - used
 		}
 	}
-	cache[service] = [2]int{totalSlots, usedSlots}
-	return totalSlots, usedSlots
+	cache[service] = b
+	return b
 }
 
 func (l *Ledger) shareSlots(service, class string, totalSlots int) int {
@@ -290,13 +306,13 @@
 
 // Owed counts the tasks of other classes that are within their own share, wait,
 // and could run on some live worker: those for whom room is kept.
-func (l *Ledger) Owed(service, class string, totalSlots int) int {
-	owed := 0
+func (l *Ledger) Owed(service, class string) int {
+	owed, b := 0, l.Busyness(service)
 	for n, count := range l.waiting {
-		if n.service != service || n.class == class || n.gang > totalSlots {
+		if n.service != service || n.class == class || n.gang > b.Slots {
 			continue
 		}
-		if l.used[[2]string{service, n.class}]+n.room.Slots > l.shareSlots(service, n.class, totalSlots) {
+		if b.Used[n.class]+n.room.Slots > l.shareSlots(service, n.class, b.Slots) {
 			continue
 		}
 		if l.meetable(n) {
@@ -331,20 +347,21 @@
 // Allowed checks the share of a class, then asks the borrowing policy. Under
 // way are slots by service and class that were asked for and are not here yet.
 func (l *Ledger) Allowed(service, class string, askedSlots int, underWay map[[2]string]int) (allowed, borrowed bool) {
-	totalSlots, usedSlots := l.Busyness(service)
+	b := l.Busyness(service)
+	idle := b.Idle
 	for of, slots := range underWay {
 		if of[0] == service {
-			usedSlots += slots
+			idle -= slots
 		}
 	}
-	share := l.shareSlots(service, class, totalSlots)
-	used := l.used[[2]string{service, class}] + underWay[[2]string{service, class}]
+	share := l.shareSlots(service, class, b.Slots)
+	used := b.Used[class] + underWay[[2]string{service, class}]
 	if used+askedSlots <= share {
 		return true, false
 	}
 	names := plan.BorrowNames{
-		Total: totalSlots, Idle: totalSlots - usedSlots, Asked: askedSlots, Used: used, Share: share,
-		Waiting: l.Owed(service, class, totalSlots), Class: class, Service: service,
+		Total: b.Slots, Idle: idle, Asked: askedSlots, Used: used, Share: share,
+		Waiting: l.Owed(service, class), Class: class, Service: service,
 	}
 	return l.rules.Borrow(names), true
 }
@@ -416,7 +433,7 @@
 		at, t, _ := l.find(Attempt{Job: p.Job, Task: p.Task})
 		w := l.workers[p.Worker]
 		t.Tries++
-		t.Turn = Turn{Try: t.Tries, Worker: p.Worker, Incarnation: w.Incarnation, Beat: w.Number, GrantedAt: l.at, Borrowed: borrowed}
+		t.Turn = Turn{Try: t.Tries, Worker: p.Worker, Incarnation: w.Incarnation, Beat: w.Number, GrantedAt: l.at, Limit: l.runLimit(at), Borrowed: borrowed}
 		l.setTask(at, t)
 		l.decide(Decision{Kind: "grant", Job: p.Job, Task: p.Task, Try: t.Tries, Worker: p.Worker})
 	}
@@ -440,13 +457,38 @@
 	return Answer{Code: code.OK}
 }
 
-// expiry is when a turn may go back without a word from its worker.
-func (l *Ledger) expiry(t Turn) time.Duration {
+// startWithin is how long after a beat a worker takes starts from its reply.
+const startWithin = 2 * time.Second
+
+func (l *Ledger) runLimit(at ref) time.Duration {
+	spec := l.jobs[at.job].Spec
+	if limit := spec.Tasks[at.task].RunLimit.Duration; limit > 0 {
+		return limit
+	}
+	return l.plan.RunLimit(spec.Service, spec.Class)
+}
+
+// endedBy is when an attempt must have ended without a word from its worker, by
+// its lease and, should the worker run on, by its run limit.
+func (l *Ledger) endedBy(t Turn) time.Duration {
 	if t.OrphanUntil > 0 {
 		return t.OrphanUntil
 	}
-	limits := l.plan.Limits
-	return max(l.workers[t.Worker].CutoffAt, t.GrantedAt+limits.Lease.Duration) + limits.Margin.Duration
+	limits, w, began := l.plan.Limits, l.workers[t.Worker], t.StartedAt
+	if began == 0 {
+		began = max(w.SeenAt, t.GrantedAt) + startWithin
+	}
+	return max(w.CutoffAt, t.GrantedAt+limits.Lease.Duration, began+t.Limit) + limits.Margin.Duration
+}
+
+// Held says whether only a word, the worker's or an operator's, frees a task
+// whose worker is silent: it may have ended well, and is not to start again.
+func (l *Ledger) Held(job Job, i int) bool {
+	t, silence := job.Tasks[i], job.Spec.Tasks[i].Silence
+	if silence == "" {
+		silence = l.plan.Services[job.Spec.Service].Classes[job.Spec.Class].Silence
+	}
+	return t.Turn.Held() && !t.Closed() && silence != plan.Restart && t.Turn.OrphanUntil == 0 && !l.workers[t.Turn.Worker].Gone
 }
 
 type due struct {
@@ -471,17 +513,13 @@
 				continue
 			}
 			at, spec := ref{id, i}, job.Spec.Tasks[i]
-			runLimit := spec.RunLimit.Duration
-			if runLimit == 0 {
-				runLimit = limits.RunLimit.Duration
-			}
 			stop := ""
 			switch {
-			case now > l.expiry(t.Turn):
+			case now > l.endedBy(t.Turn) && !l.Held(job, i):
 				lost := t.Turn.StartedAt > 0
 				out = append(out, due{id, func() { l.giveBack(at, lost, "the worker went silent") }})
 			case t.Turn.Stop != "":
-			case t.Turn.StartedAt > 0 && now > t.Turn.StartedAt+runLimit:
+			case t.Turn.StartedAt > 0 && l.workers[t.Turn.Worker].SeenAt > t.Turn.StartedAt+t.Turn.Limit:
 				stop = limit
 			case t.Turn.StartedAt == 0 && spec.Gang != "" && now > t.Turn.GrantedAt+limits.StartBy.Duration:
 				stop = gangStop
--- a/core/ledger/types.go
+++ b/core/ledger/types.go
@@ -23,6 +23,7 @@
 	Gang           string          `json:"gang,omitempty"`
 	RunLimit       plan.Span       `json:"runLimit,omitzero"`
 	AllowedDefects int             `json:"allowedDefects,omitempty"`
+	Silence        string          `json:"silence,omitempty"`
 	Payload        json.RawMessage `json:"payload,omitempty"`
 }
 
@@ -65,13 +66,15 @@
 	Leaving     bool      `json:"leaving,omitempty"`
 }
 
-// Turn is a grant in force. Stop, once set, says why it is to end.
+// Turn is a grant in force. Stop, once set, says why it is to end. Limit is how
+// long the worker was told that the attempt may run.
 type Turn struct {
 	Try         int           `json:"try"`
 	Worker      string        `json:"worker"`
 	Incarnation int64         `json:"incarnation"`
 	Beat        uint64        `json:"beat"`
 	GrantedAt   time.Duration `json:"grantedAt"`
+	Limit       time.Duration `json:"limit"`
 	StartedAt   time.Duration `json:"startedAt,omitempty"`
 	OrphanUntil time.Duration `json:"orphanUntil,omitempty"`
 	Borrowed    bool          `json:"borrowed,omitempty"`
@@ -120,6 +123,7 @@
 	Beat
 	Capacity Room          `json:"capacity"`
 	Drained  bool          `json:"drained,omitempty"`
+	Gone     bool          `json:"gone,omitempty"`
 	SeenAt   time.Duration `json:"seenAt"`
 	CutoffAt time.Duration `json:"cutoffAt"`
 }
@@ -192,6 +196,7 @@
 	KindPlan    = "plan"
 	KindSite    = "site"
 	KindDrain   = "drain"
+	KindGone    = "gone"
 	KindHello   = "hello"
 	KindMove    = "move"
 	KindTick    = "tick"
--- a/core/ledger/views.go
+++ b/core/ledger/views.go
@@ -84,6 +84,6 @@
 
 // Used and share, in slots, of one class.
 func (l *Ledger) ClassUse(service, class string) (usedSlots, shareSlots int) {
-	totalSlots, _ := l.Busyness(service)
-	return l.used[[2]string{service, class}], l.shareSlots(service, class, totalSlots)
+	b := l.Busyness(service)
+	return b.Used[class], l.shareSlots(service, class, b.Slots)
 }
--- a/core/ledgertest/ledgertest.go
+++ b/core/ledgertest/ledgertest.go
@@ -13,7 +13,7 @@
 
 const Plan = `{"services":{
  "tickets":{"largestWorker":{"slots":8,"cores":64},"labels":["ssd","gpu"],"classes":{
-  "quick":{"priority":100,"share":50,"quick":true},"batch":{"priority":10,"share":50},"small":{"priority":10,"share":0,"inboxMax":3}}},
+  "quick":{"priority":100,"share":50,"quick":true,"runLimit":"5s","silence":"restart"},"batch":{"priority":10,"share":50},"small":{"priority":10,"share":0,"inboxMax":3}}},
  "podcasts":{"largestWorker":{"slots":8,"cores":16},"classes":{"quick":{"priority":100,"share":100}}}},
  "policies":{"order":"priority","borrow":"waiting == 0 && idle >= asked"},
  "limits":{"lease":"6s","margin":"1s","startBy":"4s","silent":"30s","maxLosses":2}}`
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -39,12 +39,21 @@
 }
 
 type Class struct {
-	Priority int  `json:"priority"`
-	Share    int  `json:"share"`
-	Quick    bool `json:"quick,omitempty"`
-	InboxMax int  `json:"inboxMax,omitempty"`
+	Priority int    `json:"priority"`
+	Share    int    `json:"share"`
+	Quick    bool   `json:"quick,omitempty"`
+	InboxMax int    `json:"inboxMax,omitempty"`
+	RunLimit Span   `json:"runLimit,omitzero"`
+	Silence  string `json:"silence,omitempty"`
 }
 
+// What a worker's silence means for a task that it may have ended well: start
+// it again once the attempt must have ended, or hold it for a word.
+const (
+	Restart = "restart"
+	Hold    = "hold"
+)
+
 type Service struct {
 	Classes map[string]Class `json:"classes"`
 	Labels  []string         `json:"labels,omitempty"`
@@ -244,6 +253,14 @@
 // Rules are the compiled policies of a plan.
 type Rules struct{ order, borrow *vm.Program }
 
+// RunLimit is how long an attempt of a class may run unless its task says so.
+func (p Plan) RunLimit(service, class string) time.Duration {
+	if limit := p.Services[service].Classes[class].RunLimit.Duration; limit > 0 {
+		return limit
+	}
+	return p.Limits.RunLimit.Duration
+}
+
 // Compile never fails on a plan that Parse passed; on a fault it falls back to
 // priority order and no borrowing, the careful side of both.
 func (p Plan) Compile() Rules {
--- a/daemon/cmd/sorrelctl/main.go
+++ b/daemon/cmd/sorrelctl/main.go
@@ -37,6 +37,7 @@
   plan patch FILE             merge a change into the plan; needs -base or -force
   site empty|refill SITE      empty or refill a site
   worker drain|undrain ID     drain a worker or take it back
+  worker gone ID              say that a silent worker will not come back
   workers | nodes | duties    show what the cluster knows
   duty pass SITE ADDRESS      hand a site's dispatch duty to that scheduler
   audit verify FOLDER...      check audit logs and their checkpoints
@@ -194,7 +195,7 @@
 			return call{"PATCH", "/v1/plan" + change, words[2]}, true
 		case "site empty", "site refill":
 			return call{"POST", "/v1/sites/" + name + "/" + words[1], ""}, true
-		case "worker drain", "worker undrain":
+		case "worker drain", "worker undrain", "worker gone":
 			return call{"POST", "/v1/workers/" + name + "/" + words[1], ""}, true
 		}
 	}
--- a/daemon/web/web.go
+++ b/daemon/web/web.go
@@ -118,6 +118,7 @@
 	{"GET", "/v1/workers", front.Workers, false},
 	{"POST", "/v1/workers/:name/drain", front.Drain, true},
 	{"POST", "/v1/workers/:name/undrain", front.Drain, false},
+	{"POST", "/v1/workers/:name/gone", front.Gone, true},
 	{"GET", "/v1/nodes", front.Nodes, false},
 	{"GET", "/v1/duties", front.Duties, false},
 	{"POST", "/v1/duties/:name/pass", front.Pass, false},
--- a/tool/cmd/simulate/main.go
+++ b/tool/cmd/simulate/main.go
@@ -6,7 +6,9 @@
 	"errors"
 	"flag"
 	"fmt"
+	"maps"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -56,6 +58,7 @@
 		return bad("unexpected words: %v", fs.Args())
 	}
 	failed := 0
+	judged, excused := map[string]int{}, map[string]int{}
 	for seed := *from; seed <= *to; seed++ {
 		e := sim.Env{Seed: seed, Deployment: d, Faults: kinds, For: *day}
 		if *verbose {
@@ -64,6 +67,12 @@
 		r := sim.Play(e)
 		fmt.Printf("seed=%d trace=%016x jobs=%d accepted=%d done=%d runs=%d views=%d races=%d quickMs_p50=%.1f quickMs_p99=%.1f broken=%d\n",
 			seed, r.Trace, r.Jobs, r.Accepted, r.Done, r.Runs, r.Views, r.Races, load.Percentile(r.QuickMs, 50), load.Percentile(r.QuickMs, 99), len(r.Broken))
+		for check, count := range r.Judged {
+			judged[check] += count
+		}
+		for why, count := range r.Excused {
+			excused[why] += count
+		}
 		for i, b := range r.Broken {
 			if i == 12 {
 				fmt.Printf("  and %d more\n", len(r.Broken)-i)
@@ -76,6 +85,12 @@
 			fmt.Printf("  again: simulate -deployment %s -faults %s -for %s -from %d -to %d\n", d.Name, *faults, *day, seed, seed)
 		}
 	}
+	for _, check := range sim.Checks {
+		fmt.Printf("judged check=%s times=%d\n", check, judged[check])
+	}
+	for _, why := range slices.Sorted(maps.Keys(excused)) {
+		fmt.Printf("excused %s times=%d\n", why, excused[why])
+	}
 	fmt.Printf("seeds=%d failed=%d\n", *to-*from+1, failed)
 	if failed > 0 {
 		return 1
--- a/tool/e2e/e2e_test.go
+++ b/tool/e2e/e2e_test.go
@@ -147,7 +147,12 @@
 		}
 		runs = append(runs, own...)
 	}
-	for _, b := range sim.JudgeRuns(runs, jobs, workers) {
+	story := sim.Story{Runs: runs, Workers: workers}
+	for _, spec := range jobs {
+		story.Jobs = append(story.Jobs, sim.JobNote{Spec: spec, State: ledger.Done})
+	}
+	broken, _ := sim.JudgeStory(story)
+	for _, b := range broken {
 		t.Errorf("%s: %s", b.Check, b.Why)
 	}
 	good := map[string]int{}
--- a/tool/sim/actors.go
+++ b/tool/sim/actors.go
@@ -16,21 +16,24 @@
 
 // hand is one worker machine and the life of its process.
 type hand struct {
-	env       worker.Env
-	w         *worker.Worker
-	up        bool
-	life      int
-	cut       bool
-	fronts    []string
-	turn      int
-	order     int
-	boot      time.Duration
-	leftAt    time.Duration
-	lefts     [][2]time.Duration
-	past      []run
-	runsSeen  int
-	acked     map[ledger.Attempt]time.Duration
-	cutoffEnd time.Duration
+	env      worker.Env
+	w        *worker.Worker
+	up       bool
+	life     int
+	cut      bool
+	fronts   []string
+	turn     int
+	order    int
+	boot     time.Duration
+	leftAt   time.Duration
+	lefts    [][2]time.Duration
+	past     []run
+	runsSeen int
+	acked    map[ledger.Attempt]time.Duration
+	kept     []ledger.End
+	gone     []time.Duration
+	unheard  [][2]time.Duration
+	spoiled  [][2]time.Duration
 }
 
 // run is one run as the worker saw it, in world time; to is 0 while it lasts.
@@ -46,6 +49,8 @@
 	h.life++
 	h.env.Incarnation = int64(h.life)
 	h.w, h.up, h.boot, h.leftAt, h.runsSeen = worker.New(h.env), true, s.w.Now, 0, 0
+	h.w.Carry(h.kept)
+	h.heard(s.w.Now)
 	s.tickHand(h)
 }
 
@@ -69,8 +74,44 @@
 	if n := len(h.lefts); n > 0 {
 		h.lefts[n-1][1] = min(h.lefts[n-1][1], s.w.Now)
 	}
-	h.up = false
+	h.up, h.kept = false, h.w.Unacked()
 	h.life++
+	h.silent(s.w.Now)
+}
+
+// set tells the worker what to do wrong, and notes from when to when.
+func (h *hand) set(now time.Duration, f worker.Faults) {
+	h.w.Set(f)
+	if f != (worker.Faults{}) {
+		h.spoiled = append(h.spoiled, [2]time.Duration{now, 0})
+	} else if k := len(h.spoiled); k > 0 {
+		h.spoiled[k-1][1] = now
+	}
+}
+
+func (h *hand) silent(now time.Duration) {
+	if k := len(h.unheard); k == 0 || h.unheard[k-1][1] > 0 {
+		h.unheard = append(h.unheard, [2]time.Duration{now, 0})
+	}
+}
+
+// heard ends a silence, unless the worker is still down or cut.
+func (h *hand) heard(now time.Duration) {
+	if k := len(h.unheard); k > 0 && h.unheard[k-1][1] == 0 && h.up && !h.cut {
+		h.unheard[k-1][1] = now
+	}
+}
+
+// gone is the platform's operator, who knows that a machine will not come back
+// and says so until it is taken.
+func (s *Scenario) gone(h *hand) {
+	s.operate(machine.Ask{Kind: front.Gone, Name: h.name()}, func(_ time.Duration, r front.Reply) {
+		if r.Status == 200 {
+			h.gone = append(h.gone, s.w.Now)
+		} else if !h.up && s.w.Now < s.end {
+			s.w.After(time.Second, func() { s.gone(h) })
+		}
+	})
 }
 
 func (s *Scenario) tickHand(h *hand) {
@@ -123,6 +164,11 @@
 // setCut takes a worker off the network, or back on; it runs on meanwhile.
 func (s *Scenario) setCut(h *hand, cut bool) {
 	h.cut = cut
+	if cut {
+		h.silent(s.w.Now)
+	} else {
+		h.heard(s.w.Now)
+	}
 	for address := range s.w.nodes {
 		if cut {
 			s.w.Cut(h.name(), address)
@@ -147,6 +193,7 @@
 	early      string
 	turn       int
 	sends      int
+	asked      int
 	probe      bool
 	impossible bool
 	dependable bool
@@ -174,6 +221,7 @@
 			s.yes()
 			s.w.After(300*time.Millisecond, func() { s.poll(c) })
 		case r.Status == 503 || r.Status == 429:
+			s.count("bounce-without-time")
 			if r.RetryAfter <= 0 {
 				s.fault("bounce-without-time", "status %d for %s says not when to come back", r.Status, c.spec.ID)
 			}
@@ -196,6 +244,9 @@
 	c.turn++
 	s.w.Call("caller", s.sites[c.turn%len(s.sites)], s.frontFor(c.turn), machine.Ask{Kind: front.Status, Name: c.spec.ID, Wait: time.Second}, 3*time.Second, func(r front.Reply, ok bool) {
 		again := 200 * time.Millisecond
+		if ok {
+			c.asked++
+		}
 		if ok && r.Status == 404 && c.forgotten == 0 {
 			c.forgotten = s.w.Now
 		}
--- a/tool/sim/measure.go
+++ b/tool/sim/measure.go
@@ -7,6 +7,7 @@
 	"io"
 	"math"
 	"sort"
+	"strings"
 	"sync"
 	"time"
 
@@ -55,6 +56,7 @@
 	"quick-beside-batch": quickBesideBatch,
 	"inboxes":            inboxes,
 	"serve-again":        serveAgain,
+	"lost-worker":        lostWorker,
 }
 
 // quickBesideBatch plays each seed without and with a wave of long work that
@@ -97,7 +99,7 @@
 			days = append(days, Env{Seed: seed + 1, Deployment: d, For: 20 * time.Second, Central: central, Quiet: true, Prepare: func(s *Scenario) {
 				two := d.Traffic[1]
 				two.Steps, two.RunMs, two.Cores = []int{4, 4}, 400, 1
-				s.w.At(7*time.Second, func() { s.hand(0).w.Set(worker.Faults{Slow: 4}) })
+				s.w.At(7*time.Second, func() { s.hand(0).set(s.w.Now, worker.Faults{Slow: 4}) })
 				for i := range 60 {
 					s.w.At(8*time.Second, func() {
 						c := s.job(two, fmt.Sprintf("two-%d", i))
@@ -169,6 +171,46 @@
 	fmt.Fprintf(out, "after the primary's death: first accepted ms %s; first started ms %s\n", spread(accepted), spread(started))
 }
 
+// lostWorker crashes three workers for good and measures, by class, from the end
+// of each run that was lost to the task's next start: with the rule before (a
+// turn goes back when the lease is over) and with the plan's choices, where an
+// operator says 20 s after the crash that the machines are gone.
+func lostWorker(out io.Writer, d deploy.Deployment, seeds int) {
+	var days []Env
+	for seed := range uint64(seeds) {
+		for _, before := range []bool{true, false} {
+			days = append(days, Env{Seed: seed + 1, Deployment: d, For: 40 * time.Second, Prepare: func(s *Scenario) {
+				if before {
+					s.w.At(5*time.Second, func() {
+						var classes []string
+						for _, t := range d.Traffic {
+							classes = append(classes, fmt.Sprintf(`%q:{"silence":"restart","runLimit":"6s"}`, t.Class))
+						}
+						s.change(1, fmt.Sprintf(`{"services":{%q:{"classes":{%s}}}}`, d.Service, strings.Join(classes, ",")))
+					})
+				}
+				for i := range 3 {
+					s.w.At(15*time.Second, func() {
+						h := s.hand(i)
+						s.crashHand(h)
+						s.w.After(20*time.Second, func() { s.gone(h) })
+					})
+				}
+			}})
+		}
+	}
+	ms := [2]map[string][]float64{{}, {}}
+	for i, r := range PlayAll(days) {
+		for class, values := range r.LostMs {
+			ms[i%2][class] = append(ms[i%2][class], values...)
+		}
+	}
+	for _, t := range d.Traffic {
+		fmt.Fprintf(out, "class=%s restartMs lease alone: %s (%d lost); by the plan: %s (%d lost)\n", t.Class,
+			spread(ms[0][t.Class]), len(ms[0][t.Class]), spread(ms[1][t.Class]), len(ms[1][t.Class]))
+	}
+}
+
 // locality is the part of the inputs that stood on the worker of their step.
 func (n *notes) locality() float64 {
 	where := map[string]string{}
--- a/tool/sim/oracle.go
+++ b/tool/sim/oracle.go
@@ -1,6 +1,7 @@
 // The oracle judges a run from what workers, callers and operators noted down,
 // never from the ledger's opinion of itself: one named check for each promise
-// of the brief, with its bound.
+// of the brief, with its bound. It counts how often each check had something to
+// judge, and what it excused, since a check that judged nothing proves nothing.
 package sim
 
 import (
@@ -28,13 +29,19 @@
 	gangBound   = 8 * time.Second
 	serveBound  = 12 * time.Second
 	quickBound  = 2 * time.Second
+	pullBound   = 700 * time.Millisecond
+	// passBound is how far apart starts by different schedulers have no order.
+	passBound = 100 * time.Millisecond
+	newsBound = 3 * time.Second
+	// silenceBound is lease and margin of the plans.
+	silenceBound = 7 * time.Second
 )
 
 // Checks names every check, for the usage text and the tests.
 var Checks = []string{
 	"job-forgotten", "twice-at-once", "again-after-good", "before-dependency", "wrong-worker", "over-room", "defects-spent",
 	"gang-alone", "start-while-draining", "start-in-emptied-site", "start-after-cancel", "finished-with-open-task",
-	"plan-ignored", "plan-went-back", "quick-behind-batch", "long-unfinished", "not-served-again", "bounce-without-time",
+	"plan-ignored", "plan-went-back", "quick-behind-batch", "quick-overtaken", "long-unfinished", "not-served-again", "bounce-without-time",
 }
 
 type emptied struct {
@@ -49,8 +56,24 @@
 	hands   map[string]*hand
 	empties []*emptied
 	faulty  [][2]time.Duration
+	daemons []*node
+	idle    [][2]time.Duration
 	end     time.Duration
 	broken  []Violation
+	judged  map[string]int
+	excused map[string]int
+	restart map[string]bool
+	share   map[string]int
+}
+
+// judge counts that a check has something to judge.
+func (n *notes) count(check string) { n.judged[check]++ }
+
+// excuse counts what a check leaves out, by the name of the reason.
+func (n *notes) excuse(check, why string) { n.excused[check+" "+why]++ }
+
+func newNotes() notes {
+	return notes{hands: map[string]*hand{}, judged: map[string]int{}, excused: map[string]int{}, restart: map[string]bool{}, share: map[string]int{}}
 }
 
 func (n *notes) fault(check, format string, args ...any) {
@@ -87,6 +110,7 @@
 	for _, c := range n.callers {
 		n.job(c, byTask)
 	}
+	n.overtaken(byTask)
 }
 
 func (r run) end(now time.Duration) time.Duration {
@@ -112,15 +136,22 @@
 		allowed = 3
 	}
 	defects := 0
-	var good time.Duration
 	for i, r := range runs {
+		n.count("wrong-worker")
+		if i > 0 {
+			n.count("twice-at-once")
+		}
 		for _, earlier := range runs[:i] {
 			if earlier.end(n.end) > r.from && earlier.Attempt != r.Attempt || earlier.Attempt == r.Attempt {
 				n.fault("twice-at-once", "%s: try %d on %s from %s to %s, try %d on %s from %s", key, earlier.Try, earlier.Worker, secs(earlier.from), secs(earlier.end(n.end)), r.Try, r.Worker, secs(r.from))
 			}
 		}
-		if good > 0 && r.from > good {
-			n.fault("again-after-good", "%s: try %d on %s at %s, its good end was acknowledged at %s", key, r.Try, r.Worker, secs(r.from), secs(good))
+		n.again(key, runs[:i], r, c)
+		if r.Outcome == "good" {
+			n.count("again-after-good")
+		}
+		if defects > 0 {
+			n.count("defects-spent")
 		}
 		if defects >= allowed {
 			n.fault("defects-spent", "%s: try %d starts at %s after %d defects of %d", key, r.Try, secs(r.from), defects, allowed)
@@ -128,10 +159,8 @@
 		if r.Outcome == "bad" {
 			defects++
 		}
-		if at, ok := n.hands[r.Worker].acked[r.Attempt]; ok && r.Outcome == "good" && (good == 0 || at < good) {
-			good = at
-		}
 		for _, dep := range spec.After {
+			n.count("before-dependency")
 			done := false
 			for _, d := range byTask[c.spec.ID+"/"+dep] {
 				done = done || d.Outcome == "good" && d.to > 0 && d.to <= r.from
@@ -170,8 +199,159 @@
 	}
 }
 
+// again checks that nothing starts after it has ended well, whether the worker
+// could say so or not. Where it could not, since nothing was heard of it, the
+// plan may have chosen to start again, or an operator has said that it is gone.
+func (n *notes) again(key string, earlier []run, r run, c *caller) {
+	for _, e := range earlier {
+		if e.Outcome != "good" || e.to >= r.from {
+			continue
+		}
+		h := n.hands[e.Worker]
+		at, told := h.acked[e.Attempt]
+		unheard := slices.ContainsFunc(h.unheard, func(s [2]time.Duration) bool { return s[0] < r.from && (s[1] == 0 || s[1] > e.to) })
+		saidGone := slices.ContainsFunc(h.gone, func(g time.Duration) bool { return g > e.from && g <= r.from })
+		switch {
+		case unheard && (!told || at > r.from) && n.restart[c.spec.Class]:
+			n.excuse("again-after-good", "unheard, and its class restarts")
+		case unheard && (!told || at > r.from) && saidGone:
+			n.excuse("again-after-good", "said to be gone by an operator")
+		default:
+			n.fault("again-after-good", "%s: try %d on %s at %s, try %d had ended well on %s at %s", key, r.Try, r.Worker, secs(r.from), e.Try, e.Worker, secs(e.to))
+		}
+	}
+}
+
+// overtaken checks the order of starts, in all weathers: no task that is not
+// quick starts where a quick one could have, while that one has waited longer
+// than a pull, or, under faults of the daemons, than news takes.
+func (n *notes) overtaken(byTask map[string][]run) {
+	type wait struct {
+		c        *caller
+		task     ledger.TaskSpec
+		from, to time.Duration
+		runs     []run
+	}
+	var waits []wait
+	var quick []run
+	for _, c := range n.callers {
+		if c.spec.Class != quickClass(c.spec.Service) || c.acceptedAt == 0 || c.impossible || len(c.spec.Tasks) != 1 {
+			continue
+		}
+		runs := byTask[c.spec.ID+"/"+c.spec.Tasks[0].ID]
+		quick = append(quick, runs...)
+		from := c.acceptedAt
+		for i := 0; i <= len(runs) && (i == 0 || runs[i-1].Outcome != "good"); i++ {
+			to := n.end
+			if c.cancelAt > 0 {
+				to = c.cancelAt
+			} else if c.overAt > 0 {
+				to = c.overAt
+			}
+			if i < len(runs) {
+				to = min(to, runs[i].from)
+			}
+			if to > from+pullBound {
+				waits = append(waits, wait{c, c.spec.Tasks[0], from, to, runs[:i]})
+			}
+			if i < len(runs) {
+				from = max(from, runs[i].end(n.end)+quickBound)
+				if n.hands[runs[i].Worker].silentAt(runs[i].end(n.end)) {
+					from += silenceBound
+				}
+			}
+		}
+	}
+	for _, r := range n.runs {
+		if r.Class == quickClass(r.Service) {
+			continue
+		}
+		n.count("quick-overtaken")
+		busy := -1
+		for _, w := range waits {
+			w.from = n.servedSince(w.from, r.from)
+			bound := pullBound
+			if n.disturbed(w.from, r.from) {
+				bound = newsBound
+			}
+			if w.from+bound >= r.from || w.to <= r.from+passBound || !n.couldRun(w.task, r) {
+				continue
+			}
+			if busy < 0 {
+				busy = 0
+				for _, q := range quick {
+					if q.from <= r.from && q.end(n.end) > r.from {
+						busy += q.Room.Slots
+					}
+				}
+			}
+			failedHere := slices.ContainsFunc(w.runs, func(e run) bool { return e.Worker == r.Worker && e.Outcome != "good" })
+			switch {
+			case busy+w.task.Room.Slots > n.share[w.c.spec.Class]:
+				n.excuse("quick-overtaken", "quick work fills its class's share")
+			case n.someSilent(w.from-quickBound, r.from):
+				n.excuse("quick-overtaken", "may have been granted to a worker that went silent")
+			case n.schedulerDied(w.from-passBound, w.from+passBound):
+				n.excuse("quick-overtaken", "may have been granted by a scheduler that was in fault in that moment")
+			case n.hands[r.Worker].spoiledAt(r.from) || failedHere:
+				n.excuse("quick-overtaken", "the worker is sick, and gets no quick work")
+			default:
+				n.fault("quick-overtaken", "%s of class %s starts on %s at %s; quick %s has waited there since %s until %s", r.Attempt, r.Class, r.Worker, secs(r.from), w.c.spec.ID, secs(w.from), secs(w.to))
+			}
+		}
+	}
+}
+
+// couldRun says whether a task would have fitted where another one started.
+func (n *notes) couldRun(task ledger.TaskSpec, r run) bool {
+	labels := n.hands[r.Worker].env.Labels
+	for _, label := range task.Labels {
+		if !slices.Contains(labels, label) {
+			return false
+		}
+	}
+	return r.Room.Holds(task.Room)
+}
+
+// someSilent says whether a worker fell silent in a span, or was heard again
+// just before it.
+func (n *notes) someSilent(from, to time.Duration) bool {
+	for _, h := range n.hands {
+		if slices.ContainsFunc(h.unheard, func(s [2]time.Duration) bool { return s[0] > from && s[0] < to }) {
+			return true
+		}
+	}
+	return false
+}
+
+// servedSince moves the start of a wait past the times in which no keeper said
+// that it serves: nothing is granted then, so nothing is overtaken. How long such
+// a time may be is judged by speed, not by order.
+func (n *notes) servedSince(from, to time.Duration) time.Duration {
+	for _, s := range n.idle {
+		if s[0] < to && s[1] > from {
+			from = s[1]
+		}
+	}
+	return from
+}
+
+func (n *notes) schedulerDied(from, to time.Duration) bool {
+	return slices.ContainsFunc(n.daemons, func(d *node) bool { return d.role == "scheduler" && d.troubled(from, to) })
+}
+
+func (h *hand) silentAt(at time.Duration) bool {
+	return slices.ContainsFunc(h.unheard, func(s [2]time.Duration) bool { return s[0] <= at && (s[1] == 0 || s[1]+quickBound > at) })
+}
+
+// spoiledAt says whether a worker was told to do badly lately.
+func (h *hand) spoiledAt(at time.Duration) bool {
+	return slices.ContainsFunc(h.spoiled, func(s [2]time.Duration) bool { return s[0] <= at && (s[1] == 0 || s[1]+30*time.Second > at) })
+}
+
 // gang checks that a member does not run long while another never came.
 func (n *notes) gang(key string, r run, c *caller, byTask map[string][]run) {
+	n.count("gang-alone")
 	if r.end(n.end)-r.from < gangBound {
 		return
 	}
@@ -205,6 +385,7 @@
 	var used ledger.Room
 	for _, e := range edges {
 		if e.sign > 0 {
+			n.count("over-room")
 			used = used.Add(e.room)
 		} else {
 			used = used.Less(e.room)
@@ -218,6 +399,14 @@
 
 func (n *notes) job(c *caller, byTask map[string][]run) {
 	id := c.spec.ID
+	for check, has := range map[string]bool{
+		"job-forgotten": c.acceptedAt > 0 && c.asked > 0, "finished-with-open-task": c.overAt > 0, "start-after-cancel": c.cancelAt > 0,
+		"long-unfinished": c.acceptedAt > 0 && !c.impossible && c.spec.Class != quickClass(c.spec.Service), "not-served-again": c.probe,
+	} {
+		if has {
+			n.count(check)
+		}
+	}
 	if c.acceptedAt > 0 && c.forgotten > 0 {
 		n.fault("job-forgotten", "%s accepted at %s, called unknown at %s", id, secs(c.acceptedAt), secs(c.forgotten))
 	}
@@ -236,6 +425,7 @@
 	if c.spec.Class != quickClass(c.spec.Service) || c.acceptedAt == 0 || n.disturbed(c.sentAt, c.sentAt+quickBound) {
 		return
 	}
+	n.count("quick-behind-batch")
 	first := n.end
 	for _, t := range c.spec.Tasks {
 		for _, r := range byTask[id+"/"+t.ID] {
@@ -265,6 +455,18 @@
 
 // drained checks starts on workers that had said that they leave.
 func (n *notes) drained() {
+	for _, h := range n.hands {
+		for _, left := range h.lefts {
+			if left[1] > left[0]+drainBound {
+				n.count("start-while-draining")
+			}
+		}
+	}
+	for _, e := range n.empties {
+		if e.to == 0 || e.to > e.from+emptyBound {
+			n.count("start-in-emptied-site")
+		}
+	}
 	for _, r := range n.runs {
 		for _, left := range n.hands[r.Worker].lefts {
 			if r.from > left[0]+drainBound && r.from < left[1] {
@@ -274,24 +476,61 @@
 	}
 }
 
-// JudgeRuns judges the records of real workers: runs in one clock, the jobs as
-// handed in, and the workers as they were started. Cancelled jobs and times of
-// acknowledgement are not known here; a good end counts two seconds after it.
-func JudgeRuns(runs []worker.Run, jobs []ledger.JobSpec, workers []worker.Env) []Violation {
-	n := &notes{hands: map[string]*hand{}}
-	for _, e := range workers {
+// Story is what was noted of a real fleet, in one clock.
+type Story struct {
+	Runs    []worker.Run
+	Workers []worker.Env
+	Jobs    []JobNote
+	Emptied []SiteNote
+	Left    []WorkerNote
+}
+
+// JobNote is a job as its caller saw it; Cancelled and Over are when the answers
+// came, zero if none did.
+type JobNote struct {
+	Spec            ledger.JobSpec
+	Cancelled, Over time.Duration
+	State           string
+}
+
+// SiteNote is a site from the request to empty it to the request to refill it.
+type SiteNote struct {
+	Site     string
+	From, To time.Duration
+}
+
+// WorkerNote is a worker from its word that it leaves, or the operator's, on.
+type WorkerNote struct {
+	Worker   string
+	From, To time.Duration
+}
+
+// JudgeStory judges a real fleet, and says how often each check had something to
+// judge. An end counts from when it happened, not from its acknowledgement.
+func JudgeStory(s Story) ([]Violation, map[string]int) {
+	n := newNotes()
+	for _, e := range s.Workers {
 		n.hands[e.ID] = &hand{env: e, w: worker.New(e), acked: map[ledger.Attempt]time.Duration{}}
 	}
-	for _, spec := range jobs {
-		n.callers = append(n.callers, &caller{spec: spec, state: ledger.Done, overAt: 1 << 62})
+	for _, j := range s.Jobs {
+		c := &caller{spec: j.Spec, state: j.State, overAt: j.Over, cancelAt: j.Cancelled}
+		if c.overAt == 0 {
+			c.overAt = 1 << 62
+		}
+		n.callers = append(n.callers, c)
 	}
-	for _, r := range runs {
+	for _, r := range s.Runs {
 		n.runs = append(n.runs, run{Run: r, from: r.From, to: r.To})
 		n.end = max(n.end, r.From+time.Millisecond, r.To)
-		if r.Outcome == "good" && n.hands[r.Worker] != nil {
-			n.hands[r.Worker].acked[r.Attempt] = r.To + worker.DropLate
-		}
+	}
+	for _, e := range s.Emptied {
+		n.empties = append(n.empties, &emptied{site: e.Site, from: e.From, to: e.To})
+	}
+	for _, l := range s.Left {
+		h := n.hands[l.Worker]
+		h.lefts = append(h.lefts, [2]time.Duration{l.From, l.To})
 	}
 	n.judge()
-	return n.broken
+	n.drained()
+	return n.broken, n.judged
 }
--- a/tool/sim/oracle_test.go
+++ b/tool/sim/oracle_test.go
@@ -17,7 +17,10 @@
 	job := &caller{spec: ledger.JobSpec{ID: "j", Service: "tickets", Class: "check", Tasks: []ledger.TaskSpec{
 		{ID: "a", Room: ledger.Room{Slots: 1}}, {ID: "b", After: []string{"a"}, Room: ledger.Room{Slots: 1}},
 	}}, sentAt: second, acceptedAt: second, state: ledger.Done, overAt: 20 * second, dependable: true}
-	n := &notes{hands: map[string]*hand{}, callers: []*caller{job}, end: 60 * second}
+	made := newNotes()
+	n := &made
+	n.callers, n.end = []*caller{job}, 60*second
+	n.share["lookup"] = 26
 	for _, id := range []string{"w1", "w2"} {
 		e := worker.Env{ID: id, Site: "a", Service: "tickets", Total: ledger.Room{Slots: 1}}
 		n.hands[id] = &hand{env: e, w: worker.New(e), acked: map[ledger.Attempt]time.Duration{}}
@@ -36,6 +39,22 @@
 	return &n.runs[len(n.runs)-1]
 }
 
+// unsaid has the worker finish b well and never be heard again.
+func (n *notes) unsaid() {
+	n.hands["w1"].acked = map[ledger.Attempt]time.Duration{}
+	n.hands["w1"].unheard = [][2]time.Duration{{7 * second, 0}}
+}
+
+// quickWaits adds a lookup that waits from 3 s to 6 s, while b starts at 5 s.
+func (n *notes) quickWaits() {
+	n.callers = append(n.callers, &caller{spec: ledger.JobSpec{ID: "q", Service: "tickets", Class: "lookup", Tasks: []ledger.TaskSpec{{ID: "t", Room: ledger.Room{Slots: 1}}}},
+		sentAt: 3 * second, acceptedAt: 4200 * time.Millisecond, state: ledger.Done, overAt: 20 * second})
+	n.runs = append(n.runs, run{Run: worker.Run{Attempt: ledger.Attempt{Job: "q", Task: "t", Try: 1}, Worker: "w2", Class: "lookup", Service: "tickets", Room: ledger.Room{Slots: 1}, Outcome: "good"}, from: 6 * second, to: 7 * second})
+	for i := range n.runs[:2] {
+		n.runs[i].Class, n.runs[i].Service = "check", "tickets"
+	}
+}
+
 func TestEveryCheckCanFail(t *testing.T) {
 	table := []struct {
 		check string
@@ -45,6 +64,17 @@
 		{"job-forgotten", func(n *notes) { n.callers[0].forgotten = 9 * second }},
 		{"twice-at-once", func(n *notes) { n.add("b", 2, "w2", 6*second, 7*second, "stopped") }},
 		{"again-after-good", func(n *notes) { n.add("b", 2, "w2", 9*second, 10*second, "stopped") }},
+		{"again-after-good", func(n *notes) { n.unsaid(); n.add("b", 2, "w2", 9*second, 10*second, "stopped") }},
+		{"", func(n *notes) {
+			n.unsaid()
+			n.restart["check"] = true
+			n.add("b", 2, "w2", 9*second, 10*second, "stopped")
+		}},
+		{"", func(n *notes) {
+			n.unsaid()
+			n.hands["w1"].gone = []time.Duration{8500 * time.Millisecond}
+			n.add("b", 2, "w2", 9*second, 10*second, "stopped")
+		}},
 		{"before-dependency", func(n *notes) {
 			n.runs[1].from = 3 * second
 			n.runs[1].Worker = "w2"
@@ -70,6 +100,14 @@
 		{"quick-behind-batch", func(n *notes) {
 			n.callers[0].spec.Class, n.runs[0].from, n.runs[0].to = "lookup", 4*second, 4500*time.Millisecond
 		}},
+		{"quick-overtaken", func(n *notes) { n.quickWaits() }},
+		{"", func(n *notes) {
+			n.quickWaits()
+			n.callers[1].spec.Tasks[0].Labels = []string{"gpu"}
+			n.hands["w2"].env.Labels = []string{"gpu"}
+		}},
+		{"", func(n *notes) { n.quickWaits(); n.share["lookup"] = 0 }},
+		{"", func(n *notes) { n.quickWaits(); n.faulty = [][2]time.Duration{{3 * second, 6 * second}} }},
 		{"long-unfinished", func(n *notes) { n.callers[0].overAt = 0 }},
 		{"long-unfinished", func(n *notes) { n.callers[0].state = ledger.Failed }},
 		{"not-served-again", func(n *notes) { n.callers[0].probe, n.callers[0].acceptedAt = true, 5*second }},
--- a/tool/sim/scenario.go
+++ b/tool/sim/scenario.go
@@ -39,7 +39,6 @@
 	sites    []string
 	fronts   []string
 	keepers  []*node
-	daemons  []*node
 	lastAt   time.Duration
 	planTurn int
 	races    int
@@ -77,6 +76,9 @@
 	Stopped   int
 	Locality  float64
 	LastEnd   time.Duration
+	LostMs    map[string][]float64
+	Judged    map[string]int
+	Excused   map[string]int
 }
 
 const settle = 75 * time.Second
@@ -85,8 +87,15 @@
 func Play(e Env) Result {
 	s := &Scenario{env: e, w: NewWorld(e.Seed), sites: e.Deployment.Sites}
 	s.w.Verbose, s.w.central = e.Verbose, e.Central
-	s.hands = map[string]*hand{}
+	s.notes = newNotes()
 	s.end = e.For + settle
+	p, faults := plan.Parse(e.Deployment.Plan)
+	if len(faults) > 0 {
+		panic(faults)
+	}
+	for name, class := range p.Services[e.Deployment.Service].Classes {
+		s.restart[name], s.share[name] = class.Silence == plan.Restart, class.Share*deploy.Workers*deploy.Slots/100
+	}
 	s.build()
 	if e.Prepare != nil {
 		e.Prepare(s)
@@ -105,6 +114,7 @@
 		s.traffic()
 	}
 	s.breakThings()
+	s.watch()
 	s.w.Run(e.For + serveBound + 5*time.Second)
 	for s.w.Now < s.end && s.open() {
 		s.w.Run(s.w.Now + time.Second)
@@ -113,6 +123,19 @@
 	return s.finish()
 }
 
+// watch notes the times in which no keeper says that it serves.
+func (s *Scenario) watch() {
+	const each = 50 * time.Millisecond
+	if s.primary() == nil {
+		if k := len(s.idle); k > 0 && s.idle[k-1][1] >= s.w.Now {
+			s.idle[k-1][1] = s.w.Now + each
+		} else {
+			s.idle = append(s.idle, [2]time.Duration{s.w.Now, s.w.Now + each})
+		}
+	}
+	s.w.After(each, s.watch)
+}
+
 func (s *Scenario) build() {
 	address := func(i int) string { return fmt.Sprintf("10.%d.0.%d:7000", i%3, i) }
 	var founders []string
@@ -166,9 +189,6 @@
 
 func (s *Scenario) job(t deploy.Traffic, id string) *caller {
 	c := &caller{spec: t.Job(s.env.Deployment.Service, id), turn: s.w.chance.IntN(64)}
-	for i := range c.spec.Tasks {
-		c.spec.Tasks[i].RunLimit = plan.Span{Duration: 3*time.Duration(t.RunMs)*time.Millisecond + 10*time.Second}
-	}
 	s.callers = append(s.callers, c)
 	return c
 }
@@ -210,6 +230,7 @@
 			return
 		}
 		for _, n := range s.daemons {
+			s.count("plan-ignored")
 			if v, ok := n.main.(interface{ Sequence() uint64 }); ok && n.state == up && n.boot < answeredAt && v.Sequence() < sequence {
 				s.fault("plan-ignored", "%s is at plan %d, %d was accepted at %s", n.name, v.Sequence(), sequence, secs(answeredAt))
 			}
@@ -219,6 +240,9 @@
 }
 
 func (s *Scenario) sawPlan(n *node, sequence uint64) {
+	if sequence != n.sequence {
+		s.count("plan-went-back")
+	}
 	if sequence < n.sequence {
 		s.fault("plan-went-back", "%s went from plan %d to %d at %s", n.name, n.sequence, sequence, secs(s.w.Now))
 	}
@@ -285,12 +309,23 @@
 			res.LastEnd = max(res.LastEnd, r.to)
 		}
 	}
+	res.LostMs = map[string][]float64{}
+	for _, r := range s.runs {
+		if r.Outcome != "" || r.to == 0 {
+			continue
+		}
+		for _, next := range s.runs {
+			if next.Job == r.Job && next.Task == r.Task && next.Try == r.Try+1 {
+				res.LostMs[r.Class] = append(res.LostMs[r.Class], float64((next.from-r.to)/time.Millisecond))
+			}
+		}
+	}
 	for _, k := range s.keepers {
 		if m, ok := k.main.(*keeper.Keeper); ok {
 			res.Views = max(res.Views, m.View().Epoch)
 		}
 	}
-	res.Broken = s.broken
+	res.Broken, res.Judged, res.Excused = s.broken, s.judged, s.excused
 	if res.Accepted == 0 || res.Runs == 0 {
 		res.Broken = append(res.Broken, Violation{"not-served-again", "nothing was accepted or run in the whole scenario"})
 	}
@@ -321,7 +356,26 @@
 		s.crashHand(h)
 		if s.w.chance.IntN(2) == 0 {
 			s.w.After(time.Duration(1+s.w.chance.IntN(9))*time.Second, func() { s.bootHand(h) })
+		} else {
+			s.w.After(4*time.Second, func() { s.gone(h) })
+		}
+	},
+	"worker-run-on": func(s *Scenario) {
+		h := s.hand(s.w.chance.IntN(deploy.Workers))
+		if !h.up || h.cut {
+			return
 		}
+		h.set(s.w.Now, worker.Faults{RunOn: true, Slow: 4})
+		s.w.After(3*time.Second, func() {
+			s.w.say("cut %s, which runs on", h.name())
+			s.setCut(h, true)
+			s.slow(9 * time.Second)
+			s.w.After(time.Duration(9+s.w.chance.IntN(20))*time.Second, func() {
+				s.w.say("mend %s", h.name())
+				s.setCut(h, false)
+				h.set(s.w.Now, worker.Faults{})
+			})
+		})
 	},
 	"worker-slow": func(s *Scenario) { s.spoil(worker.Faults{Slow: 4}, 15*time.Second) },
 	"worker-fail": func(s *Scenario) { s.spoil(worker.Faults{FailEach: 3}, 10*time.Second) },
@@ -565,10 +619,10 @@
 		return
 	}
 	s.w.say("spoil %s %+v", h.name(), f)
-	h.w.Set(f)
+	h.set(s.w.Now, f)
 	s.w.After(d, func() {
 		if h.up {
-			h.w.Set(worker.Faults{})
+			h.set(s.w.Now, worker.Faults{})
 		}
 	})
 }
--- a/tool/sim/sim.go
+++ b/tool/sim/sim.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
@@ -68,6 +69,24 @@
 	wakeAt                    time.Duration
 	answers                   map[uint64]func(any)
 	sequence                  uint64
+	cuts                      int
+	troubles                  [][2]time.Duration
+}
+
+// trouble notes when a daemon is down, frozen or cut, and when it is no more.
+func (w *World) trouble(n *node) {
+	bad, k := n.state != up || n.stalls || n.cuts > 0, len(n.troubles)
+	open := k > 0 && n.troubles[k-1][1] == 0
+	if bad && !open {
+		n.troubles = append(n.troubles, [2]time.Duration{w.Now, 0})
+	} else if !bad && open {
+		n.troubles[k-1][1] = w.Now
+	}
+}
+
+// troubled says whether a daemon was in fault at some time of a span.
+func (n *node) troubled(from, to time.Duration) bool {
+	return slices.ContainsFunc(n.troubles, func(t [2]time.Duration) bool { return t[0] <= to && (t[1] == 0 || t[1] >= from) })
 }
 
 // World is one simulated cluster.
@@ -153,6 +172,7 @@
 	}
 	n.life++
 	n.state, n.boot, n.inbox, n.answers, n.sequence = up, w.Now, nil, map[uint64]func(any){}, 0
+	w.trouble(n)
 	id := n.address
 	first := w.chance.Uint64() >> 1
 	switch n.role {
@@ -199,6 +219,9 @@
 		w.Logs[e.Name]++
 		w.say("%s %s %v", n.name, e.Name, e.Fields)
 	}
+	for _, a := range out.Audits {
+		w.say("%s decided %s", n.name, a.Entry)
+	}
 	for _, s := range out.Sends {
 		if n.stalls {
 			n.limbo = append(n.limbo, s)
@@ -259,12 +282,31 @@
 }
 
 // Cut stops what goes from one name to another; names are addresses.
-func (w *World) Cut(from, to string)      { w.cuts[[2]string{from, to}] = true }
-func (w *World) Mend(from, to string)     { delete(w.cuts, [2]string{from, to}) }
+func (w *World) Cut(from, to string)      { w.setCut(from, to, 1) }
+func (w *World) Mend(from, to string)     { w.setCut(from, to, -1) }
 func (w *World) isCut(a, b string) bool   { return w.cuts[[2]string{a, b}] }
 func (w *World) Isolate(address string)   { w.each(address, w.Cut) }
 func (w *World) Reconnect(address string) { w.each(address, w.Mend) }
 
+func (w *World) setCut(from, to string, by int) {
+	if w.isCut(from, to) == (by > 0) {
+		return
+	}
+	if by > 0 {
+		w.cuts[[2]string{from, to}] = true
+	} else {
+		delete(w.cuts, [2]string{from, to})
+	}
+	a, isA := w.nodes[from]
+	b, isB := w.nodes[to]
+	if isA && isB {
+		a.cuts += by
+		b.cuts += by
+		w.trouble(a)
+		w.trouble(b)
+	}
+}
+
 func (w *World) each(address string, f func(a, b string)) {
 	for other := range w.nodes {
 		if other != address {
@@ -342,6 +384,7 @@
 		w.say("kill %s", n.name)
 	}
 	n.state, n.inbox, n.answers, n.stalls, n.limbo = down, nil, nil, false, nil
+	w.trouble(n)
 }
 
 // Stop asks a daemon to hand over and go.
@@ -364,6 +407,7 @@
 	w.say("freeze %s", n.name)
 	life := n.life
 	n.stalls = true
+	w.trouble(n)
 	w.After(20*time.Millisecond, func() {
 		if n.life == life && n.state == up && n.stalls {
 			n.state = frozen
@@ -378,6 +422,7 @@
 	}
 	w.say("wake %s", n.name)
 	n.state, n.stalls = up, false
+	w.trouble(n)
 	inbox, limbo := n.inbox, n.limbo
 	n.inbox, n.limbo = nil, nil
 	for _, s := range limbo {
--- a/tool/sim/sim_test.go
+++ b/tool/sim/sim_test.go
@@ -42,12 +42,22 @@
 		found.For = 60 * time.Second
 		days = append(days, found)
 	}
+	judged := map[string]int{}
 	for i, r := range PlayAll(days) {
 		e := days[i]
+		for check, count := range r.Judged {
+			judged[check] += count
+		}
 		for _, b := range r.Broken {
 			t.Errorf("%s: %s\n  again: simulate -deployment %s -faults %s -for %s -from %d -to %d", b.Check, b.Why, e.Deployment.Name, strings.Join(e.Faults, ","), e.For, e.Seed, e.Seed)
 		}
 	}
+	for _, check := range Checks {
+		if judged[check] == 0 {
+			t.Errorf("%s judged nothing in all these days", check)
+		}
+	}
+	t.Logf("judged: %v", judged)
 }
 
 func TestOneSeedIsOneRun(t *testing.T) {
@@ -118,13 +128,21 @@
 			}
 		})
 	}
-	rushedWorkers := func(s *Scenario) {
-		for i := range 4 {
-			s.w.At(9*time.Second, func() { s.hand(i).w.Set(worker.Faults{RunOn: true, Slow: 100}) })
-			s.w.At(12*time.Second, func() { s.setCut(s.hand(i), true) })
-			s.w.At(24*time.Second, func() { s.setCut(s.hand(i), false) })
+	runOn := func(f worker.Faults) func(s *Scenario) {
+		f.RunOn = true
+		return func(s *Scenario) {
+			for i := range 4 {
+				s.w.At(9*time.Second, func() { s.hand(i).set(s.w.Now, f) })
+				s.w.At(12*time.Second, func() { s.setCut(s.hand(i), true) })
+				s.w.At(24*time.Second, func() { s.hand(i).set(s.w.Now, worker.Faults{}); s.setCut(s.hand(i), false) })
+			}
 		}
 	}
+	hold := func(s *Scenario) {
+		s.w.At(8*time.Second, func() {
+			s.change(1, `{"services":{"tickets":{"classes":{"lookup":{"silence":"hold"},"check":{"silence":"hold"}}}}}`)
+		})
+	}
 	oldPlans := func(s *Scenario) {
 		s.w.At(12*time.Second, func() {
 			s.change(1, `{"limits":{"keep":"20m"}}`)
@@ -148,7 +166,9 @@
 		{"the same, with disks that say yes and keep nothing", day(lyingDisks, lose), "job-forgotten"},
 		{"a yes from a primary that does not wait for its backup, and then loses its disk", day(oneDisk), "job-forgotten again-after-good"},
 		{"a yes from two disks, and then one is lost", day(armed), ""},
-		{"a worker that runs on past its cutoff breaks its contract", day(rushedWorkers), "twice-at-once"},
+		{"workers that run on past their cutoff, while cut off", day(runOn(worker.Faults{Slow: 20})), ""},
+		{"workers that pass their run limit too break the contract", day(runOn(worker.Faults{Slow: 300, NoLimit: true})), "twice-at-once"},
+		{"the same workers, where every class holds", day(hold, runOn(worker.Faults{Slow: 300, NoLimit: true})), ""},
 		{"a daemon that takes an older plan", day(oldPlans), "plan-went-back"},
 		{"a daemon that hears of no plan, and nobody knows of the cut", day(deafScheduler), "plan-ignored"},
 	}
@@ -220,7 +240,7 @@
 	e.Prepare = func(s *Scenario) {
 		set := func(f worker.Faults) {
 			for i := range spoiled {
-				s.hand(i).w.Set(f)
+				s.hand(i).set(s.w.Now, f)
 			}
 		}
 		s.w.At(6*time.Second, func() { set(f) })
@@ -339,7 +359,11 @@
 		quick := s.env.Deployment.Traffic[0]
 		quick.RunMs = 2500
 		for i := range 1200 {
-			s.w.At(8*time.Second+time.Duration(i)*25*time.Millisecond, func() { s.submit(s.job(quick, fmt.Sprintf("flood-%d", i))) })
+			s.w.At(8*time.Second+time.Duration(i)*25*time.Millisecond, func() {
+				c := s.job(quick, fmt.Sprintf("flood-%d", i))
+				c.spec.Tasks[0].RunLimit.Duration = 10 * time.Second
+				s.submit(c)
+			})
 		}
 		long := s.env.Deployment.Traffic[2]
 		for i := range 30 {
--- a/tool/worker/worker.go
+++ b/tool/worker/worker.go
@@ -20,6 +20,7 @@
 	Hang     bool    `json:"hang,omitempty"`
 	LieSlots int     `json:"lieSlots,omitempty"`
 	RunOn    bool    `json:"runOn,omitempty"`
+	NoLimit  bool    `json:"noLimit,omitempty"`
 }
 
 type Env struct {
@@ -64,6 +65,7 @@
 	fail   bool
 	hung   bool
 	stopAt time.Duration
+	limit  time.Duration
 }
 
 type Worker struct {
@@ -87,6 +89,13 @@
 	return &Worker{env: env, run: map[ledger.Attempt]running{}, seen: map[ledger.Attempt]bool{}}
 }
 
+// Carry takes over the ends that an earlier incarnation noted and that were not
+// acknowledged; a real worker keeps them on its disk.
+func (w *Worker) Carry(ends []ledger.End) { w.ended = append(w.ended, ends...) }
+
+// Unacked gives the ends to carry.
+func (w *Worker) Unacked() []ledger.End { return slices.Clone(w.ended) }
+
 func (w *Worker) Set(f Faults)       { w.faults = f }
 func (w *Worker) ID() string         { return w.env.ID }
 func (w *Worker) Running() int       { return len(w.run) }
@@ -99,11 +108,11 @@
 func (w *Worker) Total() ledger.Room    { return w.env.Total }
 func (w *Worker) Cutoff() time.Duration { return w.cutoff }
 
-func (w *Worker) close(a ledger.Attempt, now time.Duration, outcome string) {
+func (w *Worker) close(a ledger.Attempt, now time.Duration, outcome, why string) {
 	r := w.run[a]
 	delete(w.run, a)
 	w.Runs = append(w.Runs, Run{a, w.env.ID, r.start.Class, r.start.Service, r.start.Room, r.start.Gang, r.from, now, outcome})
-	w.ended = append(w.ended, ledger.End{Attempt: a, Good: outcome == "good", Stopped: outcome == "stopped", Why: map[string]string{"bad": "the task failed"}[outcome]})
+	w.ended = append(w.ended, ledger.End{Attempt: a, Good: outcome == "good", Stopped: outcome == "stopped", Why: why})
 	w.changed = true
 }
 
@@ -113,14 +122,16 @@
 		r := w.run[a]
 		switch {
 		case r.stopAt > 0 && now >= r.stopAt:
-			w.close(a, now, "stopped")
+			w.close(a, now, "stopped", "")
 		case w.cutoff > 0 && now >= w.cutoff && !w.faults.RunOn:
-			w.close(a, now, "stopped")
+			w.close(a, now, "stopped", "")
+		case now >= r.limit && !w.faults.NoLimit && (r.hung || r.limit < r.until):
+			w.close(a, now, "bad", "the run limit passed")
 		case r.hung || now < r.until:
 		case r.fail:
-			w.close(a, now, "bad")
+			w.close(a, now, "bad", "the task failed")
 		default:
-			w.close(a, now, "good")
+			w.close(a, now, "good", "")
 		}
 	}
 	if w.changed || !w.waiting && now >= w.nextBeat || w.waiting && now > w.sentAt+DropLate {
@@ -164,6 +175,7 @@
 		at = w.sentAt + DropLate + time.Millisecond
 	}
 	for _, r := range w.run {
+		at = min(at, r.limit)
 		if !r.hung {
 			at = min(at, r.until)
 		}
@@ -232,7 +244,7 @@
 		took = time.Duration(float64(took) * w.faults.Slow)
 	}
 	fail := p.Fail || w.faults.FailEach > 0 && w.count%w.faults.FailEach == 0
-	w.run[s.Attempt] = running{start: s, from: now, until: now + took, fail: fail, hung: w.faults.Hang}
+	w.run[s.Attempt] = running{start: s, from: now, until: now + took, fail: fail, hung: w.faults.Hang, limit: now + s.RunLimit.Duration}
 }
 
 // Open gives the runs that have not ended, as they stand.
