Remember operators' writes and ended jobs; bounce names that do not exist

Cause: a follower sends a command again after silence, and a frozen front sends what it held when it wakes. Emptying, draining, passing a duty and forced plans were carried out a second time, after another operator had acted; only the last plan token was known. A job handed in again after limits.keep was started again. A misspelt site was emptied silently.

Changed: each operator's write carries a token (the caller's key, or the front's own) and the ledger time at which it was taken. The ledger answers a known token as before for 10 minutes and bounces what was asked longer ago, so no repeat falls between. An ended job leaves id, digest, class and state for limits.remember, at most limits.rememberMax; beyond that the answer says how far back is known. Unknown names are bounced with the known ones.

Ruled out: a sequence on every write (an operator would have to read first); a token's memory without an end, or one that drops the oldest early.

--- a/core/code/code.go
+++ b/core/code/code.go
@@ -22,6 +22,8 @@
 	StalePlan    Code = 201
 	StaleEpoch   Code = 202
 	StaleBeat    Code = 203
+	OtherRequest Code = 204
+	TooLate      Code = 205
 	UnknownJob   Code = 300
 	UnknownName  Code = 301
 	TaskNotOpen  Code = 400
@@ -64,8 +66,10 @@
 	{StalePlan, "stale-plan", 409, "the plan has moved on; the answer names the current sequence"},
 	{StaleEpoch, "stale-epoch", 409, "the sender's duty or view has passed to another"},
 	{StaleBeat, "stale-beat", 409, "a later beat of this worker was already taken"},
-	{UnknownJob, "unknown-job", 404, "no such job was accepted, or its keeping time is over"},
-	{UnknownName, "unknown-name", 404, "no such worker, site, duty or path"},
+	{OtherRequest, "other-request", 409, "this Idempotency-Key was used for another request"},
+	{TooLate, "too-late", 409, "the request is older than repeats are remembered; look, and ask again"},
+	{UnknownJob, "unknown-job", 404, "no such job was accepted, or it ended longer ago than is remembered"},
+	{UnknownName, "unknown-name", 404, "no such worker, site, duty or path; the answer names those that are known"},
 	{TaskNotOpen, "task-not-open", 409, "the task is granted already or has ended"},
 	{NotReleased, "not-released", 409, "something that the task depends on is not done"},
 	{DefectsSpent, "defects-spent", 409, "the task has used up its allowed defects"},
--- a/core/front/front.go
+++ b/core/front/front.go
@@ -50,8 +50,11 @@
 	Jobs      = "jobs"
 )
 
-// writes are the kinds that a keeper must answer.
-var writes = map[string]bool{Submit: true, Cancel: true, PlanPut: true, PlanPatch: true, Site: true, Drain: true, Gone: true, Pass: true}
+// operators' are the writes of operators; with the callers' they are the kinds
+// that a keeper must answer.
+var operators = map[string]bool{PlanPut: true, PlanPatch: true, Site: true, Drain: true, Gone: true, Pass: true}
+
+func writes(kind string) bool { return kind == Submit || kind == Cancel || operators[kind] }
 
 const (
 	commandWait = 4 * time.Second
@@ -97,6 +100,7 @@
 	Service string     `json:"service"`
 	Class   string     `json:"class"`
 	Waits   string     `json:"waits,omitempty"`
+	Past    bool       `json:"past,omitempty"`
 	Tasks   []TaskView `json:"tasks"`
 }
 
@@ -248,12 +252,18 @@
 		f.bounce(ask.Key, bounced(code.InboxFull, "this front has %d requests open", len(f.table)), out)
 		return
 	}
-	if writes[ask.Kind] && f.copy.Lost(now) {
+	if writes(ask.Kind) && f.copy.Lost(now) || operators[ask.Kind] && !f.copy.Loaded() {
 		f.bounce(ask.Key, bounced(code.NoAuthority, "no keeper has been heard of for a while"), out)
 		return
 	}
 	r := record{ask: ask, until: now + commandWait}
 	command := ledger.Command{Name: ask.Name}
+	if operators[ask.Kind] {
+		command.Token, command.Asked = ask.Token, f.copy.Ledger.At()
+		if command.Token == "" {
+			command.Token = fmt.Sprintf("%s/%x/%d", f.env.Address, f.env.First, ask.Key)
+		}
+	}
 	switch ask.Kind {
 	case Submit:
 		var spec ledger.JobSpec
@@ -291,7 +301,7 @@
 			return
 		}
 		command.Kind = ledger.KindPlan
-		command.Plan = ledger.PlanChange{Base: ask.Base, Forced: ask.Forced, Token: ask.Token, Patch: ask.Kind == PlanPatch, Body: ask.Body}
+		command.Plan = ledger.PlanChange{Base: ask.Base, Forced: ask.Forced, Patch: ask.Kind == PlanPatch, Body: ask.Body}
 	default:
 		f.look(now, ask, out)
 		return
@@ -301,7 +311,7 @@
 }
 
 func (f *Front) viewJob(job ledger.Job, a ledger.Answer) JobView {
-	v := JobView{Outcome: outcome(a), ID: job.Spec.ID, State: job.State, JobWhy: job.Why, Service: job.Spec.Service, Class: job.Spec.Class}
+	v := JobView{Outcome: outcome(a), ID: job.Spec.ID, State: job.State, JobWhy: job.Why, Service: job.Spec.Service, Class: job.Spec.Class, Tasks: []TaskView{}, Past: len(job.Tasks) == 0}
 	for i, t := range job.Tasks {
 		state, worker := t.State, t.Holder
 		if t.Turn.Held() {
--- a/core/keeper/keeper.go
+++ b/core/keeper/keeper.go
@@ -266,7 +266,10 @@
 func (k *Keeper) read(name string) ledger.Answer {
 	job, ok := k.ledger.Job(name)
 	if !ok {
-		return ledger.Answer{Code: code.UnknownJob, Why: "job " + name + " is not known"}
+		job, ok = k.ledger.Past(name)
+	}
+	if !ok {
+		return k.ledger.Unknown(name)
 	}
 	return ledger.Answer{Code: code.OK, Job: job}
 }
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -44,13 +44,15 @@
 	at       time.Duration
 	next     uint64
 	plan     plan.Plan
-	token    string
 	rules    plan.Rules
 	jobs     map[string]Job
 	workers  map[string]Worker
 	emptied  map[string]bool
 	duties   map[string]Duty
 	daemons  map[string]Daemon
+	requests memory[Request]
+	past     memory[Past]
+	horizon  time.Duration
 
 	turns   map[string]map[ref]bool
 	inbox   map[[2]string]int
@@ -84,6 +86,7 @@
 	l.rules = l.plan.Compile()
 	l.jobs, l.workers, l.emptied = map[string]Job{}, map[string]Worker{}, map[string]bool{}
 	l.duties, l.daemons = map[string]Duty{}, map[string]Daemon{}
+	l.requests.byKey, l.past.byKey = map[string]Request{}, map[string]Past{}
 	l.dirty = map[[2]string]bool{}
 	l.index()
 	return l
@@ -93,6 +96,8 @@
 func (l *Ledger) index() {
 	l.turns, l.inbox = map[string]map[ref]bool{}, map[[2]string]int{}
 	l.waiting, l.active = map[need]int{}, map[string]bool{}
+	l.requests.sort(func(r Request) time.Duration { return r.At })
+	l.past.sort(func(p Past) time.Duration { return p.EndedAt })
 	for id, job := range l.jobs {
 		if !ended(job) {
 			l.active[id] = true
@@ -195,17 +200,17 @@
 	case KindPushOut:
 		return l.pushOut(cmd.Grant)
 	case KindPlan:
-		return l.change(cmd.Plan)
+		return l.once(cmd, func() Answer { return l.change(cmd.Plan) })
 	case KindSite:
-		return l.site(cmd.Name, cmd.On)
+		return l.once(cmd, func() Answer { return l.site(cmd.Name, cmd.On) })
 	case KindDrain:
-		return l.drain(cmd.Name, cmd.On)
+		return l.once(cmd, func() Answer { return l.drain(cmd.Name, cmd.On) })
 	case KindGone:
-		return l.gone(cmd.Name)
+		return l.once(cmd, func() Answer { return l.gone(cmd.Name) })
 	case KindHello:
 		return l.hello(cmd.Hello)
 	case KindMove:
-		return l.move(cmd.Name, cmd.Hello.For)
+		return l.once(cmd, func() Answer { return l.move(cmd.Name, cmd.Hello.For) })
 	case KindTick:
 		return l.tick()
 	}
@@ -220,6 +225,13 @@
 		}
 		return Answer{Code: code.Same, Job: old}
 	}
+	if old, ok := l.past.byKey[spec.ID]; ok {
+		if old.Digest != digest(spec) {
+			return bounce(code.OtherContent, "job %s was accepted before with other content", spec.ID)
+		}
+		job, _ := l.Past(spec.ID)
+		return Answer{Code: code.Same, Job: job}
+	}
 	if a := l.Check(spec); !a.Code.Good() {
 		return a
 	}
@@ -324,9 +336,12 @@
 }
 
 func (l *Ledger) cancel(id string) Answer {
+	if past, ok := l.Past(id); ok {
+		return Answer{Code: code.Same, Job: past}
+	}
 	job, ok := l.jobs[id]
 	if !ok {
-		return bounce(code.UnknownJob, "job %s is not known", id)
+		return l.Unknown(id)
 	}
 	if ended(job) || job.Ending != "" {
 		return Answer{Code: code.Same, Job: job}
@@ -337,9 +352,6 @@
 }
 
 func (l *Ledger) change(c PlanChange) Answer {
-	if c.Token != "" && c.Token == l.token {
-		return Answer{Code: code.Same, Sequence: l.plan.Sequence}
-	}
 	if !c.Forced && c.Base != l.plan.Sequence {
 		a := bounce(code.StalePlan, "the plan is at sequence %d, not %d", l.plan.Sequence, c.Base)
 		a.Sequence = l.plan.Sequence
@@ -358,7 +370,7 @@
 		return a
 	}
 	next.Sequence = l.plan.Sequence + 1
-	l.plan, l.rules, l.token = next, next.Compile(), c.Token
+	l.plan, l.rules = next, next.Compile()
 	l.touch("meta", "plan")
 	l.decide(Decision{Kind: "plan", Plan: next.Sequence, Digest: digest(next)})
 	l.changes = append(l.changes, Changed{All: true})
@@ -366,8 +378,8 @@
 }
 
 func (l *Ledger) site(name string, on bool) Answer {
-	if name == "" {
-		return bounce(code.UnknownName, "a site needs a name")
+	if known := l.sites(); !slices.Contains(known, name) {
+		return unknown("site", name, known)
 	}
 	l.emptied[name] = on
 	if !on {
@@ -384,10 +396,32 @@
 	return Answer{Code: code.OK}
 }
 
+// sites are those that the ledger has heard of, by a worker or a scheduler, and
+// those that are emptied.
+func (l *Ledger) sites() []string {
+	set := maps.Clone(l.emptied)
+	for _, w := range l.workers {
+		set[w.Site] = true
+	}
+	for _, d := range l.daemons {
+		set[d.Site] = true
+	}
+	return slices.Sorted(maps.Keys(set))
+}
+
+// unknown is the answer to a name that does not exist; it gives those that do.
+func unknown(what, name string, known []string) Answer {
+	text := strings.Join(known[:min(20, len(known))], ", ")
+	if len(known) > 20 {
+		text += fmt.Sprintf(" and %d more", len(known)-20)
+	}
+	return bounce(code.UnknownName, "no %s %q; known are: %s", what, name, text)
+}
+
 func (l *Ledger) drain(name string, on bool) Answer {
 	w, ok := l.workers[name]
 	if !ok {
-		return bounce(code.UnknownName, "worker %s is not known", name)
+		return unknown("worker", name, slices.Sorted(maps.Keys(l.workers)))
 	}
 	w.Drained = on
 	l.decide(Decision{Kind: map[bool]string{true: "drain", false: "undrain"}[on], Worker: name})
@@ -403,7 +437,7 @@
 	w, ok := l.workers[name]
 	switch {
 	case !ok:
-		return bounce(code.UnknownName, "worker %s is not known", name)
+		return unknown("worker", name, slices.Sorted(maps.Keys(l.workers)))
 	case l.Live(w):
 		return bounce(code.WorkerHeard, "worker %s was heard %s ago", name, l.at-w.SeenAt)
 	case w.Gone:
@@ -491,8 +525,11 @@
 // move hands a duty over because an operator asks for it.
 func (l *Ledger) move(name, to string) Answer {
 	d, known := l.duties[name]
-	if _, ok := l.daemons[to]; !known || !ok {
-		return bounce(code.UnknownName, "no duty %s, or no scheduler %s has said hello", name, to)
+	if !known {
+		return unknown("duty", name, slices.Sorted(maps.Keys(l.duties)))
+	}
+	if _, ok := l.daemons[to]; !ok {
+		return unknown("scheduler", to, slices.Sorted(maps.Keys(l.daemons)))
 	}
 	if d.Holder == to {
 		return Answer{Code: code.Same}
@@ -518,7 +555,7 @@
 	Position Position      `json:"position"`
 	At       time.Duration `json:"at"`
 	Next     uint64        `json:"next"`
-	Token    string        `json:"token,omitempty"`
+	Horizon  time.Duration `json:"horizon,omitempty"`
 	Decision uint64        `json:"decision,omitempty"`
 }
 
@@ -543,7 +580,7 @@
 	l.entries = nil
 }
 
-var Buckets = []string{"meta", "job", "worker", "site", "duty", "daemon"}
+var Buckets = []string{"meta", "job", "worker", "site", "duty", "daemon", "request", "past"}
 
 func (l *Ledger) record(bucket, key string) machine.Record {
 	r := machine.Record{Bucket: bucket, Key: key}
@@ -568,11 +605,17 @@
 	case "daemon":
 		v, ok := l.daemons[key]
 		put(v, ok)
+	case "request":
+		v, ok := l.requests.byKey[key]
+		put(v, ok)
+	case "past":
+		v, ok := l.past.byKey[key]
+		put(v, ok)
 	case "meta":
 		if key == "plan" {
 			put(l.plan, true)
 		} else {
-			put(meta{l.position, l.at, l.next, l.token, l.decision}, true)
+			put(meta{l.position, l.at, l.next, l.horizon, l.decision}, true)
 		}
 	}
 	return r
@@ -584,6 +627,7 @@
 	for bucket, keys := range map[string][]string{
 		"job": slices.Sorted(maps.Keys(l.jobs)), "worker": slices.Sorted(maps.Keys(l.workers)), "site": slices.Sorted(maps.Keys(l.emptied)),
 		"duty": slices.Sorted(maps.Keys(l.duties)), "daemon": slices.Sorted(maps.Keys(l.daemons)),
+		"request": slices.Sorted(maps.Keys(l.requests.byKey)), "past": slices.Sorted(maps.Keys(l.past.byKey)),
 	} {
 		for _, key := range keys {
 			out = append(out, l.record(bucket, key))
@@ -609,13 +653,17 @@
 			err = load(l.duties, r)
 		case "daemon":
 			err = load(l.daemons, r)
+		case "request":
+			err = load(l.requests.byKey, r)
+		case "past":
+			err = load(l.past.byKey, r)
 		case "meta":
 			if r.Key == "plan" {
 				err = json.Unmarshal(r.Value, &l.plan)
 			} else {
 				var m meta
 				err = json.Unmarshal(r.Value, &m)
-				l.position, l.at, l.next, l.token, l.decision = m.Position, m.At, m.Next, m.Token, m.Decision
+				l.position, l.at, l.next, l.horizon, l.decision = m.Position, m.At, m.Next, m.Horizon, m.Decision
 			}
 		default:
 			err = fmt.Errorf("unknown bucket")
--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -3,6 +3,9 @@
 package ledger_test
 
 import (
+	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -11,6 +14,7 @@
 	"sorrelloom/core/code"
 	"sorrelloom/core/ledger"
 	"sorrelloom/core/ledgertest"
+	"sorrelloom/core/machine"
 )
 
 func TestGrantIsBouncedByOneRuleEach(t *testing.T) {
@@ -391,7 +395,7 @@
 func TestPlanIsConditionalAndNeverGoesBack(t *testing.T) {
 	w := ledgertest.New(t)
 	patch := func(base uint64, token, body string) ledger.Answer {
-		return w.Do(ledger.Command{Kind: ledger.KindPlan, Plan: ledger.PlanChange{Base: base, Token: token, Patch: true, Body: []byte(body)}})
+		return w.Do(ledger.Command{Kind: ledger.KindPlan, Token: token, Plan: ledger.PlanChange{Base: base, Patch: true, Body: []byte(body)}})
 	}
 	table := []struct {
 		base           uint64
@@ -420,6 +424,137 @@
 	}
 }
 
+// TestARepeatedWriteBringsNoOlderStateBack: one operator asks, another acts, then
+// the first one's request comes again, as it does after silence.
+func TestARepeatedWriteBringsNoOlderStateBack(t *testing.T) {
+	patch := func(limit string) ledger.Command {
+		return ledger.Command{Kind: ledger.KindPlan, Plan: ledger.PlanChange{Forced: true, Patch: true, Body: []byte(`{"limits":{"keep":"` + limit + `"}}`)}}
+	}
+	pass := func(to string) ledger.Command {
+		return ledger.Command{Kind: ledger.KindMove, Name: ledgertest.Duty, Hello: ledger.Hello{For: to}}
+	}
+	state := func(w *ledgertest.World) string {
+		worker, _ := w.Ledger.Worker("w1")
+		return fmt.Sprint(w.Ledger.Emptied(), worker.Drained, worker.Gone, w.Ledger.Duty(ledgertest.Duty).Holder, w.Ledger.Plan().Limits.Keep, w.Ledger.Plan().Sequence)
+	}
+	table := []struct {
+		name string
+		a, b ledger.Command
+		want code.Code
+	}{
+		{"empty, refilled meanwhile", ledger.Command{Kind: ledger.KindSite, Name: "a", On: true}, ledger.Command{Kind: ledger.KindSite, Name: "a"}, code.Same},
+		{"refill, emptied meanwhile", ledger.Command{Kind: ledger.KindSite, Name: "a"}, ledger.Command{Kind: ledger.KindSite, Name: "a", On: true}, code.Same},
+		{"drain, undrained meanwhile", ledger.Command{Kind: ledger.KindDrain, Name: "w1", On: true}, ledger.Command{Kind: ledger.KindDrain, Name: "w1"}, code.Same},
+		{"undrain, drained meanwhile", ledger.Command{Kind: ledger.KindDrain, Name: "w1"}, ledger.Command{Kind: ledger.KindDrain, Name: "w1", On: true}, code.Same},
+		{"pass, passed back meanwhile", pass("s2"), pass("s1"), code.Same},
+		{"a forced plan, changed meanwhile", patch("1h"), patch("2h"), code.Same},
+		{"a bounce stays a bounce", ledger.Command{Kind: ledger.KindDrain, Name: "w9", On: true}, ledger.Command{Kind: ledger.KindSite, Name: "a", On: true}, code.UnknownName},
+	}
+	for _, row := range table {
+		t.Run(row.name, func(t *testing.T) {
+			w := ledgertest.New(t)
+			w.Worker("w1", 4)
+			w.Must(ledger.Command{Kind: ledger.KindHello, Hello: ledger.Hello{Daemon: "s2", Site: "a"}})
+			row.a.Token, row.b.Token = "one", "two"
+			w.Do(row.a)
+			w.Must(row.b)
+			before := state(w)
+			copied, err := ledger.Load(w.Ledger.Records())
+			if err != nil {
+				t.Fatal(err)
+			}
+			w.Ledger = copied // the next primary
+			if row.want == code.UnknownName {
+				w.Worker("w9", 4)
+			}
+			if again := w.Do(row.a); again.Code != row.want || state(w) != before {
+				t.Errorf("the repeat: %v %s, state %s, before %s", again.Code, again.Why, state(w), before)
+			}
+			other := row.a
+			other.Name, other.Plan.Body = "b", []byte(`{"limits":{}}`)
+			if a := w.Do(other); a.Code != code.OtherRequest || state(w) != before {
+				t.Errorf("another request with the same key: %v", a.Code)
+			}
+			w.Pass(ledger.RequestsFor + time.Second)
+			if late := w.Do(row.a); late.Code != code.TooLate || state(w) != before {
+				t.Errorf("once it is forgotten: %v %s", late.Code, late.Why)
+			}
+			same(t, w.Ledger)
+		})
+	}
+}
+
+// TestAnEndedJobIsNotStartedAgain hands jobs in again after their records are
+// gone, and after they are forgotten.
+func TestAnEndedJobIsNotStartedAgain(t *testing.T) {
+	w := ledgertest.New(t)
+	w.Must(ledger.Command{Kind: ledger.KindPlan, Plan: ledger.PlanChange{Base: 1, Patch: true, Body: []byte(`{"limits":{"keep":"1m","remember":"1h","rememberMax":2}}`)}})
+	w.Worker("w1", 4)
+	for _, id := range []string{"j", "k", "l"} {
+		w.Job(id, "quick", "a")
+		w.Finish(id + "/a@w1")
+		w.Pass(2 * time.Minute)
+		w.Pass(time.Second)
+		w.Beat("w1", nil)
+	}
+	ask := func(id, task string) (code.Code, string) {
+		a := w.Job(id, "quick", task)
+		same(t, w.Ledger)
+		return a.Code, a.Job.State
+	}
+	for _, row := range []struct {
+		id, task string
+		want     code.Code
+		state    string
+	}{
+		{"l", "a", code.Same, ledger.Done}, {"l", "b", code.OtherContent, ""}, {"k", "a", code.Same, ledger.Done},
+		{"j", "a", code.OK, ledger.Waiting}, // the oldest of three, and two are remembered
+	} {
+		if c, state := ask(row.id, row.task); c != row.want || state != row.state {
+			t.Errorf("%s again with %s: %v %s, want %v %s", row.id, row.task, c, state, row.want, row.state)
+		}
+	}
+	if a := w.Do(ledger.Command{Kind: ledger.KindCancel, Name: "l"}); a.Code != code.Same || a.Job.State != ledger.Done {
+		t.Errorf("cancel of a past job: %v %s", a.Code, a.Job.State)
+	}
+	if a := w.Ledger.Unknown("x"); a.Code != code.UnknownJob || !strings.Contains(a.Why, "ended over") {
+		t.Errorf("unknown: %v %s", a.Code, a.Why)
+	}
+	w.Pass(2 * time.Hour)
+	if c, _ := ask("l", "a"); c != code.OK {
+		t.Errorf("after the hour: %v", c)
+	}
+}
+
+// TestNamesThatDoNotExistAreBounced changes nothing, and names those that do.
+func TestNamesThatDoNotExistAreBounced(t *testing.T) {
+	for _, row := range []struct {
+		cmd  ledger.Command
+		says string
+	}{
+		{ledger.Command{Kind: ledger.KindSite, Name: "aa", On: true}, "known are: a"},
+		{ledger.Command{Kind: ledger.KindSite, Name: "", On: true}, "known are: a"},
+		{ledger.Command{Kind: ledger.KindDrain, Name: "w2", On: true}, "known are: w1"},
+		{ledger.Command{Kind: ledger.KindGone, Name: "w2"}, "known are: w1"},
+		{ledger.Command{Kind: ledger.KindMove, Name: "dispatch/b", Hello: ledger.Hello{For: "s1"}}, "known are: dispatch/a"},
+		{ledger.Command{Kind: ledger.KindMove, Name: ledgertest.Duty, Hello: ledger.Hello{For: "s9"}}, "known are: s1"},
+	} {
+		w := ledgertest.New(t)
+		w.Worker("w1", 4)
+		before := w.Ledger.Records()
+		a := w.Do(row.cmd)
+		if a.Code != code.UnknownName || !strings.Contains(a.Why, row.says) {
+			t.Errorf("%s %q: %v %s", row.cmd.Kind, row.cmd.Name, a.Code, a.Why)
+		}
+		ignored := func(r []machine.Record) []machine.Record {
+			return slices.DeleteFunc(slices.Clone(r), func(r machine.Record) bool { return r.Key == "position" })
+		}
+		if diff := cmp.Diff(ignored(before), ignored(w.Ledger.Records())); diff != "" {
+			t.Errorf("%s %q changed: %s", row.cmd.Kind, row.cmd.Name, diff)
+		}
+	}
+}
+
 func TestDutyMovesByItsHolderOrByAMajority(t *testing.T) {
 	w := ledgertest.New(t)
 	hello := func(h ledger.Hello) code.Code {
--- /dev/null
+++ b/core/ledger/memory.go
@@ -0,0 +1,137 @@
+// What the ledger remembers after the fact, bounded in time and number: the
+// operators' writes by their tokens, so that one that comes again is answered
+// as before and changes nothing, and jobs whose records are gone, so that one
+// handed in again is not started again.
+package ledger
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"sorrelloom/core/code"
+)
+
+const (
+	// RequestsFor is how long a token is remembered; an operator's write that
+	// was asked for longer ago is bounced.
+	RequestsFor = 10 * time.Minute
+	// RequestsMax is how many are remembered; past it, new ones must wait.
+	RequestsMax = 20000
+)
+
+// Request is an operator's write as it was answered.
+type Request struct {
+	At     time.Duration `json:"at"`
+	Digest string        `json:"digest"`
+	Answer Answer        `json:"answer"`
+}
+
+// Past is what is left of a job once its record is gone.
+type Past struct {
+	Digest  string        `json:"digest"`
+	Service string        `json:"service"`
+	Class   string        `json:"class"`
+	State   string        `json:"state"`
+	EndedAt time.Duration `json:"endedAt"`
+}
+
+// memory is a bounded map with its keys by age.
+type memory[V any] struct {
+	byKey map[string]V
+	order []string
+}
+
+func (m *memory[V]) put(key string, v V) {
+	m.byKey[key] = v
+	m.order = append(m.order, key)
+}
+
+// sort rebuilds the order after a load.
+func (m *memory[V]) sort(at func(V) time.Duration) {
+	m.order = slices.SortedFunc(maps.Keys(m.byKey), func(a, b string) int {
+		return cmp.Or(cmp.Compare(at(m.byKey[a]), at(m.byKey[b])), cmp.Compare(a, b))
+	})
+}
+
+// old gives the keys to forget: those past their time, and the oldest over max.
+func (m *memory[V]) old(most int, past func(V) bool) []string {
+	n := max(0, len(m.order)-most)
+	for n < len(m.order) && past(m.byKey[m.order[n]]) {
+		n++
+	}
+	return m.order[:n]
+}
+
+func (m *memory[V]) drop(n int) {
+	for _, key := range m.order[:n] {
+		delete(m.byKey, key)
+	}
+	m.order = m.order[n:]
+}
+
+// once carries out an operator's write unless its token is known.
+func (l *Ledger) once(cmd Command, do func() Answer) Answer {
+	if cmd.Token == "" {
+		return do()
+	}
+	sum := digest([]any{cmd.Kind, cmd.Name, cmd.On, cmd.Plan, cmd.Hello})
+	if known, ok := l.requests.byKey[cmd.Token]; ok {
+		switch {
+		case known.Digest != sum:
+			return bounce(code.OtherRequest, "the key %s was used for another request", cmd.Token)
+		case known.Answer.Code.Good():
+			known.Answer.Code = code.Same
+		}
+		return known.Answer
+	}
+	if l.at-cmd.Asked > RequestsFor {
+		return bounce(code.TooLate, "asked %s ago; what was asked over %s ago is not carried out", l.at-cmd.Asked, RequestsFor)
+	}
+	if len(l.requests.order) >= RequestsMax {
+		a := bounce(code.InboxFull, "%d writes of operators within %s", RequestsMax, RequestsFor)
+		a.RetryAfter = l.requests.byKey[l.requests.order[0]].At + RequestsFor - l.at
+		return a
+	}
+	a := do()
+	l.requests.put(cmd.Token, Request{l.at, sum, a})
+	l.touch("request", cmd.Token)
+	return a
+}
+
+// Past gives what is left of a job whose record is gone.
+func (l *Ledger) Past(id string) (Job, bool) {
+	p, ok := l.past.byKey[id]
+	return Job{Spec: JobSpec{ID: id, Service: p.Service, Class: p.Class}, State: p.State, EndedAt: p.EndedAt}, ok
+}
+
+// Unknown is the answer about a job of which nothing is known. It says how far
+// back the ledger can tell.
+func (l *Ledger) Unknown(id string) Answer {
+	if l.horizon > 0 {
+		return bounce(code.UnknownJob, "job %s is not known; of jobs that ended over %s ago nothing is", id, (l.at - l.horizon).Round(time.Second))
+	}
+	return bounce(code.UnknownJob, "job %s is not known; it was never accepted", id)
+}
+
+// forgotten says which keys of both memories are due.
+func (l *Ledger) forgotten(now time.Duration) (requests, past []string) {
+	limits := l.plan.Limits
+	requests = l.requests.old(RequestsMax, func(r Request) bool { return now > r.At+RequestsFor })
+	past = l.past.old(limits.RememberMax, func(p Past) bool { return now > p.EndedAt+limits.Remember.Duration })
+	return requests, past
+}
+
+func (l *Ledger) forgetOld(now time.Duration) {
+	requests, past := l.forgotten(now)
+	for _, token := range requests {
+		l.touch("request", token)
+	}
+	for _, id := range past {
+		l.horizon = max(l.horizon, l.past.byKey[id].EndedAt)
+		l.touch("past", id)
+	}
+	l.requests.drop(len(requests))
+	l.past.drop(len(past))
+}
--- a/core/ledger/turns.go
+++ b/core/ledger/turns.go
@@ -7,6 +7,7 @@
 package ledger
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -535,7 +536,9 @@
 			kept = append(kept, id)
 		}
 	}
-	slices.Sort(kept)
+	slices.SortFunc(kept, func(a, b string) int {
+		return cmp.Or(cmp.Compare(l.jobs[a].EndedAt, l.jobs[b].EndedAt), cmp.Compare(a, b))
+	})
 	for _, id := range kept {
 		out = append(out, due{"", func() { l.forget(id) }})
 	}
@@ -544,6 +547,9 @@
 			out = append(out, due{"", func() { delete(l.workers, id); l.touch("worker", id) }})
 		}
 	}
+	if requests, past := l.forgotten(now); len(requests)+len(past) > 0 {
+		out = append(out, due{"", func() { l.forgetOld(now) }})
+	}
 	for _, id := range slices.Sorted(maps.Keys(l.daemons)) {
 		if now > l.daemons[id].SeenAt+limits.Keep.Duration {
 			out = append(out, due{"", func() { delete(l.daemons, id); l.touch("daemon", id) }})
@@ -566,10 +572,13 @@
 }
 
 func (l *Ledger) forget(id string) {
-	for i := range l.jobs[id].Tasks {
-		l.count(l.jobs[id], i, -1)
+	job := l.jobs[id]
+	for i := range job.Tasks {
+		l.count(job, i, -1)
 	}
 	delete(l.jobs, id)
+	l.past.put(id, Past{digest(job.Spec), job.Spec.Service, job.Spec.Class, job.State, job.EndedAt})
+	l.touch("past", id)
 	l.touch("job", id)
 	l.changes = append(l.changes, Changed{Job: id, Task: -1})
 }
--- a/core/ledger/types.go
+++ b/core/ledger/types.go
@@ -164,10 +164,8 @@
 	Picks []Pick `json:"picks"`
 }
 
-// PlanChange is conditional on Base. Token marks one operator's call, so that
-// a repeat of it after silence is known as the same.
+// PlanChange is conditional on Base.
 type PlanChange struct {
-	Token  string          `json:"token,omitempty"`
 	Base   uint64          `json:"base"`
 	Forced bool            `json:"forced,omitempty"`
 	Patch  bool            `json:"patch,omitempty"`
@@ -203,13 +201,16 @@
 	KindRead    = "read"
 )
 
-// Command is one conditional write, stamped by the primary.
+// Command is one conditional write, stamped by the primary. Token marks one
+// operator's call and Asked when it came, so that a repeat changes nothing.
 type Command struct {
 	Position
 	At     time.Duration `json:"at"`
 	Kind   string        `json:"kind"`
 	Name   string        `json:"name,omitempty"`
 	On     bool          `json:"on,omitempty"`
+	Token  string        `json:"token,omitempty"`
+	Asked  time.Duration `json:"asked,omitempty"`
 	Accept JobSpec       `json:"accept,omitzero"`
 	Beat   Beat          `json:"beat,omitzero"`
 	Grant  Grant         `json:"grant,omitzero"`
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -89,14 +89,16 @@
 }
 
 type Limits struct {
-	Lease     Span `json:"lease"`
-	Margin    Span `json:"margin"`
-	StartBy   Span `json:"startBy"`
-	Silent    Span `json:"silent"`
-	Keep      Span `json:"keep"`
-	MaxLosses int  `json:"maxLosses"`
-	RunLimit  Span `json:"runLimit"`
-	MaxTasks  int  `json:"maxTasks"`
+	Lease       Span `json:"lease"`
+	Margin      Span `json:"margin"`
+	StartBy     Span `json:"startBy"`
+	Silent      Span `json:"silent"`
+	Keep        Span `json:"keep"`
+	Remember    Span `json:"remember"`
+	RememberMax int  `json:"rememberMax"`
+	MaxLosses   int  `json:"maxLosses"`
+	RunLimit    Span `json:"runLimit"`
+	MaxTasks    int  `json:"maxTasks"`
 }
 
 type Plan struct {
@@ -115,7 +117,7 @@
 		Policies: Policies{Order: "priority", Borrow: "waiting == 0 && idle - asked >= total / 8"},
 		Limits: Limits{
 			Lease: span(6 * time.Second), Margin: span(time.Second), StartBy: span(4 * time.Second),
-			Silent: span(3 * time.Second), Keep: span(10 * time.Minute), MaxLosses: 20,
+			Silent: span(3 * time.Second), Keep: span(10 * time.Minute), Remember: span(6 * time.Hour), RememberMax: 50000, MaxLosses: 20,
 			RunLimit: span(10 * time.Minute), MaxTasks: 1000,
 		},
 	}
--- a/daemon/cmd/sorrelctl/main.go
+++ b/daemon/cmd/sorrelctl/main.go
@@ -5,7 +5,6 @@
 
 import (
 	"crypto/rand"
-	"encoding/hex"
 	"errors"
 	"flag"
 	"fmt"
@@ -61,6 +60,7 @@
 	timeout := fs.Duration("timeout", 10*time.Second, "how long one front may take")
 	base := fs.Uint64("base", 0, "plan put, patch: the sequence the change is made on")
 	force := fs.Bool("force", false, "plan put, patch: whatever the sequence is")
+	key := fs.String("key", "", "operators' writes: the request's key, to repeat a call that had no answer; else a new one")
 	keys := fs.String("keys", "", "audit verify: comma-separated public keys; else those in the folders")
 	fs.Usage = func() {
 		fmt.Fprint(errs, usage)
@@ -106,12 +106,10 @@
 			return 2
 		}
 	}
-	var token [12]byte
-	if _, err := rand.Read(token[:]); err != nil {
-		fmt.Fprintln(errs, "sorrelctl:", err)
-		return 3
+	if *key == "" {
+		*key = rand.Text()
 	}
-	r, err := client.Must(strings.Split(*fronts, ",")).Call(c.method, c.path, body, map[string]string{"Idempotency-Key": hex.EncodeToString(token[:])}, *timeout+*wait)
+	r, err := client.Must(strings.Split(*fronts, ",")).Call(c.method, c.path, body, map[string]string{"Idempotency-Key": *key}, *timeout+*wait)
 	if err != nil {
 		fmt.Fprintln(errs, "sorrelctl: no front answered:", err)
 		return 3
--- a/daemon/web/web.go
+++ b/daemon/web/web.go
@@ -153,6 +153,9 @@
 
 func read(c *app.RequestContext, route Route) (machine.Ask, error) {
 	ask := machine.Ask{Kind: route.Kind, Name: c.Param("name"), On: route.On, Token: string(c.GetHeader("Idempotency-Key")), To: c.Query("to")}
+	if len(ask.Token) > 128 {
+		return ask, fmt.Errorf("Idempotency-Key: %d characters, 128 are taken", len(ask.Token))
+	}
 	ask.Body = append(json.RawMessage(nil), c.Request.Body()...)
 	for _, name := range []string{"wait", "hold"} {
 		if text := c.Query(name); text != "" {
--- a/tool/sim/actors.go
+++ b/tool/sim/actors.go
@@ -280,6 +280,10 @@
 // the request that was answered had been sent.
 func (s *Scenario) operate(ask machine.Ask, took func(sentAt time.Duration, r front.Reply)) {
 	turn := s.w.chance.IntN(len(s.fronts))
+	if ask.Token == "" {
+		s.asks++
+		ask.Token = fmt.Sprintf("ask-%d", s.asks)
+	}
 	var try func()
 	try = func() {
 		sentAt := s.w.Now
@@ -322,8 +326,6 @@
 
 // change makes one plan change on the sequence that the operator last saw.
 func (s *Scenario) change(operator int, body string) {
-	s.planTurn++
-	token := fmt.Sprintf("op%d-%d", operator, s.planTurn)
 	s.operate(machine.Ask{Kind: front.PlanGet}, func(_ time.Duration, r front.Reply) {
 		var now struct {
 			Sequence uint64 `json:"sequence"`
@@ -331,7 +333,7 @@
 		if r.Status != 200 || json.Unmarshal(machine.MustJSON(r.Body), &now) != nil {
 			return
 		}
-		s.operate(machine.Ask{Kind: front.PlanPatch, Body: []byte(body), Base: now.Sequence, Token: token}, func(sentAt time.Duration, r front.Reply) {
+		s.operate(machine.Ask{Kind: front.PlanPatch, Body: []byte(body), Base: now.Sequence}, func(sentAt time.Duration, r front.Reply) {
 			out, is := r.Body.(front.Outcome)
 			if !is {
 				return
--- a/tool/sim/scenario.go
+++ b/tool/sim/scenario.go
@@ -40,7 +40,7 @@
 	fronts   []string
 	keepers  []*node
 	lastAt   time.Duration
-	planTurn int
+	asks     int
 	races    int
 	plans    []planNote
 	repairAt time.Duration
@@ -102,7 +102,7 @@
 	}
 	s.w.onPlan = s.sawPlan
 	s.w.At(4*time.Second, func() {
-		s.operate(machine.Ask{Kind: front.PlanPut, Body: e.Deployment.Plan, Token: "first"}, func(sentAt time.Duration, r front.Reply) {
+		s.operate(machine.Ask{Kind: front.PlanPut, Body: e.Deployment.Plan}, func(sentAt time.Duration, r front.Reply) {
 			if out, ok := r.Body.(front.Outcome); ok && r.Status == 200 {
 				s.planned(sentAt, out.Sequence)
 			} else {
--- a/tool/sim/sim_test.go
+++ b/tool/sim/sim_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	frontd "sorrelloom/core/front"
 	"sorrelloom/core/machine"
 	"sorrelloom/core/wire"
 	"sorrelloom/tool/deploy"
@@ -191,6 +192,63 @@
 	}
 }
 
+// TestARepeatBringsNoOlderStateBack has operator A empty a site and force a plan,
+// and hear nothing; B refills it and changes the plan; then A's requests come
+// again: from a front that was frozen with them, and at another front after a
+// change of primary.
+func TestARepeatBringsNoOlderStateBack(t *testing.T) {
+	for _, how := range []string{"the frozen front wakes", "again at another front, after a change of primary"} {
+		e := env(t, "reseller", 91, "none")
+		e.For = 30 * time.Second
+		answers := map[string]int{}
+		e.Prepare = func(s *Scenario) {
+			s.w.Verbose = nil
+			call := func(at time.Duration, front int, who string, ask machine.Ask) {
+				s.w.At(at, func() {
+					s.w.Call("operator", "a", s.fronts[front], ask, 3*time.Second, func(r frontd.Reply, ok bool) {
+						out, _ := r.Body.(frontd.Outcome)
+						answers[fmt.Sprintf("%s %d %s", who, r.Status, out.Name)]++
+					})
+				})
+			}
+			empty := machine.Ask{Kind: frontd.Site, Name: "b", On: true, Token: "A1"}
+			force := machine.Ask{Kind: frontd.PlanPatch, Forced: true, Body: []byte(`{"limits":{"keep":"11m"}}`), Token: "A2"}
+			call(10*time.Second, 0, "A", empty)
+			call(10*time.Second, 0, "A", force)
+			if how == "the frozen front wakes" {
+				// What the front sends is sent, and sent again on waking.
+				s.w.At(9990*time.Millisecond, func() { s.w.Freeze(s.daemons[9]) })
+				call(10*time.Second, 1, "A at once", empty)
+				call(10*time.Second, 1, "A at once", force)
+				s.w.At(16*time.Second, func() { s.w.Wake(s.daemons[9]) })
+			} else {
+				s.w.At(13*time.Second, func() { s.hurt(9 * time.Second); s.w.Kill(s.primary()) })
+				call(17*time.Second, 2, "A again", empty)
+				call(17*time.Second, 2, "A again", force)
+			}
+			call(12*time.Second, 3, "B", machine.Ask{Kind: frontd.Site, Name: "b", Token: "B1"})
+			call(12*time.Second, 3, "B", machine.Ask{Kind: frontd.PlanPatch, Forced: true, Body: []byte(`{"limits":{"keep":"12m"}}`), Token: "B2"})
+			s.w.At(28*time.Second, func() {
+				s.w.Call("operator", "a", s.fronts[5], machine.Ask{Kind: frontd.Workers}, 3*time.Second, func(r frontd.Reply, ok bool) {
+					if !strings.Contains(string(machine.MustJSON(r.Body)), `"emptied":[]`) {
+						t.Errorf("%s: site b is emptied again: %.200s", how, machine.MustJSON(r.Body))
+					}
+				})
+				s.w.Call("operator", "a", s.fronts[5], machine.Ask{Kind: frontd.PlanGet}, 3*time.Second, func(r frontd.Reply, ok bool) {
+					if !strings.Contains(string(machine.MustJSON(r.Body)), `"keep":"12m0s"`) {
+						t.Errorf("%s: the older plan came back", how)
+					}
+					answers["looked"]++
+				})
+			})
+		}
+		if r := Play(e); len(r.Broken) > 0 || answers["looked"] != 1 || answers["B 200 ok"] != 2 {
+			t.Errorf("%s: %v, %v", how, answers, r.Broken)
+		}
+		t.Logf("%s: %v", how, answers)
+	}
+}
+
 func TestFaultsAreCheckedNotPassedOver(t *testing.T) {
 	if _, err := ParseFaults("kill,earthquake"); err == nil || !strings.Contains(err.Error(), "earthquake") {
 		t.Errorf("got %v", err)
