Follow who leads as told, join by seeds while no keeper is known, never confirm nothing

A site that booted as a whole knew only its own daemons and asked a seed one time in ten. And a primary whose ledger ran ahead of its commits answered a newcomer with an empty word, which passed for an up-to-date copy.

Changed: turn only when the keeper asked last said nothing; ask each seed in turn while no keeper is known; a whole copy waits until all in it is committed, and nothing is said before.

Ruled out: a shorter time to stale, which only asks the wrong keeper more often.

--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -63,6 +63,7 @@
 	askedAt  time.Duration
 	heardAt  time.Duration
 	loaded   bool
+	heard    bool // whether the keeper asked last has said anything, if only who leads
 }
 
 // New takes the daemon's address and site, and the first command number, which
@@ -168,6 +169,7 @@
 }
 
 func (c *Copy) news(now time.Duration, from string, b wire.NewsBody, out *machine.Output) {
+	c.heard = c.heard || from == c.primary
 	if b.Bounced {
 		switch {
 		case b.Relayed:
@@ -275,7 +277,7 @@
 // ask renews the subscription: at the site's home, or at the primary itself if
 // this is the home or the home has had no news lately.
 func (c *Copy) ask(now time.Duration, out *machine.Output) {
-	c.askedAt = now
+	c.askedAt, c.heard = now, false
 	if c.home != "" && c.home != c.self && now >= c.direct {
 		if now-c.heardAt <= 2*askEach+bounceWait || !c.loaded {
 			out.Send(c.home, wire.Follow, wire.FollowBody{At: c.Ledger.Position()})
@@ -298,7 +300,7 @@
 func (c *Copy) Wake(now time.Duration, out *machine.Output) []Result {
 	var results []Result
 	if now-c.askedAt >= askEach {
-		if now-c.heardAt > freshFor && (c.home == "" || c.home == c.self || now < c.direct) {
+		if !c.heard && (!c.loaded || now-c.heardAt > freshFor && (c.home == "" || c.home == c.self || now < c.direct)) {
 			c.rotate()
 		}
 		c.ask(now, out)
--- a/core/keeper/keeper.go
+++ b/core/keeper/keeper.go
@@ -117,6 +117,7 @@
 	nextWrite uint64
 	wroteAt   time.Duration
 	followers map[string]follower
+	copies    map[string]wire.NewsBody
 	told      uint64
 	entries   []ledger.Entry
 	found     map[string]finding
@@ -128,7 +129,7 @@
 // New rebuilds a keeper from its data file. Without an identity on the disk it
 // is a new keeper, whatever stood at its address before.
 func New(env Env, records []machine.Record) (*Keeper, error) {
-	k := &Keeper{env: env, peers: map[string]peer{}, writing: map[uint64]after{}, followers: map[string]follower{}, found: map[string]finding{}}
+	k := &Keeper{env: env, peers: map[string]peer{}, writing: map[uint64]after{}, followers: map[string]follower{}, copies: map[string]wire.NewsBody{}, found: map[string]finding{}}
 	k.seat = wire.Seat{Address: env.Address, Site: env.Site}
 	var rest []machine.Record
 	for _, r := range records {
@@ -406,6 +407,9 @@
 	}
 }
 
+// news tells one follower what it has not heard. Where the tail does not reach
+// back to it, that is a whole copy, which waits until all in it is committed;
+// until then nothing is said, since an empty word would pass for up to date.
 func (k *Keeper) news(address string, f follower, out *machine.Output) {
 	body := wire.NewsBody{Epoch: k.witness.Known.Epoch, After: f.at, At: f.at}
 	commands, ok := k.tail.Since(f.at)
@@ -416,8 +420,17 @@
 				body.At = c.Position
 			}
 		}
-	} else if k.committed == k.ledger.Position().Sequence {
-		body.Records, body.At = k.ledger.Records(), k.ledger.Position()
+	} else {
+		whole, waits := k.copies[address]
+		if !waits {
+			whole = wire.NewsBody{Epoch: body.Epoch, After: f.at, At: k.ledger.Position(), Records: k.ledger.Records()}
+		}
+		if whole.At.Sequence > k.committed {
+			k.copies[address], k.followers[address] = whole, f
+			return
+		}
+		delete(k.copies, address)
+		body = whole
 	}
 	k.followers[address] = follower{body.At, f.until}
 	out.Send(address, wire.News, body)
--- a/core/keeper/view.go
+++ b/core/keeper/view.go
@@ -24,6 +24,7 @@
 	for address, f := range k.followers {
 		if now > f.until {
 			delete(k.followers, address)
+			delete(k.copies, address)
 		}
 	}
 	switch {
@@ -308,7 +309,7 @@
 	}
 	if !k.leads() {
 		k.announce(out)
-		k.followers = map[string]follower{}
+		k.followers, k.copies = map[string]follower{}, map[string]wire.NewsBody{}
 	}
 	if p := k.peers[v.Primary.ID]; p.heardAt < now {
 		p.heardAt = now
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -85,6 +85,7 @@
 func (m *Member) shuffle(now time.Duration, out *machine.Output) {
 	m.self.Sequence++
 	var addresses []string
+	lost := true
 	for id, e := range m.entries {
 		if now-e.seen > forgetAfter {
 			m.bury(now, id)
@@ -92,6 +93,7 @@
 			continue
 		}
 		addresses = append(addresses, e.node.Address)
+		lost = lost && e.node.Role != "keeper"
 	}
 	for id, e := range m.graves {
 		if now-e.seen > graveFor {
@@ -99,7 +101,12 @@
 		}
 	}
 	sort.Strings(addresses)
-	if seed := m.env.Seeds; len(seed) > 0 && (len(addresses) < 2 || m.self.Sequence%10 == 0) {
+	if seed := m.env.Seeds; len(seed) > 0 && lost {
+		// Without a keeper nothing can be followed: each seed is asked in turn.
+		if to := seed[m.self.Sequence%uint64(len(seed))]; to != m.self.Address {
+			out.Send(to, wire.Shuffle, wire.Gossip{Nodes: m.sample()})
+		}
+	} else if len(seed) > 0 && (len(addresses) < 2 || m.self.Sequence%10 == 0) {
 		addresses = append(addresses, seed[m.chance.IntN(len(seed))])
 	}
 	if len(addresses) > 0 {
