Judge cancelling, emptying, draining, gangs and spent tasks on real processes too

Cause: the judge of real runs knew neither cancellations, emptied sites nor draining, nor when a job showed as over, so the fleet test proved those promises on nothing.

Changed: a story of a real fleet holds runs, jobs, sites and workers with the times of the answers, in one clock, and is judged by the simulator's oracle, which counts what it judged. One test drains, withdraws, empties and refills, cancels a job of 80 tasks, starts a gang, spends a task, bounces a misspelt site and changes the plan under short jobs. The 2, 3 and 5 s are judged from starts in the workers' records, which the ledger's order and the workers' 2 s rule bound on any machine; no verdict rests on how fast it ran.

Ruled out: asserting the time a plan takes to reach each daemon here; the simulator does.

--- a/tool/e2e/e2e_test.go
+++ b/tool/e2e/e2e_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 
@@ -128,12 +129,9 @@
 	}
 }
 
-// judge collects the workers' own records and has the oracle judge them: they
-// know nothing of the ledger. Every task of the jobs must have ended well once.
-func judge(t *testing.T, f *fleet.Fleet, d deploy.Deployment, jobs []ledger.JobSpec) {
+// records collects the workers' own records, which know nothing of the ledger.
+func records(t *testing.T, f *fleet.Fleet, d deploy.Deployment) (runs []worker.Run, workers []worker.Env) {
 	t.Helper()
-	var runs []worker.Run
-	var workers []worker.Env
 	for _, name := range f.Names() {
 		p, err := f.Member(name)
 		if err != nil || p.Role != "standin" {
@@ -147,6 +145,13 @@
 		}
 		runs = append(runs, own...)
 	}
+	return runs, workers
+}
+
+// judge has the oracle judge them. Every task of the jobs must have ended well once.
+func judge(t *testing.T, f *fleet.Fleet, d deploy.Deployment, jobs []ledger.JobSpec) {
+	t.Helper()
+	runs, workers := records(t, f, d)
 	story := sim.Story{Runs: runs, Workers: workers}
 	for _, spec := range jobs {
 		story.Jobs = append(story.Jobs, sim.JobNote{Spec: spec, State: ledger.Done})
@@ -342,3 +347,138 @@
 		t.Errorf("one wins, the other is told the sequence: %d %s, %d %s", a.Status, a.Body, b.Status, b.Body)
 	}
 }
+
+func clock() time.Duration { return time.Duration(time.Now().UnixNano()) }
+
+// TestFleetKeepsItsWordToOperators drains, withdraws, empties, cancels, starts a
+// gang, spends a task and changes the plan on real processes, while short jobs
+// come all the time; the workers' records and the times of the answers judge.
+func TestFleetKeepsItsWordToOperators(t *testing.T) {
+	f := start(t, "reseller", 3, 3, 2, 5)
+	d, _ := deploy.Get("reseller")
+	story := sim.Story{}
+	call := func(method, path string, body []byte) client.Response {
+		t.Helper()
+		var r client.Response
+		ok := fleet.Until(patience, func() bool {
+			var err error
+			r, err = f.Client.Call(method, path, body, nil, 10*time.Second)
+			return err == nil && r.Status != 503
+		})
+		if !ok {
+			t.Fatalf("%s %s: %d %s", method, path, r.Status, r.Body)
+		}
+		return r
+	}
+	must := func(method, path string, body []byte) {
+		t.Helper()
+		if r := call(method, path, body); r.Status != 200 {
+			t.Fatalf("%s %s: %d %s", method, path, r.Status, r.Body)
+		}
+	}
+	hand := func(spec ledger.JobSpec) int {
+		submit(t, f, spec)
+		story.Jobs = append(story.Jobs, sim.JobNote{Spec: spec})
+		return len(story.Jobs) - 1
+	}
+	see := func(i int) string {
+		var view front.JobView
+		r := call("GET", "/v1/jobs/"+story.Jobs[i].Spec.ID, nil)
+		if r.Status != 200 || r.Decode(&view) != nil {
+			t.Fatalf("status of %s: %d %s", story.Jobs[i].Spec.ID, r.Status, r.Body)
+		}
+		if story.Jobs[i].State = view.State; view.State == ledger.Done || view.State == ledger.Failed || view.State == ledger.Cancelled {
+			story.Jobs[i].Over = clock()
+		}
+		return view.State
+	}
+	until := func(i int, states ...string) {
+		t.Helper()
+		if !fleet.Until(patience, func() bool { return slices.Contains(states, see(i)) }) {
+			t.Fatalf("%s is %s, not %v", story.Jobs[i].Spec.ID, story.Jobs[i].State, states)
+		}
+	}
+	many := deploy.Traffic{Class: "check", Steps: []int{80}, RunMs: 1500, Cores: 1}
+	cancelled := hand(many.Job(d.Service, "cancelled"))
+	until(cancelled, ledger.Running)
+	must("DELETE", "/v1/jobs/cancelled", nil)
+	story.Jobs[cancelled].Cancelled = clock()
+
+	gang := deploy.Traffic{Class: "check", Steps: []int{5}, RunMs: 300, Cores: 1}.Job(d.Service, "gang")
+	for i := range gang.Tasks {
+		gang.Tasks[i].Gang = "g"
+	}
+	whole := hand(gang)
+	spent := deploy.Traffic{Class: "lookup", Steps: []int{1}, RunMs: 20, Cores: 1}.Job(d.Service, "spent")
+	spent.Tasks[0].Payload, spent.Tasks[0].AllowedDefects = []byte(`{"runMs":20,"fail":true}`), 2
+	failed := hand(spent)
+	until(failed, ledger.Failed)
+	until(whole, ledger.Done)
+
+	if r := call("POST", "/v1/sites/nowhere/empty", nil); r.Status != 404 {
+		t.Errorf("a site that does not exist: %d %s", r.Status, r.Body)
+	}
+	must("POST", "/v1/sites/b/empty", nil)
+	story.Emptied = append(story.Emptied, sim.SiteNote{Site: "b", From: clock()})
+	must("POST", "/v1/workers/standin-1/drain", nil)
+	story.Left = append(story.Left, sim.WorkerNote{Worker: "standin-1", From: clock(), To: 1 << 62})
+	leaving, err := f.Member("standin-3")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r, err := f.Client.At(leaving.HTTP, "POST", "/faults", []byte(`{"leave":true}`), nil, 5*time.Second); err != nil || r.Status != 200 {
+		t.Fatalf("leave: %v %s", err, r.Body)
+	}
+	story.Left = append(story.Left, sim.WorkerNote{Worker: "standin-3", From: clock(), To: 1 << 62})
+	// Short jobs come until the longest of the bounds is well over.
+	last := 0
+	for i := 0; clock() < story.Emptied[0].From+8*time.Second; i++ {
+		last = hand(d.Traffic[0].Job(d.Service, fmt.Sprintf("short-%d", i)))
+		until(last, ledger.Done)
+	}
+	must("POST", "/v1/sites/b/refill", nil)
+	story.Emptied[0].To = clock()
+	must("PATCH", "/v1/plan?force=true", []byte(`{"limits":{"maxLosses":21}}`))
+	for _, name := range f.Names() {
+		p, err := f.Member(name)
+		if err != nil || p.Role == "standin" {
+			continue
+		}
+		seen := fleet.Until(patience, func() bool {
+			var status struct {
+				Plan uint64 `json:"planSequence"`
+			}
+			r, err := f.Client.At(p.HTTP, "GET", "/status", nil, nil, time.Second)
+			return err == nil && r.Decode(&status) == nil && status.Plan >= 2
+		})
+		if !seen {
+			t.Errorf("%s does not show the new plan", name)
+		}
+	}
+	until(cancelled, ledger.Cancelled)
+	story.Runs, story.Workers = records(t, f, d)
+	broken, judged := sim.JudgeStory(story)
+	for _, b := range broken {
+		t.Errorf("%s: %s", b.Check, b.Why)
+	}
+	for _, check := range []string{"start-while-draining", "start-in-emptied-site", "start-after-cancel", "gang-alone", "defects-spent", "finished-with-open-task", "twice-at-once", "over-room"} {
+		if judged[check] == 0 {
+			t.Errorf("%s judged nothing", check)
+		}
+	}
+	tries := 0
+	for _, r := range story.Runs {
+		if r.Job == "spent" {
+			tries++
+		}
+	}
+	if tries != 2 || last == 0 {
+		t.Errorf("a task with two allowed defects ran %d times; %d jobs", tries, len(story.Jobs))
+	}
+	// The same records with one start too many must be found.
+	spoiled := story
+	spoiled.Runs = append(slices.Clone(story.Runs), worker.Run{Attempt: ledger.Attempt{Job: "cancelled", Task: "s1-80", Try: 9}, Worker: "standin-2", Class: "check", Service: d.Service, From: story.Emptied[0].From + 6*time.Second, To: story.Emptied[0].From + 7*time.Second, Outcome: "stopped"})
+	if found, _ := sim.JudgeStory(spoiled); len(found) < 2 {
+		t.Errorf("a start in an emptied site of a cancelled job is not found: %v", found)
+	}
+}
