--- a/tool/cmd/simulate/main.go
+++ b/tool/cmd/simulate/main.go
@@ -28,6 +28,7 @@
 	to := fs.Uint64("to", 1, "last seed")
 	faults := fs.String("faults", "all", "comma-separated kinds, all, or none: "+strings.Join(sim.KindNames(), " "))
 	day := fs.Duration("for", 60*time.Second, "how long jobs and faults come, in virtual time")
+	line := fs.String("line", "", "play one line of the brief, by name, or all, and say what was judged; -faults is not used")
 	verbose := fs.Bool("verbose", false, "print every event")
 	if err := ff.Parse(fs, os.Args[1:]); err != nil {
 		if errors.Is(err, flag.ErrHelp) {
@@ -57,6 +58,9 @@
 	if fs.NArg() > 0 {
 		return bad("unexpected words: %v", fs.Args())
 	}
+	if *line != "" {
+		return lines(*line, sim.Env{Deployment: d, For: *day}, *from, int(*to-*from)+1, bad)
+	}
 	failed := 0
 	judged, excused := map[string]int{}, map[string]int{}
 	for seed := *from; seed <= *to; seed++ {
@@ -97,3 +101,31 @@
 	}
 	return 0
 }
+
+// lines plays lines of the brief and ends with 1 if one does not hold.
+func lines(name string, e sim.Env, from uint64, count int, bad func(string, ...any) int) int {
+	chosen := sim.Lines
+	if name != "all" {
+		one, err := sim.LineByName(name)
+		if err != nil {
+			return bad("%v", err)
+		}
+		chosen = []sim.Line{one}
+	}
+	status := 0
+	for _, l := range chosen {
+		days, err := l.Days(e, from, count)
+		if err != nil {
+			return bad("%v", err)
+		}
+		holds, text := l.Verdict(sim.PlayAll(days))
+		fmt.Printf("must never happen: %s\n", l.Text)
+		for _, t := range text {
+			fmt.Println("  " + t)
+		}
+		if !holds {
+			status = 1
+		}
+	}
+	return status
+}
--- a/tool/sim/sim_test.go
+++ b/tool/sim/sim_test.go
@@ -86,6 +86,35 @@
 	}
 }
 
+// TestEveryLineIsPlayed plays each line of the brief once under the faults that
+// bring it about. A verdict without anything judged must not hold.
+func TestEveryLineIsPlayed(t *testing.T) {
+	var days []Env
+	for i, l := range Lines {
+		e := env(t, []string{"podcast", "reseller"}[i%2], 0, "none")
+		played, err := l.Days(e, 900+uint64(i), 1)
+		if err != nil {
+			t.Fatalf("%s: %v", l.Name, err)
+		}
+		days = append(days, played...)
+	}
+	covered := map[string]bool{}
+	for i, r := range PlayAll(days) {
+		if holds, text := Lines[i].Verdict([]Result{r}); !holds {
+			t.Errorf("%v", text)
+		}
+		if holds, _ := Lines[i].Verdict([]Result{{}}); holds {
+			t.Errorf("%s holds with nothing judged", Lines[i].Name)
+		}
+		for _, check := range Lines[i].Checks {
+			covered[check] = true
+		}
+	}
+	if len(covered) != len(Checks) {
+		t.Errorf("%d of %d checks belong to a line", len(covered), len(Checks))
+	}
+}
+
 func TestOneSeedIsOneRun(t *testing.T) {
 	e := env(t, "reseller", 7, "all")
 	e.For = 25 * time.Second
