--- /dev/null
+++ b/core/agent/contract.go
@@ -0,0 +1,76 @@
+// What an agent takes from the worker that it stands beside, and what it tells
+// it. A worker calls; the agent never does. The translator of an outside system
+// fills a Call from what the worker says and writes a Told back in its words.
+package agent
+
+import (
+	"time"
+
+	"sorrelloom/core/ledger"
+)
+
+// The kinds of requests that an agent takes: a worker's call, with a Call as
+// value, answered with a Told; and its word that it is gone, with its name.
+const (
+	AskCall  = "call"
+	AskLeave = "leave"
+)
+
+// How a run ended.
+const (
+	Good    = "good"
+	Failed  = "failed"
+	Stopped = "stopped"
+	Lost    = "lost" // through no fault of its own: lapsed, refused, or its gang broke
+)
+
+// Run is one attempt that a worker runs.
+type Run struct {
+	ledger.Attempt
+	Saved   string
+	Percent int
+}
+
+// Ended is one end, by the worker's own count, which rises from 1 in each life.
+type Ended struct {
+	Number uint64
+	Run
+	How string
+	Why string
+}
+
+// Call is all that a worker says of itself. Number rises with every call of a
+// worker; a worker that crashed comes back under another name.
+type Call struct {
+	Worker   string
+	Number   uint64
+	Address  string
+	Service  string
+	Site     string
+	Rack     string
+	Labels   []string
+	Free     ledger.Room
+	Leaving  bool
+	LeavesIn time.Duration
+	Running  []Run
+	Ended    []Ended
+}
+
+// Begin is an order to start one attempt.
+type Begin struct {
+	ledger.Attempt
+	Payload []byte
+	Saved   string
+}
+
+// Told is the answer to a call. Hold is how long everything may run on, counted
+// from the sending of the call at the latest; Seen is the count up to which ends
+// may be forgotten; Fence never falls; Again is when to call next.
+type Told struct {
+	Hold   time.Duration
+	Begins []Begin
+	Stops  []ledger.Attempt
+	Seen   uint64
+	Fence  uint64
+	Again  time.Duration
+}
--- a/core/ledger/types.go
+++ b/core/ledger/types.go
@@ -25,14 +25,60 @@
 	AllowedDefects int             `json:"allowedDefects,omitempty"`
 	Silence        string          `json:"silence,omitempty"`
 	Payload        json.RawMessage `json:"payload,omitempty"`
+	Placing
+	// Time is the number of the job's due time that the task belongs to.
+	Time int `json:"time,omitempty"`
 }
 
+// Placing is what a task asks for besides room and labels.
+type Placing struct {
+	// Guess is roughly how long a run takes.
+	Guess plan.Span `json:"guess,omitzero"`
+	// NearRack is the rack that holds the data; any other will do, but slower.
+	NearRack string `json:"nearRack,omitempty"`
+	// SameRack asks for a gang on one rack; spread it runs too, but slower.
+	SameRack bool `json:"sameRack,omitempty"`
+	// PerWorker bounds how many of a step stand on one worker; 0 does not.
+	PerWorker int `json:"perWorker,omitempty"`
+	// Progress says that what a run has saved is handed to the next one.
+	Progress bool `json:"progress,omitempty"`
+	// Copies says that runs beside one another do no harm.
+	Copies bool `json:"copies,omitempty"`
+	// Lasting tasks run until their job is cancelled, and start again however they end.
+	Lasting bool `json:"lasting,omitempty"`
+}
+
+// StepSpec is many like tasks in one line: the task with index N of step S at
+// the time T has the id "T.S.N".
+type StepSpec struct {
+	Count  int      `json:"count"`
+	After  []int    `json:"after,omitempty"`
+	Room   Room     `json:"room"`
+	Labels []string `json:"labels,omitempty"`
+	Gang   bool     `json:"gang,omitempty"`
+	Placing
+}
+
+// Repeat has the steps run Count times; time T is due at FirstAt + T*Every.
+type Repeat struct {
+	Count   int       `json:"count"`
+	FirstAt time.Time `json:"firstAt"`
+	Every   plan.Span `json:"every"`
+}
+
+// JobSpec names its tasks one by one or as steps. Host and Path, where set,
+// choose service and class by the plan's entries.
 type JobSpec struct {
-	ID      string     `json:"id"`
-	Service string     `json:"service"`
-	Class   string     `json:"class"`
-	Cutoff  plan.Span  `json:"cutoff,omitzero"`
-	Tasks   []TaskSpec `json:"tasks"`
+	ID      string          `json:"id"`
+	Host    string          `json:"host,omitempty"`
+	Path    string          `json:"path,omitempty"`
+	Service string          `json:"service"`
+	Class   string          `json:"class"`
+	Cutoff  plan.Span       `json:"cutoff,omitzero"`
+	Payload json.RawMessage `json:"payload,omitempty"`
+	Steps   []StepSpec      `json:"steps,omitempty"`
+	Repeat  Repeat          `json:"repeat,omitzero"`
+	Tasks   []TaskSpec      `json:"tasks,omitempty"`
 }
 
 // Attempt names one try of one task, for ever.
@@ -44,11 +90,23 @@
 
 func (a Attempt) String() string { return fmt.Sprintf("%s/%s/%d", a.Job, a.Task, a.Try) }
 
+// End is one reported end. Lost is an end through no fault of the attempt, which
+// counts for nothing; Saved is what it had saved by then.
 type End struct {
 	Attempt
 	Good    bool   `json:"good"`
 	Stopped bool   `json:"stopped,omitempty"`
+	Lost    bool   `json:"lost,omitempty"`
 	Why     string `json:"why,omitempty"`
+	Saved   string `json:"saved,omitempty"`
+	Percent int    `json:"percent,omitempty"`
+}
+
+// Progress is what a running attempt has saved, and how far it says it is.
+type Progress struct {
+	Attempt
+	Saved   string `json:"saved"`
+	Percent int    `json:"percent,omitempty"`
 }
 
 type Beat struct {
@@ -64,6 +122,12 @@
 	Free        Room      `json:"free"`
 	Total       Room      `json:"total,omitzero"`
 	Leaving     bool      `json:"leaving,omitempty"`
+	// LeavesIn is how long a leaving worker still runs what it has; 0 is unknown.
+	LeavesIn time.Duration `json:"leavesIn,omitempty"`
+	// Address, where given, belongs to one worker at a time: a newcomer at it
+	// proves that the one before it is gone, with all that it ran.
+	Address  string     `json:"address,omitempty"`
+	Progress []Progress `json:"progress,omitempty"`
 }
 
 // Turn is a grant in force. Stop, once set, says why it is to end. Limit is how
@@ -105,6 +169,12 @@
 	Why        string        `json:"why,omitempty"`
 	FailedOn   []string      `json:"failedOn,omitempty"`
 	Turn       Turn          `json:"turn,omitzero"`
+	// DueAt keeps a task waiting until then; Saved is what its runs have saved.
+	DueAt   time.Duration `json:"dueAt,omitempty"`
+	Saved   string        `json:"saved,omitempty"`
+	Percent int           `json:"percent,omitempty"`
+	// DefectTry is the try whose defect was counted last, so that a gang's counts once.
+	DefectTry int `json:"defectTry,omitempty"`
 }
 
 func (t Task) Closed() bool { return t.State == Done || t.State == Failed || t.State == Cancelled }
@@ -166,12 +236,14 @@
 	For   Pick   `json:"for,omitzero"`
 }
 
-// PlanChange is conditional on Base.
+// PlanChange is conditional on Base. Sequence, where set, is the number that the
+// plan is to have, above the current one; else it is the next.
 type PlanChange struct {
-	Base   uint64          `json:"base"`
-	Forced bool            `json:"forced,omitempty"`
-	Patch  bool            `json:"patch,omitempty"`
-	Body   json.RawMessage `json:"body"`
+	Base     uint64          `json:"base"`
+	Sequence uint64          `json:"sequence,omitempty"`
+	Forced   bool            `json:"forced,omitempty"`
+	Patch    bool            `json:"patch,omitempty"`
+	Body     json.RawMessage `json:"body"`
 }
 
 // Hello keeps a scheduler's registration and its duties. With Want it is a vote
@@ -200,24 +272,47 @@
 	KindHello   = "hello"
 	KindMove    = "move"
 	KindTick    = "tick"
-	KindRead    = "read"
+	// KindTake is the primary's own dispatcher taking a duty; nobody else may send it.
+	KindTake = "take"
+	// What follows changes nothing: a job, a class's waiting tasks, the plan, an
+	// operator's write by its token, or just the proof that the primary leads.
+	KindRead        = "read"
+	KindReadCount   = "read-count"
+	KindReadPlan    = "read-plan"
+	KindReadRequest = "read-request"
+	KindProve       = "prove"
 )
 
+// Reads says whether a kind of command changes nothing.
+func Reads(kind string) bool {
+	switch kind {
+	case KindRead, KindReadCount, KindReadPlan, KindReadRequest, KindProve:
+		return true
+	}
+	return false
+}
+
 // Command is one conditional write, stamped by the primary. Token marks one
 // operator's call and Asked when it came, so that a repeat changes nothing.
 type Command struct {
 	Position
-	At     time.Duration `json:"at"`
-	Kind   string        `json:"kind"`
-	Name   string        `json:"name,omitempty"`
-	On     bool          `json:"on,omitempty"`
-	Token  string        `json:"token,omitempty"`
-	Asked  time.Duration `json:"asked,omitempty"`
-	Accept JobSpec       `json:"accept,omitzero"`
-	Beat   Beat          `json:"beat,omitzero"`
-	Grant  Grant         `json:"grant,omitzero"`
-	Plan   PlanChange    `json:"plan,omitzero"`
-	Hello  Hello         `json:"hello,omitzero"`
+	At    time.Duration `json:"at"`
+	Kind  string        `json:"kind"`
+	Name  string        `json:"name,omitempty"`
+	On    bool          `json:"on,omitempty"`
+	Token string        `json:"token,omitempty"`
+	Asked time.Duration `json:"asked,omitempty"`
+	// Wall is the primary's time of day, by which due times are placed.
+	Wall time.Time `json:"wall,omitzero"`
+	// Host and Path choose an entry; Brief asks for an answer without tasks.
+	Host   string     `json:"host,omitempty"`
+	Path   string     `json:"path,omitempty"`
+	Brief  bool       `json:"brief,omitempty"`
+	Accept JobSpec    `json:"accept,omitzero"`
+	Beat   Beat       `json:"beat,omitzero"`
+	Grant  Grant      `json:"grant,omitzero"`
+	Plan   PlanChange `json:"plan,omitzero"`
+	Hello  Hello      `json:"hello,omitzero"`
 }
 
 // Start is an order to run one attempt.
@@ -230,17 +325,22 @@
 	RunLimit plan.Span       `json:"runLimit,omitzero"`
 	Holders  []string        `json:"holders,omitempty"`
 	Payload  json.RawMessage `json:"payload,omitempty"`
+	Saved    string          `json:"saved,omitempty"`
 }
 
-// Orders is the reply to a beat.
+// Orders is the reply to a beat. Epoch is that of the primary it comes from.
 type Orders struct {
+	Epoch       uint64        `json:"epoch,omitempty"`
 	Starts      []Start       `json:"starts,omitempty"`
 	Stops       []Attempt     `json:"stops,omitempty"`
 	Acks        []Attempt     `json:"acks,omitempty"`
 	Lease       time.Duration `json:"lease,omitempty"`
 	Incarnation int64         `json:"incarnation,omitempty"`
+	// Number, in the answer to a stale beat, is the last beat that was taken.
+	Number uint64 `json:"number,omitempty"`
 }
 
+// Answer is the end of a command. Count and Plan answer reads.
 type Answer struct {
 	Code       code.Code     `json:"code"`
 	Why        string        `json:"why,omitempty"`
@@ -249,6 +349,8 @@
 	Orders     Orders        `json:"orders,omitzero"`
 	Job        Job           `json:"job,omitzero"`
 	Faults     []plan.Fault  `json:"faults,omitempty"`
+	Count      int           `json:"count,omitempty"`
+	Plan       *plan.Plan    `json:"plan,omitempty"`
 }
 
 func bounce(c code.Code, format string, args ...any) Answer {
--- a/core/machine/machine.go
+++ b/core/machine/machine.go
@@ -40,8 +40,10 @@
 	Records []Record
 }
 
-// Ask is a request from outside: its key is handed back with the answer.
+// Ask is a request from outside: its key is handed back with the answer. Value
+// is a request that is decoded already.
 type Ask struct {
+	Value  any
 	Key    uint64
 	Kind   string
 	Name   string
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -45,6 +45,22 @@
 	InboxMax int    `json:"inboxMax,omitempty"`
 	RunLimit Span   `json:"runLimit,omitzero"`
 	Silence  string `json:"silence,omitempty"`
+	// AllowedDefects is what a task gets that names none; 0 stands for 3.
+	AllowedDefects int `json:"allowedDefects,omitempty"`
+	// Aim and Stretch say by when a job ought to be over: Stretch times its
+	// longest chain of guessed run times, and Aim on top. They order, and bound nothing.
+	Aim     Span    `json:"aim,omitzero"`
+	Stretch float64 `json:"stretch,omitempty"`
+}
+
+// Entry sends what callers ask for by host and path to a class: the longest
+// prefix of those for the host counts.
+type Entry struct {
+	Name    string `json:"name"`
+	Host    string `json:"host"`
+	Prefix  string `json:"prefix"`
+	Service string `json:"service"`
+	Class   string `json:"class"`
 }
 
 // What a worker's silence means for a task that it may have ended well: start
@@ -57,30 +73,37 @@
 type Service struct {
 	Classes map[string]Class `json:"classes"`
 	Labels  []string         `json:"labels,omitempty"`
-	Largest Room             `json:"largestWorker"`
+	// Largest is the largest worker that the service may have; without it every
+	// need is taken, and waits for a worker that can meet it.
+	Largest Room `json:"largestWorker,omitzero"`
+	// AnyLabel: tasks may ask for any label, since their workers name their own.
+	AnyLabel bool `json:"anyLabel,omitempty"`
 }
 
-// Room is what a task needs and what a worker has.
+// Room is what a task needs and what a worker has. Shares are parts of the
+// slots; what a slot stands for, a place or a thousandth of a core, is the
+// operator's choice.
 type Room struct {
-	Slots    int `json:"slots"`
-	Cores    int `json:"cores,omitempty"`
-	MemoryMB int `json:"memoryMB,omitempty"`
+	Slots        int `json:"slots"`
+	Cores        int `json:"cores,omitempty"`
+	MemoryMB     int `json:"memoryMB,omitempty"`
+	Accelerators int `json:"accelerators,omitempty"`
 }
 
 func (r Room) Add(o Room) Room {
-	return Room{r.Slots + o.Slots, r.Cores + o.Cores, r.MemoryMB + o.MemoryMB}
+	return Room{r.Slots + o.Slots, r.Cores + o.Cores, r.MemoryMB + o.MemoryMB, r.Accelerators + o.Accelerators}
 }
 
 func (r Room) Less(o Room) Room {
-	return Room{r.Slots - o.Slots, r.Cores - o.Cores, r.MemoryMB - o.MemoryMB}
+	return Room{r.Slots - o.Slots, r.Cores - o.Cores, r.MemoryMB - o.MemoryMB, r.Accelerators - o.Accelerators}
 }
 
 func (r Room) Holds(o Room) bool {
-	return r.Slots >= o.Slots && r.Cores >= o.Cores && r.MemoryMB >= o.MemoryMB
+	return r.Slots >= o.Slots && r.Cores >= o.Cores && r.MemoryMB >= o.MemoryMB && r.Accelerators >= o.Accelerators
 }
 
 func (r Room) Least(o Room) Room {
-	return Room{min(r.Slots, o.Slots), min(r.Cores, o.Cores), min(r.MemoryMB, o.MemoryMB)}
+	return Room{min(r.Slots, o.Slots), min(r.Cores, o.Cores), min(r.MemoryMB, o.MemoryMB), min(r.Accelerators, o.Accelerators)}
 }
 
 type Policies struct {
@@ -99,13 +122,34 @@
 	MaxLosses   int  `json:"maxLosses"`
 	RunLimit    Span `json:"runLimit"`
 	MaxTasks    int  `json:"maxTasks"`
+	// EndsAtCutoff says that whatever stands over the workers ends their attempts
+	// when the lease is over, so that no run limit need be waited for.
+	EndsAtCutoff bool `json:"endsAtCutoff,omitempty"`
 }
 
+// Plan is the operator's plan. Document is what an outside system's translator
+// keeps with it, handed back as it was.
 type Plan struct {
 	Sequence uint64             `json:"sequence"`
 	Services map[string]Service `json:"services"`
+	Entries  []Entry            `json:"entries,omitempty"`
+	Sites    []string           `json:"sites,omitempty"`
 	Policies Policies           `json:"policies"`
 	Limits   Limits             `json:"limits"`
+	Document json.RawMessage    `json:"document,omitempty"`
+}
+
+// Find gives the entry for a host and path: the longest prefix counts. Hosts are
+// compared without regard to case.
+func (p Plan) Find(host, path string) (Entry, bool) {
+	var best Entry
+	found := false
+	for _, e := range p.Entries {
+		if strings.EqualFold(e.Host, host) && strings.HasPrefix(path, e.Prefix) && (!found || len(e.Prefix) > len(best.Prefix)) {
+			best, found = e, true
+		}
+	}
+	return best, found
 }
 
 func span(d time.Duration) Span { return Span{d} }
@@ -221,6 +265,17 @@
 			faults = append(faults, Fault{code.BadPlan, "/services/" + name, fmt.Sprintf("the shares add up to %d, over 100", sum)})
 		}
 	}
+	places := map[[2]string]bool{}
+	for i, e := range p.Entries {
+		place := [2]string{strings.ToLower(e.Host), e.Prefix}
+		if places[place] {
+			faults = append(faults, Fault{code.BadPlan, fmt.Sprintf("/entries/%d", i), "another entry has this host and prefix"})
+		}
+		places[place] = true
+		if _, ok := p.Services[e.Service].Classes[e.Class]; !ok {
+			faults = append(faults, Fault{code.BadPlan, fmt.Sprintf("/entries/%d", i), fmt.Sprintf("no class %q of a service %q", e.Class, e.Service)})
+		}
+	}
 	if p.Limits.StartBy.Duration >= p.Limits.Lease.Duration {
 		faults = append(faults, Fault{code.BadPlan, "/limits/startBy", "must be shorter than the lease"})
 	}
--- a/core/wire/wire.go
+++ b/core/wire/wire.go
@@ -140,6 +140,8 @@
 	At      uint64        `json:"at,omitempty"`
 	Answer  ledger.Answer `json:"answer"`
 	Primary string        `json:"primary,omitempty"`
+	// Keepers are the addresses of the view's keepers, for those who follow nothing.
+	Keepers []string `json:"keepers,omitempty"`
 }
 
 type FollowBody struct {
@@ -168,6 +170,8 @@
 }
 
 type BeatBackBody struct {
-	ID     uint64        `json:"id"`
-	Answer ledger.Answer `json:"answer"`
+	ID      uint64        `json:"id"`
+	Answer  ledger.Answer `json:"answer"`
+	Primary string        `json:"primary,omitempty"`
+	Keepers []string      `json:"keepers,omitempty"`
 }
