--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -10,6 +10,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math"
 	"slices"
 	"sort"
@@ -44,6 +45,9 @@
 	room                   ledger.Room
 	gangSlots, level       int
 	depends                bool
+	near                   string
+	// only is set where tasks of another step are judged apart.
+	only string
 }
 
 type waiting struct {
@@ -180,7 +184,10 @@
 
 func kindOf(job ledger.Job, i int) kind {
 	spec := job.Spec.Tasks[i]
-	k := kind{job.Spec.Service, job.Spec.Class, strings.Join(spec.Labels, ","), spec.Room, 0, job.Tasks[i].Level, len(spec.After) > 0}
+	k := kind{job.Spec.Service, job.Spec.Class, strings.Join(spec.Labels, ","), spec.Room, 0, job.Tasks[i].Level, len(spec.Needs) > 0, spec.NearRack, ""}
+	if spec.PerWorker > 0 {
+		k.only = fmt.Sprintf("%s/%d/%d", job.Spec.ID, spec.Time, job.Tasks[i].Level)
+	}
 	if spec.Gang != "" {
 		k.gangSlots = gangSlots(job, i)
 	}
@@ -291,7 +298,7 @@
 
 type seat struct {
 	worker             string
-	spared             bool
+	spared, near       bool
 	locality, busyness float64
 	siblings           int
 }
@@ -312,7 +319,7 @@
 		if l.Fits(job, at.Task, w) != code.OK || !w.Capacity.Holds(job.Spec.Tasks[at.Task].Room) || d.barred(l, job, at.Task, w) {
 			continue
 		}
-		s := seat{w.ID(), d.spared(l, w) && !d.probes(l, job, w), d.Locality(job, at, w.ID()), d.busyness(l, w), d.siblings(job, at, w.ID())}
+		s := seat{w.ID(), d.spared(l, w) && !d.probes(l, job, w), near(job, at.Task, w), d.Locality(job, at, w.ID()), d.busyness(l, w), d.siblings(job, at, w.ID())}
 		if allSpared && !s.spared {
 			least, allSpared = s.busyness, false
 		} else if s.spared == allSpared {
@@ -333,8 +340,16 @@
 	d.put(job, at, seats[best].worker)
 }
 
+// near says whether a worker stands at the rack that holds a task's data.
+func near(job ledger.Job, i int, w ledger.Worker) bool {
+	rack := job.Spec.Tasks[i].NearRack
+	return rack == "" || rack == w.Rack
+}
+
 func (s seat) before(o seat) bool {
 	switch {
+	case s.near != o.near:
+		return s.near
 	case s.locality != o.locality:
 		return s.locality > o.locality
 	case s.siblings != o.siblings:
@@ -363,19 +378,17 @@
 // Locality is |H ∩ D| / |D|: of what the task depends on, the part that the
 // worker has completed. Without dependencies it is 0 for every worker.
 func (d *Dispatch) Locality(job ledger.Job, at Ref, worker string) float64 {
-	after := job.Spec.Tasks[at.Task].After
-	if len(after) == 0 {
+	needs := job.Spec.Tasks[at.Task].Needs
+	if len(needs) == 0 {
 		return 0
 	}
 	held := 0
-	for i, other := range job.Spec.Tasks {
-		for _, dep := range after {
-			if dep == other.ID && d.entries[worker][Ref{at.Job, i}] == holds {
-				held++
-			}
+	for _, i := range needs {
+		if d.entries[worker][Ref{at.Job, i}] == holds {
+			held++
 		}
 	}
-	return float64(held) / float64(len(after))
+	return float64(held) / float64(len(needs))
 }
 
 func (d *Dispatch) sorted(l *ledger.Ledger, set map[Ref]bool) []Ref {
--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -76,7 +76,7 @@
 // a quick one, and only when the worker's pause is over and it has nothing.
 func (d *Dispatch) probes(l *ledger.Ledger, job ledger.Job, w ledger.Worker) bool {
 	quick := l.Plan().Services[job.Spec.Service].Classes[job.Spec.Class].Quick
-	return !quick && l.At() >= d.health[w.ID()].until && d.slots[w.ID()] == 0 && len(l.TurnsOn(w.ID())) == 0
+	return !quick && l.At() >= d.health[w.ID()].until && d.slots[w.ID()] == 0 && l.CountOn(w.ID()) == 0
 }
 
 func (h health) sick() bool { return h.fails > sickAbove }
@@ -107,11 +107,11 @@
 	if !d.spared(l, w) {
 		return true
 	}
-	h, busy := d.health[w.ID()], len(l.TurnsOn(w.ID()))+heldSlots
+	h, used := d.health[w.ID()], w.Capacity.Slots-l.Room(w.ID()).Slots+heldSlots
 	if h.sick() {
-		return busy == 0 && l.At() >= h.until
+		return l.CountOn(w.ID())+heldSlots == 0 && l.At() >= h.until
 	}
-	return busy < max(1, int(float64(w.Capacity.Slots)/h.pace))
+	return used < max(1, int(float64(w.Capacity.Slots)/h.pace))
 }
 
 // barred says whether a task has failed on this worker and could run on
--- a/core/dispatch/pick.go
+++ b/core/dispatch/pick.go
@@ -6,6 +6,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"sorrelloom/core/code"
@@ -177,7 +178,7 @@
 			if !ok || held.Tasks[t.at] || skip[t.at] || ownerTakes && l.At()-job.Tasks[t.at.Task].ReleasedAt < Patience {
 				continue
 			}
-			if d.barred(l, job, t.at.Task, w) || d.kept(l, w, g.kind, t.number) {
+			if l.Crowded(job, t.at.Task, w.ID(), 0) || d.barred(l, job, t.at.Task, w) || d.kept(l, w, g.kind, t.number) {
 				continue
 			}
 			d.Counters.Looked++
@@ -289,10 +290,7 @@
 		add(b.at.Task, worker)
 		return choice, true
 	}
-	free := map[string]ledger.Room{}
-	for _, w := range l.Workers() {
-		free[w.ID()] = l.Room(w.ID()).Less(held.Room[w.ID()])
-	}
+	var members []int
 	for i, spec := range b.job.Spec.Tasks {
 		t := b.job.Tasks[i]
 		if spec.Gang != gang || t.State == ledger.Done {
@@ -301,22 +299,79 @@
 		if t.State != ledger.Open || t.Turn.Held() || held.Tasks[Ref{b.at.Job, i}] {
 			return Choice{}, false
 		}
-		to := ""
-		for _, w := range l.Workers() {
-			if l.Fits(b.job, i, w) != code.OK || !free[w.ID()].Holds(spec.Room) {
+		members = append(members, i)
+	}
+	for _, rack := range d.racks(l, b, worker) {
+		if seats, ok := d.seats(l, b.job, members, worker, rack, held); ok {
+			for n, i := range members {
+				add(i, seats[n])
+			}
+			return choice, true
+		}
+	}
+	return Choice{}, false
+}
+
+// racks are the places to try for a gang: one rack after the other, that of its
+// data and the asking worker's first, if it asks for one; then all of them.
+func (d *Dispatch) racks(l *ledger.Ledger, b best, worker string) []string {
+	spec := b.job.Spec.Tasks[b.at.Task]
+	if !spec.SameRack {
+		return []string{""}
+	}
+	w, _ := l.Worker(worker)
+	var out []string
+	for _, rack := range []string{spec.NearRack, w.Rack} {
+		if rack != "" && !slices.Contains(out, rack) {
+			out = append(out, rack)
+		}
+	}
+	for _, other := range l.Workers() {
+		if other.Rack != "" && !slices.Contains(out, other.Rack) {
+			out = append(out, other.Rack)
+		}
+	}
+	return append(out, "")
+}
+
+// seats finds room for every member of a gang at once, on one rack if that is
+// named: by the asking worker first, then near its data, then by free room.
+func (d *Dispatch) seats(l *ledger.Ledger, job ledger.Job, members []int, worker, rack string, held Held) ([]string, bool) {
+	workers := l.Workers()
+	free, on := make([]ledger.Room, len(workers)), make([]int, len(workers))
+	for n, w := range workers {
+		if rack == "" || w.Rack == rack {
+			free[n] = l.Room(w.ID()).Less(held.Room[w.ID()])
+		}
+	}
+	out := make([]string, 0, len(members))
+	for _, i := range members {
+		to, need := -1, job.Spec.Tasks[i].Room
+		for n, w := range workers {
+			if !free[n].Holds(need) || l.Fits(job, i, w) != code.OK || l.Crowded(job, i, w.ID(), on[n]) || !d.ration(l, w, 0) {
 				continue
 			}
-			if to == "" || w.ID() == worker || to != worker && free[w.ID()].Slots > free[to].Slots {
-				to = w.ID()
+			if to < 0 {
+				to = n
+				continue
+			}
+			isNear, wasNear := near(job, i, w), near(job, i, workers[to])
+			if isNear != wasNear {
+				if isNear {
+					to = n
+				}
+			} else if w.ID() == worker || workers[to].ID() != worker && free[n].Slots > free[to].Slots {
+				to = n
 			}
 		}
-		if to == "" {
-			return Choice{}, false
+		if to < 0 {
+			return nil, false
 		}
-		free[to] = free[to].Less(spec.Room)
-		add(i, to)
+		free[to] = free[to].Less(need)
+		on[to]++
+		out = append(out, workers[to].ID())
 	}
-	return choice, true
+	return out, true
 }
 
 // PushOut finds borrowed turns to ask back on a site's workers: for tasks that
--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -81,6 +81,10 @@
 
 func (c *Copy) Loaded() bool { return c.loaded }
 
+// View is the copy's ledger; Own says that it is not the primary's own.
+func (c *Copy) View() *ledger.Ledger { return c.Ledger }
+func (c *Copy) Own() bool            { return false }
+
 // Submit sends a command and gives the number its result will carry.
 func (c *Copy) Submit(now time.Duration, cmd ledger.Command, wait time.Duration, out *machine.Output) uint64 {
 	c.next++
--- a/core/keeper/keeper.go
+++ b/core/keeper/keeper.go
@@ -24,6 +24,8 @@
 	Founders []string
 	FreshID  string
 	Boot     uint64
+	// Dispatches says that a dispatcher in the same process takes the changes.
+	Dispatches bool
 }
 
 const (
@@ -122,6 +124,8 @@
 	entries   []ledger.Entry
 	found     map[string]finding
 	nodes     []wire.Node
+	own       []wire.CommandBackBody
+	wall      time.Time
 	stopping  bool
 	wakeAt    time.Duration
 }
@@ -180,12 +184,49 @@
 func (k *Keeper) leads() bool            { return k.witness.Known.Primary.ID == k.seat.ID }
 func (k *Keeper) backs() bool            { return k.witness.Known.Backup.ID == k.seat.ID }
 
+// Flush writes and sends what commands of the same process have changed.
+func (k *Keeper) Flush(now time.Duration) machine.Output {
+	var out machine.Output
+	k.flush(now, &out)
+	return out
+}
+
+// Keepers are the addresses of the known view's seats.
+func (k *Keeper) Keepers() []string {
+	out := make([]string, 0, len(k.witness.Known.Witnesses))
+	for _, seat := range k.witness.Known.Witnesses {
+		out = append(out, seat.Address)
+	}
+	return out
+}
+
+// Proven says whether this keeper serves and its backup has just confirmed it.
+func (k *Keeper) Proven(now time.Duration) bool { return k.proven(now) }
+
+// Command takes a command from the same process; its answer comes by TakeOwn.
+func (k *Keeper) Command(now time.Duration, id uint64, cmd ledger.Command, out *machine.Output) {
+	k.command(now, "", wire.CommandBody{ID: id, Command: cmd}, out)
+}
+
+// HasOwn says whether there are any.
+func (k *Keeper) HasOwn() bool { return len(k.own) > 0 }
+
+// TakeOwn hands over the answers to the process's own commands.
+func (k *Keeper) TakeOwn() []wire.CommandBackBody {
+	out := k.own
+	k.own = nil
+	return out
+}
+
 // Step is the whole keeper.
 func (k *Keeper) Step(now time.Duration, in machine.Input) machine.Output {
 	var out machine.Output
 	if k.startAt == 0 {
 		k.startAt, k.beganAt = now, now
 	}
+	if !in.Wall.IsZero() {
+		k.wall = in.Wall
+	}
 	switch {
 	case in.Wrote > 0:
 		k.wrote(now, in.Wrote, &out)
@@ -246,44 +287,44 @@
 
 func (k *Keeper) command(now time.Duration, from string, b wire.CommandBody, out *machine.Output) {
 	if !k.proven(now) {
-		out.Send(from, wire.CommandBack, k.notPrimary(b.ID))
+		k.back(from, k.notPrimary(b.ID), out)
 		return
 	}
 	if len(k.answers) > inFlight {
-		out.Send(from, wire.CommandBack, wire.CommandBackBody{ID: b.ID, Answer: ledger.Answer{
+		k.back(from, wire.CommandBackBody{ID: b.ID, Answer: ledger.Answer{
 			Code: code.InboxFull, Why: "too many writes are under way", RetryAfter: time.Second,
-		}})
+		}}, out)
+		return
+	}
+	if b.Command.Kind == ledger.KindTake && from != "" {
+		out.Send(from, wire.CommandBack, wire.CommandBackBody{ID: b.ID, Answer: ledger.Answer{Code: code.Malformed, Why: "only the primary itself takes a duty"}})
 		return
 	}
 	var answer ledger.Answer
-	if b.Command.Kind == ledger.KindRead {
-		answer = k.read(b.Command.Name)
+	if ledger.Reads(b.Command.Kind) {
+		answer = k.ledger.Read(b.Command)
 	} else {
 		answer = k.apply(now, b.Command)
 	}
-	k.answers = append(k.answers, pending{from, wire.CommandBackBody{ID: b.ID, At: k.ledger.Position().Sequence, Answer: answer}, k.ledger.Position().Sequence, k.token + 1})
-}
-
-func (k *Keeper) read(name string) ledger.Answer {
-	job, ok := k.ledger.Job(name)
-	if !ok {
-		job, ok = k.ledger.Past(name)
+	body := wire.CommandBackBody{ID: b.ID, At: k.ledger.Position().Sequence, Answer: answer}
+	if b.Command.Kind == ledger.KindProve {
+		body.Keepers = k.Keepers()
 	}
-	if !ok {
-		return k.ledger.Unknown(name)
-	}
-	return ledger.Answer{Code: code.OK, Job: job}
+	k.answers = append(k.answers, pending{from, body, k.ledger.Position().Sequence, k.token + 1})
 }
 
 func (k *Keeper) apply(now time.Duration, cmd ledger.Command) ledger.Answer {
 	cmd.Position = ledger.Position{Epoch: k.witness.Known.Epoch, Sequence: k.ledger.Position().Sequence + 1}
 	cmd.At = k.leadingAt + now - k.beganAt
+	if cmd.Kind == ledger.KindAccept && cmd.Accept.Repeat.Count > 0 {
+		cmd.Wall = k.wall
+	}
 	k.tail.Add(cmd)
 	return k.ledger.Apply(cmd)
 }
 
 func (k *Keeper) notPrimary(id uint64) wire.CommandBackBody {
-	b := wire.CommandBackBody{ID: id, Answer: ledger.Answer{Code: code.NotPrimary, Why: "this keeper does not lead now"}}
+	b := wire.CommandBackBody{ID: id, Answer: ledger.Answer{Code: code.NotPrimary, Why: "this keeper does not lead now"}, Keepers: k.Keepers()}
 	if !k.leads() {
 		b.Primary = k.witness.Known.Primary.Address
 	}
@@ -299,7 +340,9 @@
 	if len(k.writing) > 0 {
 		return
 	}
-	k.ledger.TakeChanges()
+	if !k.env.Dispatches {
+		k.ledger.TakeChanges()
+	}
 	if k.entries = append(k.entries, k.ledger.TakeEntries()...); !k.serving && len(k.entries) > 2*entryMax {
 		k.entries = slices.Clone(k.entries[len(k.entries)-entryMax:])
 	}
@@ -380,7 +423,7 @@
 		if a.sequence > k.committed || a.token > backup.token {
 			break
 		}
-		out.Send(a.to, wire.CommandBack, a.body)
+		k.back(a.to, a.body, out)
 	}
 	k.answers = slices.Clone(k.answers[n:])
 	done := 0
@@ -391,6 +434,15 @@
 	k.tell(out)
 }
 
+// back sends a command's answer, or keeps it for the process's own dispatcher.
+func (k *Keeper) back(to string, body wire.CommandBackBody, out *machine.Output) {
+	if to == "" {
+		k.own = append(k.own, body)
+		return
+	}
+	out.Send(to, wire.CommandBack, body)
+}
+
 // tell pushes committed commands to the followers.
 func (k *Keeper) tell(out *machine.Output) {
 	if k.committed <= k.told {
--- a/core/keeper/view.go
+++ b/core/keeper/view.go
@@ -299,7 +299,7 @@
 	k.put(keyRegister, k.witness)
 	k.proposal, k.asked = register.Proposal{}, wire.Ballot{}
 	for _, a := range k.answers {
-		out.Send(a.to, wire.CommandBack, k.notPrimary(a.body.ID))
+		k.back(a.to, k.notPrimary(a.body.ID), out)
 	}
 	k.answers, k.acks, k.serving, k.committed = nil, nil, false, 0
 	k.beganAt = now
--- a/core/ledger/check.go
+++ b/core/ledger/check.go
@@ -15,6 +15,16 @@
 
 // Normal fills what the caller left out.
 func Normal(spec JobSpec) JobSpec {
+	spec.Steps = slices.Clone(spec.Steps)
+	for i := range spec.Steps {
+		if spec.Steps[i].Room == (Room{}) {
+			spec.Steps[i].Room.Slots = 1
+		}
+	}
+	if len(spec.Steps) > 0 {
+		spec.Tasks = nil
+		return spec
+	}
 	spec.Tasks = slices.Clone(spec.Tasks)
 	for i, t := range spec.Tasks {
 		if t.Room == (Room{}) {
@@ -33,6 +43,14 @@
 	if !nameShape.MatchString(spec.ID) {
 		return bounce(code.BadJob, "/id: must match %s", nameShape)
 	}
+	if len(spec.Steps) > 0 {
+		if a := l.checkSteps(spec); !a.Code.Good() {
+			return a
+		}
+		spec.Tasks = expand(spec)
+	} else if spec.Repeat != (Repeat{}) {
+		return bounce(code.BadJob, "/repeat: only a job in steps can be repeated")
+	}
 	if len(spec.Tasks) == 0 || len(spec.Tasks) > l.plan.Limits.MaxTasks {
 		return bounce(code.BadJob, "/tasks: between 1 and %d tasks are taken", l.plan.Limits.MaxTasks)
 	}
@@ -54,6 +72,9 @@
 		}
 		index[t.ID] = i
 	}
+	if spec.Steps == nil {
+		spec.Tasks = placed(spec)
+	}
 	for i, t := range spec.Tasks {
 		for j, dep := range t.After {
 			if _, ok := index[dep]; !ok {
@@ -69,11 +90,14 @@
 		if t.Room.Slots < 1 || t.Room.Cores < 0 || t.Room.MemoryMB < 0 {
 			return bounce(code.BadJob, "/tasks/%d/room: at least 1 slot, nothing below 0", i)
 		}
-		if !service.Largest.Holds(t.Room) {
+		if t.PerWorker < 0 || t.Room.Accelerators < 0 {
+			return bounce(code.BadJob, "/tasks/%d: nothing below 0", i)
+		}
+		if service.Largest != (Room{}) && !service.Largest.Holds(t.Room) {
 			return bounce(code.Impossible, "/tasks/%d/room: the largest worker of %s has %+v", i, spec.Service, service.Largest)
 		}
 		for j, label := range t.Labels {
-			if !slices.Contains(service.Labels, label) {
+			if !service.AnyLabel && !slices.Contains(service.Labels, label) {
 				return bounce(code.Impossible, "/tasks/%d/labels/%d: no worker of %s may have %q", i, j, spec.Service, label)
 			}
 		}
@@ -100,16 +124,25 @@
 // gang counts as one point, so a circle through a gang is found too.
 func levelsOf(spec JobSpec) []int {
 	levels := make([]int, len(spec.Tasks))
-	index, gangs := map[string]int{}, map[string]int{}
-	for i, t := range spec.Tasks {
-		index[t.ID] = i
+	if len(spec.Steps) > 0 {
+		ofStep := make([]int, len(spec.Steps))
+		for s, step := range spec.Steps {
+			for _, dep := range step.After {
+				ofStep[s] = max(ofStep[s], ofStep[dep]+1)
+			}
+		}
+		for i, t := range spec.Tasks {
+			levels[i] = ofStep[t.Step]
+		}
+		return levels
 	}
+	gangs := map[string]int{}
 	for range 2*len(spec.Tasks) + 2 {
 		moved := false
 		for i, t := range spec.Tasks {
 			level := max(levels[i], gangs[t.Gang])
-			for _, dep := range t.After {
-				level = max(level, levels[index[dep]]+1)
+			for _, dep := range t.Needs {
+				level = max(level, levels[dep]+1)
 			}
 			if t.Gang != "" {
 				gangs[t.Gang] = level
@@ -123,3 +156,26 @@
 	}
 	return nil
 }
+
+// checkSteps judges what expanding the steps rests on.
+func (l *Ledger) checkSteps(spec JobSpec) Answer {
+	total, r := 0, spec.Repeat
+	if r.Count < 0 || r.Count > l.plan.Limits.MaxTasks || r.Count > 1 && r.Every.Duration <= 0 {
+		return bounce(code.BadJob, "/repeat: count is at least 0, every is over 0")
+	}
+	for s, step := range spec.Steps {
+		if step.Count < 1 || step.Count > l.plan.Limits.MaxTasks {
+			return bounce(code.BadJob, "/steps/%d/count: between 1 and %d", s, l.plan.Limits.MaxTasks)
+		}
+		total += step.Count
+		for j, dep := range step.After {
+			if dep < 0 || dep >= s || slices.Index(step.After, dep) != j {
+				return bounce(code.BadJob, "/steps/%d/after/%d: an earlier step, once", s, j)
+			}
+		}
+	}
+	if total*max(1, r.Count) > l.plan.Limits.MaxTasks {
+		return bounce(code.BadJob, "/steps: at most %d tasks are taken", l.plan.Limits.MaxTasks)
+	}
+	return Answer{Code: code.OK}
+}
--- a/core/ledger/explain.go
+++ b/core/ledger/explain.go
@@ -55,13 +55,14 @@
 
 func (l *Ledger) missing(job Job, i int) []string {
 	var out []string
-	for j, spec := range job.Spec.Tasks {
-		for _, dep := range job.Spec.Tasks[i].After {
-			if dep == spec.ID && job.Tasks[j].State != Done {
-				out = append(out, dep)
-			}
+	for _, j := range job.Spec.Tasks[i].Needs {
+		if job.Tasks[j].State != Done {
+			out = append(out, job.Spec.Tasks[j].ID)
 		}
 	}
+	if job.Tasks[i].DueAt > l.at {
+		out = append(out, fmt.Sprintf("its time in %s", (job.Tasks[i].DueAt-l.at).Round(time.Second)))
+	}
 	return out
 }
 
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -6,12 +6,13 @@
 package ledger
 
 import (
-	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"maps"
 	"slices"
 	"sort"
+	"strconv"
 	"strings"
 	"time"
 
@@ -58,6 +59,8 @@
 	inbox   map[[2]string]int
 	waiting map[need]int
 	active  map[string]bool
+	over    []string
+	timed   map[ref]bool
 	dirty   map[[2]string]bool
 	changes []Changed
 	lookups lookups
@@ -95,17 +98,23 @@
 // index rebuilds what is derived from the records.
 func (l *Ledger) index() {
 	l.turns, l.inbox = map[string]map[ref]bool{}, map[[2]string]int{}
-	l.waiting, l.active = map[need]int{}, map[string]bool{}
+	l.waiting, l.active, l.timed = map[need]int{}, map[string]bool{}, map[ref]bool{}
+	l.over = nil
 	l.requests.sort(func(r Request) time.Duration { return r.At })
 	l.past.sort(func(p Past) time.Duration { return p.EndedAt })
 	for id, job := range l.jobs {
 		if !ended(job) {
 			l.active[id] = true
+		} else {
+			l.over = append(l.over, id)
 		}
 		for i := range job.Tasks {
 			l.count(job, i, 1)
 		}
 	}
+	slices.SortFunc(l.over, func(a, b string) int {
+		return cmp.Or(cmp.Compare(l.jobs[a].EndedAt, l.jobs[b].EndedAt), cmp.Compare(a, b))
+	})
 	l.changes = append(l.changes, Changed{All: true})
 }
 
@@ -119,8 +128,13 @@
 	if !t.Closed() {
 		l.inbox[class] += by
 	}
+	at := ref{job.Spec.ID, i}
+	if t.State == Waiting && t.DueAt > 0 && by > 0 {
+		l.timed[at] = true
+	} else {
+		delete(l.timed, at)
+	}
 	if t.Turn.Held() {
-		at := ref{job.Spec.ID, i}
 		if l.turns[t.Turn.Worker] == nil {
 			l.turns[t.Turn.Worker] = map[ref]bool{}
 		}
@@ -160,10 +174,12 @@
 	job.Tasks[at.task] = t
 	l.jobs[at.job] = job
 	l.count(job, at.task, 1)
-	l.touch("job", at.job)
+	l.touch("task", taskKey(at))
 	l.changes = append(l.changes, Changed{Job: at.job, Task: at.task})
 }
 
+func taskKey(at ref) string { return at.job + "/" + strconv.Itoa(at.task) }
+
 func (l *Ledger) touch(bucket, key string) { l.dirty[[2]string{bucket, key}] = true }
 
 func (l *Ledger) Position() Position { return l.position }
@@ -181,6 +197,9 @@
 // Apply makes one change, or bounces it leaving everything as it was. It never
 // looks at a clock: cmd.At is ledger time, and never runs backwards.
 func (l *Ledger) Apply(cmd Command) Answer {
+	if cmd.Epoch != l.position.Epoch && l.position.Epoch > 0 {
+		l.newLead(max(l.at, cmd.At))
+	}
 	l.position = cmd.Position
 	defer func() {
 		l.lookups = lookups{}
@@ -190,9 +209,9 @@
 	l.touch("meta", "position")
 	switch cmd.Kind {
 	case KindAccept:
-		return l.accept(cmd.Accept)
+		return l.accept(cmd)
 	case KindCancel:
-		return l.cancel(cmd.Name)
+		return l.cancel(cmd)
 	case KindBeat:
 		return l.beat(cmd.Beat)
 	case KindGrant:
@@ -213,64 +232,136 @@
 		return l.once(cmd, func() Answer { return l.move(cmd.Name, cmd.Hello.For) })
 	case KindTick:
 		return l.tick()
+	case KindTake:
+		return l.take(cmd.Name, cmd.Hello)
 	}
 	return bounce(code.Malformed, "unknown command %q", cmd.Kind)
 }
 
-func (l *Ledger) accept(spec JobSpec) Answer {
-	spec = Normal(spec)
+// newLead lengthens every lease when another primary leads: the one before may
+// have renewed it up to its last moment without a word in the ledger.
+func (l *Ledger) newLead(at time.Duration) {
+	for id, w := range l.workers {
+		w.CutoffAt = max(w.CutoffAt, at+l.plan.Limits.Lease.Duration)
+		l.workers[id] = w
+		l.touch("worker", id)
+	}
+}
+
+// resolve finds the class of a job that names host and path.
+func (l *Ledger) resolve(host, path string) (plan.Entry, Answer) {
+	if l.plan.Sequence == 0 {
+		a := bounce(code.NoPlan, "there is no plan yet")
+		a.RetryAfter = time.Second
+		return plan.Entry{}, a
+	}
+	e, ok := l.plan.Find(host, path)
+	if !ok {
+		return e, bounce(code.NoEntry, "the plan has no entry for %s%s", host, path)
+	}
+	return e, Answer{Code: code.OK}
+}
+
+func (l *Ledger) brief(cmd Command, c code.Code, job Job) Answer {
+	if cmd.Brief {
+		job = job.Brief()
+	}
+	return Answer{Code: c, Job: job}
+}
+
+func (l *Ledger) accept(cmd Command) Answer {
+	spec := cmd.Accept
+	if spec.Host != "" {
+		e, a := l.resolve(spec.Host, spec.Path)
+		if !a.Code.Good() {
+			return a
+		}
+		if old, ok := l.jobs[spec.ID]; ok {
+			e.Service, e.Class = old.Spec.Service, old.Spec.Class
+		}
+		spec.Service, spec.Class = e.Service, e.Class
+	}
+	sum := digest(Normal(spec))
 	if old, ok := l.jobs[spec.ID]; ok {
-		if !sameSpec(old.Spec, spec) {
+		if old.Digest != sum {
 			return bounce(code.OtherContent, "job %s was accepted before with other content", spec.ID)
 		}
-		return Answer{Code: code.Same, Job: old}
+		return l.brief(cmd, code.Same, old)
 	}
 	if old, ok := l.past.byKey[spec.ID]; ok {
-		if old.Digest != digest(spec) {
+		if old.Digest != sum {
 			return bounce(code.OtherContent, "job %s was accepted before with other content", spec.ID)
 		}
 		job, _ := l.Past(spec.ID)
 		return Answer{Code: code.Same, Job: job}
 	}
+	spec = l.filled(Normal(spec))
 	if a := l.Check(spec); !a.Code.Good() {
 		return a
 	}
-	job := Job{Spec: spec, State: Waiting, AcceptedAt: l.at, Tasks: make([]Task, len(spec.Tasks))}
-	levels := levelsOf(spec)
-	for i := range spec.Tasks {
-		job.Tasks[i] = Task{Number: l.next, State: Waiting, Level: levels[i]}
-		l.next++
+	spec.Tasks = placed(spec)
+	job := Job{Spec: spec, Digest: sum, First: l.next, State: Waiting, AcceptedAt: l.at}
+	job.Tasks = fresh(job)
+	for i, t := range spec.Tasks {
+		if spec.Repeat.Count > 0 {
+			due := spec.Repeat.FirstAt.Add(time.Duration(t.Time) * spec.Repeat.Every.Duration)
+			job.Tasks[i].DueAt = max(1, l.at+due.Sub(cmd.Wall))
+		}
 	}
+	l.next += uint64(len(spec.Tasks))
 	l.jobs[spec.ID], l.active[spec.ID] = job, true
 	l.touch("job", spec.ID)
-	l.decide(Decision{Kind: "accept", Job: spec.ID, Digest: digest(spec)})
+	l.decide(Decision{Kind: "accept", Job: spec.ID, Digest: job.Digest})
 	for i := range job.Tasks {
 		l.count(job, i, 1)
+		if job.Tasks[i].DueAt > 0 {
+			l.touch("task", taskKey(ref{spec.ID, i}))
+		}
 	}
 	l.release(spec.ID)
-	return Answer{Code: code.OK, Job: l.jobs[spec.ID]}
+	return l.brief(cmd, code.OK, l.jobs[spec.ID])
 }
 
-func sameSpec(a, b JobSpec) bool {
-	return bytes.Equal(machine.MustJSON(a), machine.MustJSON(b))
+// filled takes what the class says where steps say nothing.
+func (l *Ledger) filled(spec JobSpec) JobSpec {
+	spec.Steps = slices.Clone(spec.Steps)
+	for i := range spec.Steps {
+		if spec.Steps[i].AllowedDefects == 0 {
+			spec.Steps[i].AllowedDefects = cmp.Or(l.plan.Services[spec.Service].Classes[spec.Class].AllowedDefects, 3)
+		}
+	}
+	return spec
 }
 
-// release opens every task whose dependencies are all done, and ends the job
-// once nothing of it is open or runs.
+// fresh is how the tasks of a job begin.
+func fresh(job Job) []Task {
+	levels := levelsOf(job.Spec)
+	out := make([]Task, len(job.Spec.Tasks))
+	for i := range out {
+		out[i] = Task{Number: job.First + uint64(i), State: Waiting, Level: levels[i]}
+	}
+	return out
+}
+
+// release opens every task whose time has come and whose dependencies are all
+// done, and ends the job once nothing of it is open or runs.
 func (l *Ledger) release(id string) {
 	job := l.jobs[id]
-	byID := map[string]Task{}
-	for i, spec := range job.Spec.Tasks {
-		byID[spec.ID] = job.Tasks[i]
-	}
+	type answer struct{ known, ready bool }
+	steps := map[*int]answer{}
 	for i, spec := range job.Spec.Tasks {
 		t := job.Tasks[i]
-		if t.State != Waiting || job.Ending != "" {
+		if t.State != Waiting || job.Ending != "" || t.DueAt > l.at {
 			continue
 		}
 		ready := true
-		for _, dep := range spec.After {
-			ready = ready && byID[dep].State == Done
+		if len(spec.Needs) > 0 {
+			known := steps[&spec.Needs[0]]
+			if !known.known {
+				known = answer{true, !slices.ContainsFunc(spec.Needs, func(j int) bool { return job.Tasks[j].State != Done })}
+				steps[&spec.Needs[0]] = known
+			}
+			ready = known.ready
 		}
 		if ready {
 			t.State, t.ReleasedAt = Open, l.at
@@ -306,6 +397,7 @@
 			l.decide(Decision{Kind: "over", Job: id, Good: state == Done})
 			job.EndedAt = l.at
 			delete(l.active, id)
+			l.over = append(l.over, id)
 		}
 		l.jobs[id] = job
 		l.touch("job", id)
@@ -335,7 +427,13 @@
 	l.settle(id)
 }
 
-func (l *Ledger) cancel(id string) Answer {
+func (l *Ledger) cancel(cmd Command) Answer {
+	id := cmd.Name
+	if cmd.Host != "" {
+		if _, a := l.resolve(cmd.Host, cmd.Path); !a.Code.Good() {
+			return a
+		}
+	}
 	if past, ok := l.Past(id); ok {
 		return Answer{Code: code.Same, Job: past}
 	}
@@ -344,11 +442,11 @@
 		return l.Unknown(id)
 	}
 	if ended(job) || job.Ending != "" {
-		return Answer{Code: code.Same, Job: job}
+		return l.brief(cmd, code.Same, job)
 	}
 	l.decide(Decision{Kind: "cancel", Job: id})
 	l.finish(id, Cancelled, "cancelled by the caller")
-	return Answer{Code: code.OK, Job: l.jobs[id]}
+	return l.brief(cmd, code.OK, l.jobs[id])
 }
 
 func (l *Ledger) change(c PlanChange) Answer {
@@ -370,6 +468,12 @@
 		return a
 	}
 	next.Sequence = l.plan.Sequence + 1
+	if c.Sequence > 0 {
+		if c.Sequence <= l.plan.Sequence {
+			return bounce(code.BadPlan, "/sequence: %d is not above %d", c.Sequence, l.plan.Sequence)
+		}
+		next.Sequence = c.Sequence
+	}
 	l.plan, l.rules = next, next.Compile()
 	l.touch("meta", "plan")
 	l.decide(Decision{Kind: "plan", Plan: next.Sequence, Digest: digest(next)})
@@ -400,6 +504,9 @@
 // those that are emptied.
 func (l *Ledger) sites() []string {
 	set := maps.Clone(l.emptied)
+	for _, name := range l.plan.Sites {
+		set[name] = true
+	}
 	for _, w := range l.workers {
 		set[w.Site] = true
 	}
@@ -541,6 +648,18 @@
 	return Answer{Code: code.OK}
 }
 
+// take gives a duty to the primary's own dispatcher, which needs no vote: whoever
+// leads the ledger is fenced by its epoch already.
+func (l *Ledger) take(name string, h Hello) Answer {
+	l.daemons[h.Daemon] = Daemon{ID: h.Daemon, Site: h.Site, SeenAt: l.at}
+	l.touch("daemon", h.Daemon)
+	l.decide(Decision{Kind: "duty", Name: name, Worker: h.Daemon})
+	l.duties[name] = Duty{Name: name, Holder: h.Daemon, Epoch: l.duties[name].Epoch + 1, SeenAt: l.at}
+	l.touch("duty", name)
+	l.changes = append(l.changes, Changed{All: true})
+	return Answer{Code: code.OK}
+}
+
 func (l *Ledger) majority(votes map[string]string, to string, alive []Daemon) bool {
 	count := 0
 	for _, d := range alive {
@@ -580,7 +699,7 @@
 	l.entries = nil
 }
 
-var Buckets = []string{"meta", "job", "worker", "site", "duty", "daemon", "request", "past"}
+var Buckets = []string{"meta", "job", "task", "worker", "site", "duty", "daemon", "request", "past"}
 
 func (l *Ledger) record(bucket, key string) machine.Record {
 	r := machine.Record{Bucket: bucket, Key: key}
@@ -592,7 +711,16 @@
 	switch bucket {
 	case "job":
 		v, ok := l.jobs[key]
+		v.Tasks = nil
+		if len(v.Spec.Steps) > 0 {
+			v.Spec.Tasks = nil
+		}
 		put(v, ok)
+	case "task":
+		at := refOf(key)
+		if job, ok := l.jobs[at.job]; ok && at.task < len(job.Tasks) {
+			put(job.Tasks[at.task], true)
+		}
 	case "worker":
 		v, ok := l.workers[key]
 		put(v, ok)
@@ -621,11 +749,31 @@
 	return r
 }
 
+func refOf(key string) ref {
+	job, number, _ := strings.Cut(key, "/")
+	i, err := strconv.Atoi(number)
+	if err != nil {
+		return ref{}
+	}
+	return ref{job, i}
+}
+
+// tasks are the keys of the tasks that are no longer as they began.
+func (l *Ledger) tasks() []string {
+	var out []string
+	for _, id := range slices.Sorted(maps.Keys(l.jobs)) {
+		for i := range l.jobs[id].Tasks {
+			out = append(out, taskKey(ref{id, i}))
+		}
+	}
+	return out
+}
+
 // Records is the whole ledger, for a copy.
 func (l *Ledger) Records() []machine.Record {
 	out := []machine.Record{l.record("meta", "position"), l.record("meta", "plan")}
 	for bucket, keys := range map[string][]string{
-		"job": slices.Sorted(maps.Keys(l.jobs)), "worker": slices.Sorted(maps.Keys(l.workers)), "site": slices.Sorted(maps.Keys(l.emptied)),
+		"job": slices.Sorted(maps.Keys(l.jobs)), "worker": slices.Sorted(maps.Keys(l.workers)), "site": slices.Sorted(maps.Keys(l.emptied)), "task": l.tasks(),
 		"duty": slices.Sorted(maps.Keys(l.duties)), "daemon": slices.Sorted(maps.Keys(l.daemons)),
 		"request": slices.Sorted(maps.Keys(l.requests.byKey)), "past": slices.Sorted(maps.Keys(l.past.byKey)),
 	} {
@@ -640,11 +788,19 @@
 // Load rebuilds a ledger from its records.
 func Load(records []machine.Record) (*Ledger, error) {
 	l := New()
+	var tasks []machine.Record
 	for _, r := range records {
 		var err error
 		switch r.Bucket {
 		case "job":
-			err = load(l.jobs, r)
+			if err = load(l.jobs, r); err == nil {
+				job := l.jobs[r.Key]
+				job.Spec.Tasks = placed(job.Spec)
+				job.Tasks = fresh(job)
+				l.jobs[r.Key] = job
+			}
+		case "task":
+			tasks = append(tasks, r)
 		case "worker":
 			err = load(l.workers, r)
 		case "site":
@@ -672,6 +828,16 @@
 			return nil, fmt.Errorf("record %s/%s: %w", r.Bucket, r.Key, err)
 		}
 	}
+	for _, r := range tasks {
+		at := refOf(r.Key)
+		job, ok := l.jobs[at.job]
+		if !ok || at.task >= len(job.Tasks) {
+			return nil, fmt.Errorf("record task/%s: there is no such task", r.Key)
+		}
+		if err := json.Unmarshal(r.Value, &job.Tasks[at.task]); err != nil {
+			return nil, fmt.Errorf("record task/%s: %w", r.Key, err)
+		}
+	}
 	l.rules = l.plan.Compile()
 	l.index()
 	return l, nil
--- a/core/ledger/memory.go
+++ b/core/ledger/memory.go
@@ -17,6 +17,9 @@
 	// RequestsFor is how long a token is remembered; an operator's write that
 	// was asked for longer ago is bounced.
 	RequestsFor = 10 * time.Minute
+	// AskedUnknown marks a write that came through a process that follows no
+	// ledger; it must be safe by its own condition once it is forgotten.
+	AskedUnknown time.Duration = -1
 	// RequestsMax is how many are remembered; past it, new ones must wait.
 	RequestsMax = 20000
 )
@@ -86,7 +89,7 @@
 		}
 		return known.Answer
 	}
-	if l.at-cmd.Asked > RequestsFor {
+	if cmd.Asked != AskedUnknown && l.at-cmd.Asked > RequestsFor {
 		return bounce(code.TooLate, "asked %s ago; what was asked over %s ago is not carried out", l.at-cmd.Asked, RequestsFor)
 	}
 	if len(l.requests.order) >= RequestsMax {
--- a/core/ledger/turns.go
+++ b/core/ledger/turns.go
@@ -48,7 +48,7 @@
 	}
 	if known && (b.Incarnation < old.Incarnation || b.Incarnation == old.Incarnation && b.Number < old.Number) {
 		a := bounce(code.StaleBeat, "beat %d/%d came after %d/%d", b.Incarnation, b.Number, old.Incarnation, old.Number)
-		a.Orders.Incarnation = old.Incarnation
+		a.Orders.Incarnation, a.Orders.Number = old.Incarnation, old.Number
 		return a
 	}
 	if known && b.Incarnation != old.Incarnation {
@@ -60,6 +60,11 @@
 			}
 		}
 	}
+	progress := b.Progress
+	b.Progress = nil
+	if !known && b.Address != "" {
+		l.succeed(b)
+	}
 	w := Worker{Beat: b, Drained: old.Drained, SeenAt: l.at, CutoffAt: max(old.CutoffAt, l.at+l.plan.Limits.Lease.Duration)}
 	w.Capacity = b.Free
 	answer := Answer{Code: code.OK}
@@ -72,6 +77,12 @@
 			touched[at.job] = true
 		}
 	}
+	for _, p := range progress {
+		if at, t, ok := l.find(p.Attempt); ok && holds(t.Turn, b) && t.Turn.Try == p.Try && l.jobs[at.job].Spec.Tasks[at.task].Progress {
+			t.Saved, t.Percent = p.Saved, p.Percent
+			l.setTask(at, t)
+		}
+	}
 	listed := map[Attempt]bool{}
 	for _, a := range b.Running {
 		listed[a] = true
@@ -119,6 +130,24 @@
 	return answer
 }
 
+// succeed takes a newcomer's address as the proof that the worker there before is
+// gone, with all that it ran.
+func (l *Ledger) succeed(b Beat) {
+	for _, id := range slices.Sorted(maps.Keys(l.workers)) {
+		if id == b.Worker || l.workers[id].Address != b.Address {
+			continue
+		}
+		for _, at := range l.turnsOn(id) {
+			l.giveBack(at, l.jobs[at.job].Tasks[at.task].Turn.StartedAt > 0, "its worker was replaced")
+			l.release(at.job)
+		}
+		delete(l.workers, id)
+		l.touch("worker", id)
+		l.decide(Decision{Kind: "gone", Worker: id})
+		l.changes = append(l.changes, Changed{Worker: id})
+	}
+}
+
 // adoptable says whether an attempt that runs on after its turn was given back
 // may simply have its turn again: safer than a stop, which may come too late.
 func (l *Ledger) adoptable(at ref, t Task, a Attempt, b Beat) bool {
@@ -130,9 +159,14 @@
 func (l *Ledger) start(at ref) Start {
 	job := l.jobs[at.job]
 	spec := job.Spec.Tasks[at.task]
-	s := Start{Attempt: l.attempt(at), Service: job.Spec.Service, Class: job.Spec.Class, Room: spec.Room, Gang: spec.Gang, RunLimit: plan.Span{Duration: job.Tasks[at.task].Turn.Limit}, Payload: spec.Payload}
-	for i, other := range job.Spec.Tasks {
-		if slices.Contains(spec.After, other.ID) {
+	t := job.Tasks[at.task]
+	payload := spec.Payload
+	if payload == nil {
+		payload = job.Spec.Payload
+	}
+	s := Start{Attempt: l.attempt(at), Saved: t.Saved, Service: job.Spec.Service, Class: job.Spec.Class, Room: spec.Room, Gang: spec.Gang, RunLimit: plan.Span{Duration: t.Turn.Limit}, Payload: payload}
+	if len(job.Spec.Steps) == 0 {
+		for _, i := range spec.Needs {
 			s.Holders = append(s.Holders, job.Tasks[i].Holder)
 		}
 	}
@@ -143,37 +177,77 @@
 // was; a bad one counts once, and only for the turn that is in force.
 func (l *Ledger) end(at ref, t Task, end End, b Beat) {
 	current := t.Turn.Held() && t.Turn.Worker == b.Worker && t.Turn.Try == end.Try
+	spec := l.jobs[at.job].Spec.Tasks[at.task]
+	if current && spec.Progress && end.Saved != "" {
+		t.Saved, t.Percent = end.Saved, end.Percent
+		l.setTask(at, t)
+	}
+	if spec.Lasting {
+		if current {
+			l.giveBack(at, false, "ended")
+		}
+		return
+	}
 	if end.Good && t.State != Done {
-		t.State, t.EndedAt, t.Holder = Done, l.at, b.Worker
 		l.decide(Decision{Kind: "end", Job: end.Job, Task: end.Task, Try: end.Try, Worker: b.Worker, Good: true})
-		if current {
-			t.Turn = Turn{}
-		} else if t.Turn.Held() && t.Turn.Stop == "" {
-			t.Turn.Stop = "another attempt ended well"
+		l.done(at, b.Worker, current)
+		for i, other := range l.jobs[at.job].Tasks {
+			// A gang ends as one: a good end of one member stands for them all.
+			if spec.Gang != "" && i != at.task && l.jobs[at.job].Spec.Tasks[i].Gang == spec.Gang && other.State != Done {
+				l.done(ref{at.job, i}, other.Turn.Worker, false)
+			}
 		}
-		l.setTask(at, t)
 		return
 	}
 	if !current {
 		return
 	}
-	if end.Good || end.Stopped && t.Turn.Stop != limit {
-		l.giveBack(at, t.Turn.Stop == "", "stopped")
+	if end.Good || end.Lost || end.Stopped && t.Turn.Stop != limit {
+		l.giveBack(at, t.Turn.Stop == "" && !end.Lost && !end.Good, "stopped")
 		return
 	}
-	if t.Turn.Stop != "" && t.Turn.Stop != limit {
+	if t.Turn.Stop != "" && t.Turn.Stop != limit && !l.plan.Limits.EndsAtCutoff {
 		l.giveBack(at, false, t.Turn.Stop)
 		return
 	}
-	t.Defects++
 	l.decide(Decision{Kind: "end", Job: end.Job, Task: end.Task, Try: end.Try, Worker: b.Worker})
+	t = l.defect(at, t)
 	t.FailedOn = failedOn(t.FailedOn, t.Turn.Worker)
 	t.Turn = Turn{}
 	t.Why = end.Why
 	if t.Why == "" {
 		t.Why = limit
 	}
-	l.close(at, t, t.Defects >= l.jobs[at.job].Spec.Tasks[at.task].AllowedDefects)
+	l.close(at, t, t.Defects >= spec.AllowedDefects)
+}
+
+// done closes a task that ended well. A turn that is not the one that did is left
+// to end by itself, or told to if it is another attempt of the same task.
+func (l *Ledger) done(at ref, holder string, current bool) {
+	t := l.jobs[at.job].Tasks[at.task]
+	gang := l.jobs[at.job].Spec.Tasks[at.task].Gang
+	t.State, t.EndedAt, t.Holder = Done, l.at, holder
+	if current {
+		t.Turn = Turn{}
+	} else if t.Turn.Held() && t.Turn.Stop == "" && gang == "" {
+		t.Turn.Stop = "another attempt ended well"
+	}
+	l.setTask(at, t)
+}
+
+// defect counts a bad end. One of a gang's run counts for every member, once.
+func (l *Ledger) defect(at ref, t Task) Task {
+	gang, try := l.jobs[at.job].Spec.Tasks[at.task].Gang, t.Turn.Try
+	if gang == "" || t.DefectTry != try {
+		t.Defects, t.DefectTry = t.Defects+1, try
+	}
+	for i, other := range l.jobs[at.job].Tasks {
+		if gang != "" && i != at.task && l.jobs[at.job].Spec.Tasks[i].Gang == gang && other.DefectTry != try && !other.Closed() {
+			other.Defects, other.DefectTry = other.Defects+1, try
+			l.setTask(ref{at.job, i}, other)
+		}
+	}
+	return t
 }
 
 // failedOn adds a worker to those that a task has failed on.
@@ -189,7 +263,7 @@
 func (l *Ledger) giveBack(at ref, lost bool, why string) {
 	t := l.jobs[at.job].Tasks[at.task]
 	if t.Turn.Stop == limit {
-		t.Defects++
+		t = l.defect(at, t)
 		t.FailedOn = failedOn(t.FailedOn, t.Turn.Worker)
 		why = limit
 	}
@@ -377,7 +451,7 @@
 		return bounce(code.Malformed, "nothing is picked")
 	}
 	taken, chosen := map[string]Room{}, map[ref]string{}
-	slots := 0
+	slots, try, crowd := 0, 0, map[string]int{}
 	for _, p := range g.Picks {
 		at, t, ok := l.find(Attempt{Job: p.Job, Task: p.Task})
 		if !ok {
@@ -395,7 +469,9 @@
 			return bounce(code.NotReleased, "task %s/%s waits for others", p.Job, p.Task)
 		case t.State != Open || t.Turn.Held():
 			return bounce(code.TaskNotOpen, "task %s/%s is %s", p.Job, p.Task, t.State)
-		case t.Defects >= spec.AllowedDefects:
+		case t.DueAt > l.at:
+			return bounce(code.NotReleased, "task %s/%s is due in %s", p.Job, p.Task, t.DueAt-l.at)
+		case t.Defects >= spec.AllowedDefects && !spec.Lasting:
 			return bounce(code.DefectsSpent, "task %s/%s has %d defects", p.Job, p.Task, t.Defects)
 		}
 		w, ok := l.workers[p.Worker]
@@ -409,8 +485,12 @@
 		if free := l.Room(p.Worker); !free.Holds(taken[p.Worker]) {
 			return bounce(code.NoRoom, "worker %s has %+v", p.Worker, free)
 		}
+		if l.Crowded(job, at.task, p.Worker, crowd[p.Worker]) {
+			return bounce(code.Crowded, "worker %s has %d tasks of this step", p.Worker, spec.PerWorker)
+		}
+		crowd[p.Worker]++
 		chosen[at] = p.Worker
-		slots += spec.Room.Slots
+		slots, try = slots+spec.Room.Slots, max(try, t.Tries+1)
 	}
 	job := l.jobs[g.Picks[0].Job]
 	first, _, _ := l.find(Attempt{Job: g.Picks[0].Job, Task: g.Picks[0].Task})
@@ -431,10 +511,14 @@
 	if !allowed {
 		return bounce(code.OverShare, "class %s may not take %d slots more", job.Spec.Class, slots)
 	}
+	saved, percent := l.gangSaved(job, g.Picks)
 	for _, p := range g.Picks {
 		at, t, _ := l.find(Attempt{Job: p.Job, Task: p.Task})
 		w := l.workers[p.Worker]
-		t.Tries++
+		t.Tries = try
+		if gang != "" {
+			t.Saved, t.Percent = saved, percent
+		}
 		t.Turn = Turn{Try: t.Tries, Worker: p.Worker, Incarnation: w.Incarnation, Beat: w.Number, GrantedAt: l.at, Limit: l.runLimit(at), Borrowed: borrowed}
 		l.setTask(at, t)
 		l.decide(Decision{Kind: "grant", Job: p.Job, Task: p.Task, Try: t.Tries, Worker: p.Worker})
@@ -442,6 +526,18 @@
 	return Answer{Code: code.OK}
 }
 
+// gangSaved is what all members of a gang go on from: what one of them has saved
+// that was furthest.
+func (l *Ledger) gangSaved(job Job, picks []Pick) (saved string, percent int) {
+	for _, p := range picks {
+		_, t, _ := l.find(Attempt{Job: p.Job, Task: p.Task})
+		if t.Saved != "" && (saved == "" || t.Percent > percent) {
+			saved, percent = t.Saved, t.Percent
+		}
+	}
+	return saved, percent
+}
+
 // pushOut asks for a turn back: a borrowed one for the class that owns the room,
 // or any that is not quick for a quick task that waits within its class's share.
 func (l *Ledger) pushOut(g Grant) Answer {
@@ -494,6 +590,9 @@
 		return t.OrphanUntil
 	}
 	limits, w, began := l.plan.Limits, l.workers[t.Worker], t.StartedAt
+	if limits.EndsAtCutoff {
+		return max(w.CutoffAt, t.GrantedAt+limits.Lease.Duration) + limits.Margin.Duration
+	}
 	if began == 0 {
 		began = max(w.SeenAt, t.GrantedAt) + startWithin
 	}
@@ -525,20 +624,33 @@
 		job := l.jobs[id]
 		if job.Spec.Cutoff.Duration > 0 && job.Ending == "" && now > job.AcceptedAt+job.Spec.Cutoff.Duration {
 			out = append(out, due{id, func() { l.finish(id, Failed, "the job's cutoff passed") }})
-			continue
 		}
-		for i, t := range job.Tasks {
-			if !t.Turn.Held() {
-				continue
-			}
-			at, spec := ref{id, i}, job.Spec.Tasks[i]
+	}
+	var timed []ref
+	for at := range l.timed {
+		if t := l.jobs[at.job].Tasks[at.task]; now >= t.DueAt && l.jobs[at.job].Ending == "" && l.ready(at) {
+			timed = append(timed, at)
+		}
+	}
+	slices.SortFunc(timed, func(a, b ref) int { return cmp.Or(cmp.Compare(a.job, b.job), cmp.Compare(a.task, b.task)) })
+	for _, at := range timed {
+		out = append(out, due{at.job, func() {}})
+	}
+	for _, worker := range slices.Sorted(maps.Keys(l.turns)) {
+		for _, at := range l.turnsOn(worker) {
+			id, job, i := at.job, l.jobs[at.job], at.task
+			t, spec := job.Tasks[i], job.Spec.Tasks[i]
 			stop := ""
 			switch {
 			case now > l.endedBy(t.Turn) && !l.Held(job, i):
 				lost := t.Turn.StartedAt > 0
-				out = append(out, due{id, func() { l.giveBack(at, lost, "the worker went silent") }})
+				out = append(out, due{id, func() {
+					if l.jobs[at.job].Tasks[at.task].Turn.Held() {
+						l.giveBack(at, lost, "the worker went silent")
+					}
+				}})
 			case t.Turn.Stop != "":
-			case t.Turn.StartedAt > 0 && l.workers[t.Turn.Worker].SeenAt > t.Turn.StartedAt+t.Turn.Limit:
+			case t.Turn.StartedAt > 0 && !limits.EndsAtCutoff && l.workers[t.Turn.Worker].SeenAt > t.Turn.StartedAt+t.Turn.Limit:
 				stop = limit
 			case t.Turn.StartedAt == 0 && spec.Gang != "" && now > t.Turn.GrantedAt+limits.StartBy.Duration:
 				stop = gangStop
@@ -548,16 +660,10 @@
 			}
 		}
 	}
-	var kept []string
-	for id, job := range l.jobs {
-		if ended(job) && now > job.EndedAt+limits.Keep.Duration {
-			kept = append(kept, id)
+	for _, id := range l.over {
+		if now <= l.jobs[id].EndedAt+limits.Keep.Duration {
+			break
 		}
-	}
-	slices.SortFunc(kept, func(a, b string) int {
-		return cmp.Or(cmp.Compare(l.jobs[a].EndedAt, l.jobs[b].EndedAt), cmp.Compare(a, b))
-	})
-	for _, id := range kept {
 		out = append(out, due{"", func() { l.forget(id) }})
 	}
 	for _, id := range slices.Sorted(maps.Keys(l.workers)) {
@@ -576,6 +682,12 @@
 	return out
 }
 
+// ready says whether all that a task needs is done.
+func (l *Ledger) ready(at ref) bool {
+	job := l.jobs[at.job]
+	return !slices.ContainsFunc(job.Spec.Tasks[at.task].Needs, func(i int) bool { return job.Tasks[i].State != Done })
+}
+
 func (l *Ledger) stopTurn(at ref, why string) {
 	t := l.jobs[at.job].Tasks[at.task]
 	t.Turn.Stop = why
@@ -593,9 +705,11 @@
 	job := l.jobs[id]
 	for i := range job.Tasks {
 		l.count(job, i, -1)
+		l.touch("task", taskKey(ref{id, i}))
 	}
 	delete(l.jobs, id)
-	l.past.put(id, Past{digest(job.Spec), job.Spec.Service, job.Spec.Class, job.State, job.EndedAt})
+	l.over = slices.DeleteFunc(l.over, func(other string) bool { return other == id })
+	l.past.put(id, Past{job.Digest, job.Spec.Service, job.Spec.Class, job.State, job.EndedAt})
 	l.touch("past", id)
 	l.touch("job", id)
 	l.changes = append(l.changes, Changed{Job: id, Task: -1})
--- a/core/ledger/types.go
+++ b/core/ledger/types.go
@@ -26,8 +26,11 @@
 	Silence        string          `json:"silence,omitempty"`
 	Payload        json.RawMessage `json:"payload,omitempty"`
 	Placing
-	// Time is the number of the job's due time that the task belongs to.
-	Time int `json:"time,omitempty"`
+	// Needs are the places of what After names; they are worked out, not sent.
+	Needs []int `json:"-"`
+	// Time and Step say where a task of a job in steps comes from.
+	Time int `json:"-"`
+	Step int `json:"-"`
 }
 
 // Placing is what a task asks for besides room and labels.
@@ -56,6 +59,8 @@
 	Room   Room     `json:"room"`
 	Labels []string `json:"labels,omitempty"`
 	Gang   bool     `json:"gang,omitempty"`
+	// AllowedDefects of each task; 0 stands for the class's.
+	AllowedDefects int `json:"allowedDefects,omitempty"`
 	Placing
 }
 
@@ -179,14 +184,24 @@
 
 func (t Task) Closed() bool { return t.State == Done || t.State == Failed || t.State == Cancelled }
 
+// Job is one job. Digest is that of the job as it was handed in, First the number
+// of its first task. Its tasks are records of their own on a disk.
 type Job struct {
 	Spec       JobSpec       `json:"spec"`
+	Digest     string        `json:"digest,omitempty"`
+	First      uint64        `json:"first,omitempty"`
 	State      string        `json:"state"`
 	Ending     string        `json:"ending,omitempty"`
 	Why        string        `json:"why,omitempty"`
 	AcceptedAt time.Duration `json:"acceptedAt"`
 	EndedAt    time.Duration `json:"endedAt,omitempty"`
-	Tasks      []Task        `json:"tasks"`
+	Tasks      []Task        `json:"tasks,omitempty"`
+}
+
+// Brief is the job without its tasks.
+func (j Job) Brief() Job {
+	j.Spec.Tasks, j.Spec.Steps, j.Spec.Payload, j.Tasks = nil, nil, nil, nil
+	return j
 }
 
 type Worker struct {
--- a/core/ledger/views.go
+++ b/core/ledger/views.go
@@ -82,6 +82,9 @@
 	return out
 }
 
+// CountOn is how many turns a worker holds.
+func (l *Ledger) CountOn(worker string) int { return len(l.turns[worker]) }
+
 // Used and share, in slots, of one class.
 func (l *Ledger) ClassUse(service, class string) (usedSlots, shareSlots int) {
 	b := l.Busyness(service)
--- a/core/machine/machine.go
+++ b/core/machine/machine.go
@@ -61,11 +61,14 @@
 	Body any
 }
 
+// Input is one thing that happened. Wall is the time of day, for those few
+// decisions that callers bind to it; it may jump.
 type Input struct {
 	Line  Line
 	Wrote uint64
 	Ask   Ask
 	Stop  bool
+	Wall  time.Time
 }
 
 type Event struct {
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -61,9 +61,23 @@
 	at      uint64
 }
 
+// Authority is the ledger that a scheduler reads and the way to ask it for
+// writes: a copy of it, or, in the primary's own process, the ledger itself. A
+// command to the latter is applied before Submit returns; only its answer, which
+// says that two disks have it, comes later.
+type Authority interface {
+	View() *ledger.Ledger
+	Own() bool
+	Fresh(now time.Duration) bool
+	Loaded() bool
+	Submit(now time.Duration, cmd ledger.Command, wait time.Duration, out *machine.Output) uint64
+	Line(now time.Duration, line machine.Line, out *machine.Output) ([]follow.Result, bool)
+	Wake(now time.Duration, out *machine.Output) []follow.Result
+}
+
 type Scheduler struct {
 	env       Env
-	copy      *follow.Copy
+	copy      Authority
 	dispatch  *dispatch.Dispatch
 	records   map[string]record
 	proposals map[uint64]proposal
@@ -72,12 +86,18 @@
 	helloAt   time.Duration
 	wanted    map[string]bool
 	wakeAt    time.Duration
+	passAt    time.Duration
 	stopping  bool
 	stopAt    time.Duration
 }
 
 func New(env Env) *Scheduler {
-	s := &Scheduler{env: env, copy: follow.New(env.Address, env.Site, env.First), dispatch: dispatch.New(), records: map[string]record{},
+	return NewWith(env, follow.New(env.Address, env.Site, env.First))
+}
+
+// NewWith is a scheduler that works on the given authority.
+func NewWith(env Env, authority Authority) *Scheduler {
+	s := &Scheduler{env: env, copy: authority, dispatch: dispatch.New(), records: map[string]record{},
 		proposals: map[uint64]proposal{}, told: map[ledger.Attempt]time.Duration{}, overShare: map[[2]string]uint64{}, wanted: map[string]bool{}}
 	if env.Central {
 		s.dispatch = dispatch.NewCentral()
@@ -88,7 +108,7 @@
 func (s *Scheduler) Wakeup() time.Duration        { return s.wakeAt }
 func (s *Scheduler) Counters() dispatch.Counters  { return s.dispatch.Counters }
 func (s *Scheduler) Ready(now time.Duration) bool { return s.copy.Fresh(now) }
-func (s *Scheduler) Sequence() uint64             { return s.copy.Ledger.Plan().Sequence }
+func (s *Scheduler) Sequence() uint64             { return s.copy.View().Plan().Sequence }
 
 // Duties gives the sites whose duty this process holds.
 func (s *Scheduler) Duties() []string {
@@ -102,12 +122,12 @@
 }
 
 func (s *Scheduler) holds(site string) bool {
-	return s.copy.Ledger.Duty(DutyOf(site)).Holder == s.env.Address
+	return s.copy.View().Duty(DutyOf(site)).Holder == s.env.Address
 }
 
 func (s *Scheduler) sites() []string {
 	set := map[string]bool{s.env.Site: true}
-	for _, w := range s.copy.Ledger.Workers() {
+	for _, w := range s.copy.View().Workers() {
 		set[w.Site] = true
 	}
 	for site := range s.wanted {
@@ -145,12 +165,16 @@
 	for _, r := range results {
 		s.result(now, r, &out)
 	}
-	s.dispatch.Update(s.copy.Ledger, s.copy.Ledger.TakeChanges())
+	changes := s.copy.View().TakeChanges()
+	s.dispatch.Update(s.copy.View(), changes)
 	if now >= s.helloAt {
 		s.hello(now, &out)
 	}
-	s.pass(now, &out)
-	s.wakeAt = now + passEach
+	if len(changes)+len(results) > 0 || in.Line.Kind == wire.Beat || now >= s.passAt {
+		s.pass(now, &out)
+		s.passAt = now + passEach
+	}
+	s.wakeAt = s.passAt
 	if s.stopping && (now >= s.stopAt || len(s.Duties()) == 0) {
 		out.Stopped = true
 	}
@@ -161,13 +185,19 @@
 // names the successor of a duty that another site's scheduler should hold.
 func (s *Scheduler) hello(now time.Duration, out *machine.Output) {
 	s.helloAt = now + helloEach
-	s.dispatch.Sweep(s.copy.Ledger)
+	s.dispatch.Sweep(s.copy.View())
 	if s.stopping || !s.copy.Loaded() {
 		return
 	}
+	if s.copy.Own() {
+		for _, site := range s.sites() {
+			s.take(now, site, out)
+		}
+		return
+	}
 	said := false
 	for _, site := range s.sites() {
-		l, name := s.copy.Ledger, DutyOf(site)
+		l, name := s.copy.View(), DutyOf(site)
 		d, to := l.Duty(name), s.candidate(site)
 		hello := ledger.Hello{Daemon: s.env.Address, Site: s.env.Site, Want: name, For: to.ID, Epoch: d.Epoch}
 		silent := d.Holder == "" || l.At()-d.SeenAt > l.Plan().Limits.Silent.Duration/2
@@ -183,10 +213,18 @@
 	}
 }
 
+// take gives a duty to the primary's own dispatcher.
+func (s *Scheduler) take(now time.Duration, site string, out *machine.Output) {
+	if s.copy.Fresh(now) && !s.holds(site) {
+		hello := ledger.Hello{Daemon: s.env.Address, Site: s.env.Site}
+		s.copy.Submit(now, ledger.Command{Kind: ledger.KindTake, Name: DutyOf(site), Hello: hello}, commandWait, out)
+	}
+}
+
 // candidate is the scheduler that should hold a site's duty: alive, not the
 // silent holder, of the site itself if there is one, with the fewest duties.
 func (s *Scheduler) candidate(site string) ledger.Daemon {
-	l := s.copy.Ledger
+	l := s.copy.View()
 	load := map[string]int{}
 	for _, d := range l.Duties() {
 		load[d.Holder]++
@@ -206,9 +244,12 @@
 
 // handOver names successors for the duties held.
 func (s *Scheduler) handOver(now time.Duration, out *machine.Output) {
+	if s.copy.Own() {
+		return
+	}
 	for _, site := range s.Duties() {
 		if to := s.candidate(site); to.ID != "" {
-			d := s.copy.Ledger.Duty(DutyOf(site))
+			d := s.copy.View().Duty(DutyOf(site))
 			s.copy.Submit(now, ledger.Command{Kind: ledger.KindHello, Hello: ledger.Hello{
 				Daemon: s.env.Address, Site: s.env.Site, Want: d.Name, For: to.ID, Epoch: d.Epoch, Pass: true, Leaving: true,
 			}}, commandWait, out)
@@ -218,7 +259,10 @@
 
 func (s *Scheduler) beat(now time.Duration, from string, b wire.BeatBody, out *machine.Output) {
 	site := b.Beat.Site
-	d := s.copy.Ledger.Duty(DutyOf(site))
+	if s.copy.Own() && !s.stopping {
+		s.take(now, site, out)
+	}
+	d := s.copy.View().Duty(DutyOf(site))
 	if !s.holds(site) || s.stopping {
 		if d.Holder == "" && !s.stopping && !s.wanted[site] {
 			s.wanted[site], s.helloAt = true, now
@@ -280,20 +324,23 @@
 func (s *Scheduler) held(now time.Duration) dispatch.Held {
 	h := dispatch.Held{Tasks: map[dispatch.Ref]bool{}, Room: map[string]ledger.Room{}, Slots: map[[2]string]int{}, Closed: map[[2]string]bool{}}
 	for class, at := range s.overShare {
-		if s.copy.Ledger.Position().Sequence >= at {
+		if s.copy.View().Position().Sequence >= at {
 			delete(s.overShare, class)
 		} else {
 			h.Closed[class] = true
 		}
 	}
 	for id, p := range s.proposals {
-		if p.at > 0 && s.copy.Ledger.Position().Sequence >= p.at || now > p.until {
+		if p.at > 0 && s.copy.View().Position().Sequence >= p.at || now > p.until {
 			delete(s.proposals, id)
 			continue
 		}
 		for _, at := range p.refs {
 			h.Tasks[at] = true
 		}
+		if s.copy.Own() {
+			continue
+		}
 		for i, room := range p.rooms {
 			h.Room[p.picks[i].Worker] = h.Room[p.picks[i].Worker].Add(room)
 			h.Slots[p.class] += room.Slots
@@ -307,12 +354,12 @@
 // or has been held long enough.
 func (s *Scheduler) pass(now time.Duration, out *machine.Output) {
 	workers := slices.Sorted(maps.Keys(s.records))
-	l := s.copy.Ledger
+	l := s.copy.View()
 	if !s.stopping && s.copy.Fresh(now) {
 		for _, pull := range dispatch.Pulls {
 			for _, worker := range workers {
 				r := s.records[worker]
-				if !r.recorded || r.beat.Leaving || !s.holds(r.beat.Site) || s.behind(r) {
+				if !r.recorded && !s.copy.Own() || r.beat.Leaving || !s.holds(r.beat.Site) || s.behind(r) {
 					continue
 				}
 				for {
@@ -330,9 +377,17 @@
 			}
 		}
 	}
+	unsure := map[ledger.Attempt]bool{}
+	for _, p := range s.proposals {
+		for i := range p.refs {
+			if s.copy.Own() && p.at == 0 {
+				unsure[ledger.Attempt{Job: p.picks[i].Job, Task: p.picks[i].Task}] = true
+			}
+		}
+	}
 	for _, worker := range workers {
 		if r := s.records[worker]; r.recorded {
-			s.orders(now, r, out)
+			s.orders(now, r, unsure, out)
 		}
 	}
 	for a, at := range s.told {
@@ -344,26 +399,32 @@
 
 // behind says whether the copy has not yet seen this very beat.
 func (s *Scheduler) behind(r record) bool {
-	w, ok := s.copy.Ledger.Worker(r.beat.Worker)
+	w, ok := s.copy.View().Worker(r.beat.Worker)
 	return !ok || w.Incarnation != r.beat.Incarnation || w.Number != r.beat.Number
 }
 
 func (s *Scheduler) ask(now time.Duration, duty, kind string, c dispatch.Choice, out *machine.Output) {
 	p := proposal{picks: c.Picks, refs: c.Refs, until: now + commandWait, pushOut: kind == ledger.KindPushOut}
 	for i, pick := range c.Picks {
-		job, _ := s.copy.Ledger.Job(pick.Job)
+		job, _ := s.copy.View().Job(pick.Job)
 		p.class = [2]string{job.Spec.Service, job.Spec.Class}
 		if i < len(c.Refs) {
 			p.rooms = append(p.rooms, job.Spec.Tasks[c.Refs[i].Task].Room)
 		}
 	}
-	grant := ledger.Grant{Duty: duty, Epoch: s.copy.Ledger.Duty(duty).Epoch, Picks: c.Picks, For: c.For}
+	grant := ledger.Grant{Duty: duty, Epoch: s.copy.View().Duty(duty).Epoch, Picks: c.Picks, For: c.For}
 	s.proposals[s.copy.Submit(now, ledger.Command{Kind: kind, Grant: grant}, commandWait, out)] = p
 }
 
+// Drop forgets what was under way, for a primary that no longer leads.
+func (s *Scheduler) Drop() {
+	s.records, s.proposals = map[string]record{}, map[uint64]proposal{}
+	s.overShare, s.wanted, s.told = map[[2]string]uint64{}, map[string]bool{}, map[ledger.Attempt]time.Duration{}
+}
+
 // orders replies to a beat: acks and stops from its record, starts from the
 // copy. A turn rides on the beat it was granted on or on the one after it.
-func (s *Scheduler) orders(now time.Duration, r record, out *machine.Output) {
+func (s *Scheduler) orders(now time.Duration, r record, unsure map[ledger.Attempt]bool, out *machine.Output) {
 	orders := r.orders
 	urgent := len(orders.Acks) > 0
 	listed := map[ledger.Attempt]bool{}
@@ -371,8 +432,8 @@
 		listed[a] = true
 	}
 	if !s.behind(r) {
-		for _, p := range s.copy.Ledger.TurnsOn(r.beat.Worker) {
-			if p.Turn.Incarnation != r.beat.Incarnation {
+		for _, p := range s.copy.View().TurnsOn(r.beat.Worker) {
+			if p.Turn.Incarnation != r.beat.Incarnation || unsure[ledger.Attempt{Job: p.Job, Task: p.Task}] {
 				continue
 			}
 			if p.Turn.Stop != "" && listed[p.Attempt] && !slices.Contains(orders.Stops, p.Attempt) {
@@ -394,6 +455,7 @@
 	for _, a := range orders.Stops {
 		s.told[a] = now
 	}
+	orders.Epoch = s.copy.View().Position().Epoch
 	s.reply(r, ledger.Answer{Code: code.OK, Orders: orders}, out)
 }
 
--- a/daemon/host/host.go
+++ b/daemon/host/host.go
@@ -125,6 +125,7 @@
 func (s *Shard) Step(in machine.Input) {
 	s.mu.Lock()
 	now := s.host.Now()
+	in.Wall = time.Now()
 	out := s.machine.Step(now, in)
 	for _, e := range out.Events {
 		logline.Event(e.Name, e.Fields...)
