--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -78,6 +78,7 @@
 	worker    *worker
 	departing []*worker
 	gone      []string
+	left      Call // the last of a worker that was forgotten
 
 	keepers   []string
 	target    string
@@ -165,14 +166,16 @@
 	}
 }
 
-// forget drops a worker that the core knows to be gone. Its name never returns.
+// forget drops a worker that the core knows to be gone.
 func (a *Agent) forget(w *worker) {
 	a.departing = slices.DeleteFunc(a.departing, func(o *worker) bool { return o == w })
 	if a.worker == w {
-		a.worker = nil
+		a.worker, a.left = nil, w.call
 	}
 }
 
+// bury has a name answered without orders from now on: a late call of a worker
+// that is gone must not take the place of the one that calls now.
 func (a *Agent) bury(name string) {
 	if a.gone = append(a.gone, name); len(a.gone) > goneMax {
 		a.gone = a.gone[1:]
--- a/core/agent/agent_test.go
+++ b/core/agent/agent_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"math/rand/v2"
 	"reflect"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -575,6 +578,14 @@
 			p.pass(10 * time.Second)
 			p.is("then nothing", len(p.out), count)
 			p.is("forgotten", p.a.Status().Worker, "")
+			late := p.call
+			p.is("a late call of it", p.ask(machine.Ask{Kind: AskCall, Value: late}), Told{Again: 100 * ms})
+			p.is("forgotten still", p.a.Status().Worker, "")
+			p.call = Call{Worker: "w2", Address: "here"}
+			p.says(nil)
+			late.Number += 5
+			p.ask(machine.Ask{Kind: AskCall, Value: late})
+			p.is("the new one is kept", p.a.Status().Worker, "w2")
 		})
 	}
 }
@@ -743,3 +754,152 @@
 	p.is("leave of nobody", p.ask(machine.Ask{Kind: AskLeave, Name: "x"}), Told{Again: 100 * ms})
 	p.is("reports", len(p.out), 0)
 }
+
+// A worker calls one call after another and takes orders from the answer to its
+// last call only. Calls, answers, reports and replies are lost, and the agent
+// restarts: no run may begin that the core was told of as over, none may run
+// beyond the lease, no end may be forgotten before its ack, and none is stuck.
+func TestNoRunIsLostOrDoubledWhateverIsLost(t *testing.T) {
+	var began, dropped, restarts int
+	for seed := range uint64(300) {
+		r := rand.New(rand.NewPCG(seed, 1))
+		p := begin(t, 1)
+		chance := func(percent int) bool { return r.IntN(100) < percent }
+		granted, listed, closed, acked := map[string]uint64{}, map[string]bool{}, map[string]bool{}, map[string]bool{}
+		running, ended := map[string]time.Duration{}, map[string]bool{}
+		var taken uint64
+		var leaseEnd, workerEnd time.Duration
+		next, jobs, read := 0, 0, 0
+		mute, deaf := 0, 0 // for so many rounds calls, or answers, are lost
+		serve := func(quiet bool) {
+			if read == len(p.out) {
+				return
+			}
+			b := p.last()
+			read = len(p.out)
+			if !quiet && chance(20) {
+				return
+			}
+			if b.Beat.Number < taken {
+				p.bounce(code.StaleBeat, taken, "")
+				return
+			}
+			taken, leaseEnd = b.Beat.Number, p.now+2*time.Second
+			var o ledger.Orders
+			for _, e := range b.Beat.Ended {
+				o.Acks = append(o.Acks, e.Attempt)
+				acked[e.Job], closed[e.Job] = true, true
+				delete(granted, e.Job)
+			}
+			now := map[string]bool{}
+			for _, at := range b.Beat.Running {
+				now[at.Job] = true
+				if closed[at.Job] {
+					o.Stops = append(o.Stops, at)
+				}
+			}
+			for _, job := range slices.Sorted(maps.Keys(granted)) {
+				switch {
+				case now[job]:
+					listed[job] = true
+				case listed[job] || taken >= granted[job]+2:
+					closed[job] = true
+					delete(granted, job)
+				default:
+					o.Starts = append(o.Starts, start(job))
+				}
+			}
+			if chance(20) && !quiet && b.Beat.Free.Slots > 0 {
+				jobs++
+				job := strconv.Itoa(jobs)
+				granted[job] = taken
+				o.Starts = append(o.Starts, start(job))
+			}
+			if o.Lease = 2 * time.Second; quiet || !chance(20) {
+				p.good(o)
+			}
+		}
+		call := func(quiet bool) {
+			if p.now >= workerEnd {
+				clear(running)
+			}
+			for _, job := range slices.Sorted(maps.Keys(running)) {
+				if chance(20) {
+					next++
+					delete(running, job)
+					ended[job] = true
+					p.call.Ended = append(p.call.Ended, end(uint64(next), job, Good))
+				}
+			}
+			list := slices.Sorted(maps.Keys(running))
+			runs(list...)(&p.call)
+			p.call.Free.Slots = 4 - len(list)
+			p.call.Number++
+			sent := p.now
+			if !quiet && (mute > 0 || chance(20)) {
+				return
+			}
+			c := p.call
+			c.Ended = slices.Clone(c.Ended)
+			told := p.ask(machine.Ask{Kind: AskCall, Value: c})
+			if !quiet && (deaf > 0 || chance(20)) {
+				return
+			}
+			if told.Hold > 0 {
+				workerEnd = max(workerEnd, sent+told.Hold)
+			}
+			if workerEnd > leaseEnd {
+				t.Fatalf("seed %d: the worker may hold until %s, the lease ends at %s", seed, workerEnd, leaseEnd)
+			}
+			p.call.Ended = slices.DeleteFunc(p.call.Ended, func(e Ended) bool {
+				if e.Number <= told.Seen && !acked[e.Job] {
+					t.Fatalf("seed %d: the end of %s was seen and not acked", seed, e.Job)
+				}
+				return e.Number <= told.Seen
+			})
+			for _, b := range told.Begins {
+				if closed[b.Job] {
+					t.Fatalf("seed %d: %s began after the core was told that it is over", seed, b.Job)
+				}
+				if _, known := running[b.Job]; !known && !ended[b.Job] {
+					running[b.Job] = p.now
+					began++
+				}
+			}
+			for _, at := range told.Stops {
+				delete(running, at.Job)
+			}
+		}
+		for range 200 {
+			p.pass(time.Duration(1+r.IntN(99)) * ms)
+			serve(false)
+			if mute, deaf = mute-1, deaf-1; chance(3) {
+				mute = r.IntN(70)
+			}
+			if chance(3) {
+				deaf = r.IntN(70)
+			}
+			if chance(60) {
+				call(false)
+			}
+			if chance(2) {
+				dropped += int(p.a.Counters().Dropped)
+				restarts++
+				p.a = New(Env{Keepers: []string{"k1"}, First: uint64(restarts+1) << 32})
+			}
+		}
+		for range 200 {
+			p.pass(50 * ms)
+			serve(true)
+			call(true)
+		}
+		dropped += int(p.a.Counters().Dropped)
+		if len(granted)+len(running)+len(p.call.Ended) > 0 {
+			t.Fatalf("seed %d: left are granted %v, running %v, ended %v", seed, granted, running, p.call.Ended)
+		}
+	}
+	t.Logf("%d runs began, %d starts were dropped, %d restarts", began, dropped, restarts)
+	if began == 0 || dropped == 0 || restarts == 0 {
+		t.Error("the play does not reach what it is to judge")
+	}
+}
--- a/core/agent/report.go
+++ b/core/agent/report.go
@@ -207,7 +207,7 @@
 		switch {
 		case w.knows(s.Attempt):
 		case r.empty || w.call.Leaving || w.leaving:
-			a.drop(w, s.Attempt, "the worker leaves", out)
+			a.drop(w, s.Attempt, "the worker leaves or is silent", out)
 			refused = true
 		default:
 			w.taken = append(w.taken, &taken{Start: s, until: min(now+handWithin, r.sentAt+replyWithin)})
--- a/core/agent/told.go
+++ b/core/agent/told.go
@@ -20,8 +20,9 @@
 	withdrawn bool
 }
 
-// worker is one life of the worker. Dead means that another name stands in its
-// place, leaving that it said so or that another name came from elsewhere.
+// worker is one life of the worker. Dead means that another name stands at its
+// address, leaving that it said so or that another name came from elsewhere. What
+// it ran at its first call here is inherited from the agent before.
 type worker struct {
 	call      Call
 	firstAt   time.Duration
@@ -74,7 +75,7 @@
 // take learns from a call and answers it.
 func (a *Agent) take(now time.Duration, c Call, out *machine.Output) Told {
 	a.counters.Calls++
-	if slices.Contains(a.gone, c.Worker) {
+	if slices.Contains(a.gone, c.Worker) || c.Worker == a.left.Worker && c.Number <= a.left.Number {
 		return Told{Again: a.env.Again, Fence: a.fence}
 	}
 	w := a.worker
@@ -124,6 +125,10 @@
 			a.forget(old)
 		}
 	}
+	if a.left.Worker != "" && a.left.Worker != c.Worker {
+		a.bury(a.left.Worker)
+	}
+	a.left = Call{}
 	out.Log("worker_new", "worker", c.Worker, "address", c.Address)
 	a.worker = &worker{firstAt: now, dirty: true, inherited: len(c.Running) > 0, ends: map[uint64]ledger.End{}, done: map[uint64]bool{}, saved: map[ledger.Attempt]string{}}
 	return a.worker
