--- a/core/code/code.go
+++ b/core/code/code.go
@@ -26,6 +26,7 @@
 	TooLate      Code = 205
 	UnknownJob   Code = 300
 	UnknownName  Code = 301
+	NoEntry      Code = 302
 	TaskNotOpen  Code = 400
 	NotReleased  Code = 401
 	DefectsSpent Code = 402
@@ -42,6 +43,8 @@
 	NoAuthority  Code = 501
 	NotPrimary   Code = 502
 	Stopping     Code = 503
+	NoPlan       Code = 504
+	NoAnswer     Code = 505
 	Internal     Code = 900
 )
 
@@ -70,6 +73,7 @@
 	{TooLate, "too-late", 409, "the request is older than repeats are remembered; look, and ask again"},
 	{UnknownJob, "unknown-job", 404, "no such job was accepted, or it ended longer ago than is remembered"},
 	{UnknownName, "unknown-name", 404, "no such worker, site, duty or path; the answer names those that are known"},
+	{NoEntry, "no-entry", 404, "no entry of the plan has this host and path"},
 	{TaskNotOpen, "task-not-open", 409, "the task is granted already or has ended"},
 	{NotReleased, "not-released", 409, "something that the task depends on is not done"},
 	{DefectsSpent, "defects-spent", 409, "the task has used up its allowed defects"},
@@ -86,6 +90,8 @@
 	{NoAuthority, "no-authority", 503, "the keepers cannot be reached now; come back after the time given"},
 	{NotPrimary, "not-primary", 503, "this keeper does not lead; the answer may name the one that does"},
 	{Stopping, "stopping", 503, "this process is going down; ask another front"},
+	{NoPlan, "no-plan", 503, "there is no plan yet; come back after the time given"},
+	{NoAnswer, "no-answer", 504, "no keeper answered in time; the request may still take effect, so ask again for the same"},
 	{Internal, "internal", 500, "a fault of ours; the log of the process has more"},
 }
 
