--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -140,7 +140,7 @@
 // life; an answer of a primary is proof, since it answers only once it is proven.
 func (r *Relay) back(now time.Duration, from string, b wire.CommandBackBody, out *machine.Output) {
 	if len(b.Keepers) > 0 && !slices.Equal(r.keepers, b.Keepers) {
-		r.keepers = slices.Clone(b.Keepers)
+		r.keepers, r.tried = slices.Clone(b.Keepers), 0
 	}
 	if from == r.primary {
 		r.signAt = now
--- a/daemon/circuit/circuit.go
+++ b/daemon/circuit/circuit.go
@@ -9,8 +9,11 @@
 	"encoding/json"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"sorrelloom/core/machine"
 	"sorrelloom/daemon/logline"
 	"sorrelloom/daemon/pool"
@@ -19,12 +22,32 @@
 const (
 	lineMax     = 256 << 20
 	inboxMax    = 8192
-	dialWait    = time.Second
+	dialWait    = 700 * time.Millisecond
 	writeWait   = 3 * time.Second
 	idleAfter   = 30 * time.Second
 	redialPause = 100 * time.Millisecond
+	// A machine behind a cut says nothing: what it has not acknowledged for so
+	// long, or a probe on an idle circuit, ends the circuit.
+	unackedWait = 1500 * time.Millisecond
+	probeAfter  = 2 * time.Second
+	probeEach   = time.Second
+	probeCount  = 2
 )
 
+var dialer = net.Dialer{
+	Timeout:         dialWait,
+	KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeAfter, Interval: probeEach, Count: probeCount},
+	Control: func(_, _ string, raw syscall.RawConn) error {
+		var err error
+		if failed := raw.Control(func(fd uintptr) {
+			err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedWait.Milliseconds()))
+		}); failed != nil {
+			return failed
+		}
+		return err
+	},
+}
+
 type Circuits struct {
 	deliver  func(machine.Line)
 	listener net.Listener
@@ -149,7 +172,7 @@
 			idle.Reset(idleAfter)
 			if conn == nil {
 				var err error
-				if conn, err = net.DialTimeout("tcp", to, dialWait); err != nil {
+				if conn, err = dialer.Dial("tcp", to); err != nil {
 					conn = nil
 					drain(lines)
 					time.Sleep(redialPause)
--- a/daemon/circuit/circuit_test.go
+++ b/daemon/circuit/circuit_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"sorrelloom/core/machine"
 )
 
@@ -83,6 +85,39 @@
 	}
 }
 
+// TestACircuitGivesUpOnASilentPeer reads back what the kernel was told.
+func TestACircuitGivesUpOnASilentPeer(t *testing.T) {
+	_, address, _ := open(t)
+	conn, err := dialer.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, row := range []struct {
+		name                string
+		level, option, want int
+	}{
+		{"milliseconds without an acknowledgement", unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, 1500},
+		{"probes", unix.SOL_SOCKET, unix.SO_KEEPALIVE, 1},
+		{"seconds to the first probe", unix.IPPROTO_TCP, unix.TCP_KEEPIDLE, 2},
+		{"seconds between probes", unix.IPPROTO_TCP, unix.TCP_KEEPINTVL, 1},
+		{"probes without an answer", unix.IPPROTO_TCP, unix.TCP_KEEPCNT, 2},
+	} {
+		var got int
+		var option error
+		if err := raw.Control(func(fd uintptr) { got, option = unix.GetsockoptInt(int(fd), row.level, row.option) }); err != nil {
+			t.Fatal(err)
+		}
+		if option != nil || got != row.want {
+			t.Errorf("%s: got %d, want %d, %v", row.name, got, row.want, option)
+		}
+	}
+}
+
 func isTimeout(err error) bool {
 	n, ok := err.(net.Error)
 	return ok && n.Timeout()
