--- a/core/code/code.go
+++ b/core/code/code.go
@@ -45,6 +45,7 @@
 	NotPrimary   Code = 502
 	Stopping     Code = 503
 	NoPlan       Code = 504
+	NoAnswer     Code = 505
 	Internal     Code = 900
 )
 
@@ -92,6 +93,7 @@
 	{NotPrimary, "not-primary", 503, "this keeper does not lead; the answer may name the one that does"},
 	{Stopping, "stopping", 503, "this process is going down; ask another front"},
 	{NoPlan, "no-plan", 503, "there is no plan yet; come back after the time given"},
+	{NoAnswer, "no-answer", 504, "no keeper answered in time; the request may still take effect, so ask again for the same"},
 	{Internal, "internal", 500, "a fault of ours; the log of the process has more"},
 }
 
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -483,6 +483,11 @@
 
 func (l *Ledger) site(name string, on bool) Answer {
 	if known := l.sites(); !slices.Contains(known, name) {
+		if l.plan.Sequence == 0 {
+			a := bounce(code.NoPlan, "there is no plan yet, and nobody has been heard of in site %q", name)
+			a.RetryAfter = time.Second
+			return a
+		}
 		return unknown("site", name, known)
 	}
 	l.emptied[name] = on
