Take a worker's room as its total where it never shrinks

The agent now reports the most it was ever told as the total, the ledger takes turns and stray attempts off it. Ruled out: orders that cross a report (the calls were traced).

--- a/core/agent/contract.go
+++ b/core/agent/contract.go
@@ -42,13 +42,15 @@
 // Call is all that a worker says of itself. Number rises with every call of a
 // worker; a worker that crashed comes back under another name.
 type Call struct {
-	Worker   string
-	Number   uint64
-	Address  string
-	Service  string
-	Site     string
-	Rack     string
-	Labels   []string
+	Worker  string
+	Number  uint64
+	Address string
+	Service string
+	Site    string
+	Rack    string
+	Labels  []string
+	// Free is the room that the worker says it has. Some say what is left, others
+	// always all that they have: the most it has ever said counts as its total.
 	Free     ledger.Room
 	Leaving  bool
 	LeavesIn time.Duration
--- a/core/agent/report.go
+++ b/core/agent/report.go
@@ -150,7 +150,7 @@
 		return b
 	}
 	b.Running, b.Progress = w.running(), w.progress()
-	b.Free = w.free()
+	b.Free, b.Total = w.free(), w.total
 	return b
 }
 
--- a/core/agent/told.go
+++ b/core/agent/told.go
@@ -25,6 +25,7 @@
 // it ran at its first call here is inherited from the agent before.
 type worker struct {
 	call      Call
+	total     ledger.Room
 	firstAt   time.Duration
 	calledAt  time.Duration
 	holdEnd   time.Duration
@@ -86,6 +87,7 @@
 	}
 	w.dirty = w.dirty || w.changed(c)
 	w.call, w.calledAt, w.emptied, w.said = c, now, false, false
+	w.total = w.total.Most(c.Free)
 	w.learnEnds()
 	w.taken = slices.DeleteFunc(w.taken, func(t *taken) bool {
 		if w.lists(t.Attempt) {
--- a/core/ledger/turns.go
+++ b/core/ledger/turns.go
@@ -102,6 +102,9 @@
 			l.setTask(at, t)
 			touched[at.job] = true
 		}
+		if ok && !mine {
+			w.Stray = w.Stray.Add(l.jobs[a.Job].Spec.Tasks[at.task].Room)
+		}
 		if !mine || t.Turn.Stop != "" {
 			answer.Orders.Stops = append(answer.Orders.Stops, a)
 		}
@@ -304,7 +307,7 @@
 // incarnation; and never more than its capacity less all turns.
 func (l *Ledger) Room(worker string) Room {
 	w := l.workers[worker]
-	free, capacity := w.Free, w.Capacity
+	free, capacity := w.Free, w.Capacity.Less(w.Stray)
 	for at := range l.turns[worker] {
 		t, room := l.jobs[at.job].Tasks[at.task].Turn, l.jobs[at.job].Spec.Tasks[at.task].Room
 		if t.StartedAt == 0 || t.OrphanUntil > 0 {
--- a/core/ledger/types.go
+++ b/core/ledger/types.go
@@ -206,7 +206,9 @@
 
 type Worker struct {
 	Beat
-	Capacity Room          `json:"capacity"`
+	Capacity Room `json:"capacity"`
+	// Stray is what the worker runs beside its turns, and is told to stop.
+	Stray    Room          `json:"stray,omitzero"`
 	Drained  bool          `json:"drained,omitempty"`
 	Gone     bool          `json:"gone,omitempty"`
 	SeenAt   time.Duration `json:"seenAt"`
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -106,6 +106,11 @@
 	return Room{min(r.Slots, o.Slots), min(r.Cores, o.Cores), min(r.MemoryMB, o.MemoryMB), min(r.Accelerators, o.Accelerators)}
 }
 
+// Most takes the larger of each.
+func (r Room) Most(o Room) Room {
+	return Room{max(r.Slots, o.Slots), max(r.Cores, o.Cores), max(r.MemoryMB, o.MemoryMB), max(r.Accelerators, o.Accelerators)}
+}
+
 type Policies struct {
 	Order  string `json:"order"`
 	Borrow string `json:"borrow"`
