--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -80,8 +80,12 @@
 	claims   claims
 	Counters Counters
 	central  bool
+	news     uint64
 }
 
+// News changes whenever a task has come into an inbox.
+func (d *Dispatch) News() uint64 { return d.news }
+
 // Patience is how long a task may wait in the inbox of a worker that has room
 // for it before others may take it: its scheduler may be gone.
 const Patience = 300 * time.Millisecond
@@ -277,6 +281,7 @@
 }
 
 func (d *Dispatch) put(job ledger.Job, at Ref, worker string) {
+	d.news++
 	delete(d.unplaced, at)
 	k, number := kindOf(job, at.Task), job.Tasks[at.Task].Number
 	d.place[at] = placed{worker, k, number}
--- a/core/dispatch/pick.go
+++ b/core/dispatch/pick.go
@@ -378,11 +378,16 @@
 // wait, as many as their class's share still holds, where the fitting workers
 // have no room for that many, not even with the turns being stopped already.
 func (d *Dispatch) PushOut(l *ledger.Ledger, site string, held Held) (Choice, bool) {
+	seen := map[kind]bool{}
 	for _, w := range l.Workers() {
 		if w.Site != site {
 			continue
 		}
 		for _, g := range d.inbox[w.ID()] {
+			if seen[g.kind] {
+				continue
+			}
+			seen[g.kind] = true
 			at := g.tasks[0].at
 			job, ok := l.Job(at.Job)
 			if !ok || held.Tasks[at] || g.kind.gangSlots > 0 || l.At()-job.Tasks[at.Task].ReleasedAt < 20*time.Millisecond {
@@ -429,12 +434,7 @@
 		if l.At()-w.SeenAt > heardFor || !d.ration(l, w, 0) {
 			continue
 		}
-		room := l.Room(w.ID())
-		for _, p := range l.TurnsOn(w.ID()) {
-			if p.Turn.Stop != "" {
-				room = room.Add(p.Start.Room)
-			}
-		}
+		room := l.Room(w.ID()).Add(l.Stopping(w.ID()))
 		for ; room.Holds(need); room = room.Less(need) {
 			count++
 		}
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -56,6 +56,7 @@
 	horizon  time.Duration
 
 	turns   map[string]map[ref]bool
+	loads   map[string]load
 	inbox   map[[2]string]int
 	waiting map[need]int
 	active  map[string]bool
@@ -70,16 +71,47 @@
 	entries  []Entry
 }
 
+// load sums the turns of a worker: their room, that of the turns that its report
+// did not count yet, and that of those being stopped.
+type load struct {
+	used, unheard, stopping Room
+	stops, fresh            int
+	classes                 map[string]int
+}
+
+func (o load) with(job Job, i, by int) load {
+	t, room := job.Tasks[i].Turn, job.Spec.Tasks[i].Room
+	add := Room.Add
+	if by < 0 {
+		add = Room.Less
+	}
+	o.used = add(o.used, room)
+	if t.StartedAt == 0 || t.OrphanUntil > 0 {
+		o.unheard = add(o.unheard, room)
+	}
+	if t.Stop != "" {
+		o.stopping, o.stops = add(o.stopping, room), o.stops+by
+	} else if t.StartedAt == 0 {
+		o.fresh += by
+	}
+	if o.classes == nil {
+		o.classes = map[string]int{}
+	}
+	o.classes[job.Spec.Class] += by * room.Slots
+	return o
+}
+
 // lookups keeps what several questions at one position have in common.
 type lookups struct {
 	at       Position
 	busyness map[string]Busyness
 	meetable map[need]bool
+	workers  []Worker
 }
 
 func (l *Ledger) cached() lookups {
 	if l.lookups.at != l.position || l.lookups.busyness == nil {
-		l.lookups = lookups{l.position, map[string]Busyness{}, map[need]bool{}}
+		l.lookups = lookups{l.position, map[string]Busyness{}, map[need]bool{}, nil}
 	}
 	return l.lookups
 }
@@ -97,7 +129,7 @@
 
 // index rebuilds what is derived from the records.
 func (l *Ledger) index() {
-	l.turns, l.inbox = map[string]map[ref]bool{}, map[[2]string]int{}
+	l.turns, l.inbox, l.loads = map[string]map[ref]bool{}, map[[2]string]int{}, map[string]load{}
 	l.waiting, l.active, l.timed = map[need]int{}, map[string]bool{}, map[ref]bool{}
 	l.over = nil
 	l.requests.sort(func(r Request) time.Duration { return r.At })
@@ -143,6 +175,7 @@
 		} else {
 			delete(l.turns[t.Turn.Worker], at)
 		}
+		l.loads[t.Turn.Worker] = l.loads[t.Turn.Worker].with(job, i, by)
 	} else if t.State == Open {
 		n := l.needOf(job, i)
 		if l.waiting[n] += by; l.waiting[n] == 0 {
@@ -798,7 +831,7 @@
 		var err error
 		switch r.Bucket {
 		case "job":
-			if err = load(l.jobs, r); err == nil {
+			if err = loadInto(l.jobs, r); err == nil {
 				job := l.jobs[r.Key]
 				job.Spec.Tasks = placed(job.Spec)
 				job.Tasks = fresh(job)
@@ -807,17 +840,17 @@
 		case "task":
 			tasks = append(tasks, r)
 		case "worker":
-			err = load(l.workers, r)
+			err = loadInto(l.workers, r)
 		case "site":
-			err = load(l.emptied, r)
+			err = loadInto(l.emptied, r)
 		case "duty":
-			err = load(l.duties, r)
+			err = loadInto(l.duties, r)
 		case "daemon":
-			err = load(l.daemons, r)
+			err = loadInto(l.daemons, r)
 		case "request":
-			err = load(l.requests.byKey, r)
+			err = loadInto(l.requests.byKey, r)
 		case "past":
-			err = load(l.past.byKey, r)
+			err = loadInto(l.past.byKey, r)
 		case "meta":
 			if r.Key == "plan" {
 				err = json.Unmarshal(r.Value, &l.plan)
@@ -848,7 +881,7 @@
 	return l, nil
 }
 
-func load[V any](into map[string]V, r machine.Record) error {
+func loadInto[V any](into map[string]V, r machine.Record) error {
 	var v V
 	if err := json.Unmarshal(r.Value, &v); err != nil {
 		return err
--- a/core/ledger/turns.go
+++ b/core/ledger/turns.go
@@ -307,15 +307,8 @@
 // incarnation; and never more than its capacity less all turns.
 func (l *Ledger) Room(worker string) Room {
 	w := l.workers[worker]
-	free, capacity := w.Free, w.Capacity.Less(w.Stray)
-	for at := range l.turns[worker] {
-		t, room := l.jobs[at.job].Tasks[at.task].Turn, l.jobs[at.job].Spec.Tasks[at.task].Room
-		if t.StartedAt == 0 || t.OrphanUntil > 0 {
-			free = free.Less(room)
-		}
-		capacity = capacity.Less(room)
-	}
-	return free.Least(capacity)
+	o := l.loads[worker]
+	return w.Free.Less(o.unheard).Least(w.Capacity.Less(w.Stray).Less(o.used))
 }
 
 // Fits checks the standing rules between a task and a worker, without room.
@@ -362,15 +355,14 @@
 		if w.Service != service || w.Leaving || w.Drained || l.emptied[w.Site] || l.at > w.CutoffAt && !l.Live(w) {
 			continue
 		}
-		used := 0
-		for at := range l.turns[id] {
-			spec := l.jobs[at.job].Spec
-			b.Used[spec.Class] += spec.Tasks[at.task].Room.Slots
-			used += spec.Tasks[at.task].Room.Slots
+		for class, slots := range l.loads[id].classes {
+			if slots != 0 {
+				b.Used[class] += slots
+			}
 		}
 		b.Slots += w.Capacity.Slots
 		if l.Live(w) {
-			b.Idle += w.Capacity.Slots - used
+			b.Idle += w.Capacity.Slots - l.loads[id].used.Slots
 		}
 	}
 	cache[service] = b
@@ -438,6 +430,9 @@
 		// What is larger than the share starts alone in its class, or it never could.
 		return true, false
 	}
+	if l.rules.AlwaysLends() {
+		return true, true
+	}
 	names := plan.BorrowNames{
 		Total: b.Slots, Idle: idle, Asked: askedSlots, Used: used, Share: share,
 		Waiting: l.Owed(service, class), Class: class, Service: service,
--- a/core/ledger/views.go
+++ b/core/ledger/views.go
@@ -21,12 +21,17 @@
 	return w, ok
 }
 
+// Workers gives all workers by name; the list is shared and not to be changed.
 func (l *Ledger) Workers() []Worker {
-	out := make([]Worker, 0, len(l.workers))
-	for _, id := range slices.Sorted(maps.Keys(l.workers)) {
-		out = append(out, l.workers[id])
+	l.cached()
+	if l.lookups.workers == nil {
+		out := make([]Worker, 0, len(l.workers))
+		for _, id := range slices.Sorted(maps.Keys(l.workers)) {
+			out = append(out, l.workers[id])
+		}
+		l.lookups.workers = out
 	}
-	return out
+	return l.lookups.workers
 }
 
 func (l *Ledger) Duty(name string) Duty { return l.duties[name] }
@@ -82,6 +87,12 @@
 	return out
 }
 
+// Stopping is the room of the turns on a worker that are being stopped.
+func (l *Ledger) Stopping(worker string) Room { return l.loads[worker].stopping }
+
+// Pending says whether a worker has turns to be told of: to start or to stop.
+func (l *Ledger) Pending(worker string) bool { return l.loads[worker].stops+l.loads[worker].fresh > 0 }
+
 // CountOn is how many turns a worker holds.
 func (l *Ledger) CountOn(worker string) int { return len(l.turns[worker]) }
 
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -312,8 +312,14 @@
 	return expr.Compile(text, append([]expr.Option{expr.Env(BorrowNames{}), expr.AsBool()}, pure...)...)
 }
 
-// Rules are the compiled policies of a plan.
-type Rules struct{ order, borrow *vm.Program }
+// Rules are the compiled policies of a plan. The two shortest are known by sight.
+type Rules struct {
+	order, borrow      *vm.Program
+	byPriority, always bool
+}
+
+// AlwaysLends says that the borrowing policy is just "true".
+func (r Rules) AlwaysLends() bool { return r.always }
 
 // RunLimit is how long an attempt of a class may run unless its task says so.
 func (p Plan) RunLimit(service, class string) time.Duration {
@@ -328,11 +334,11 @@
 func (p Plan) Compile() Rules {
 	order, _ := compileOrder(p.Policies.Order)
 	borrow, _ := compileBorrow(p.Policies.Borrow)
-	return Rules{order, borrow}
+	return Rules{order, borrow, strings.TrimSpace(p.Policies.Order) == "priority", strings.TrimSpace(p.Policies.Borrow) == "true"}
 }
 
 func (r Rules) Order(names OrderNames) float64 {
-	if r.order != nil {
+	if r.order != nil && !r.byPriority {
 		if out, err := expr.Run(r.order, names); err == nil {
 			if v, ok := out.(float64); ok && v == v {
 				return v
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -34,6 +34,7 @@
 	passEach    = 50 * time.Millisecond
 	retellAfter = 500 * time.Millisecond
 	refusedFor  = 150 * time.Millisecond
+	pushEach    = 50 * time.Millisecond
 )
 
 // DutyOf names the duty that owns a site's inboxes.
@@ -75,6 +76,13 @@
 	Wake(now time.Duration, out *machine.Output) []follow.Result
 }
 
+// idle is what a worker found nothing for.
+type idle struct {
+	news  uint64
+	room  ledger.Room
+	until time.Duration
+}
+
 type Scheduler struct {
 	env       Env
 	copy      Authority
@@ -85,6 +93,8 @@
 	overShare map[[2]string]uint64
 	helloAt   time.Duration
 	wanted    map[string]bool
+	idle      map[string]idle
+	pushAt    time.Duration
 	wakeAt    time.Duration
 	passAt    time.Duration
 	stopping  bool
@@ -98,7 +108,7 @@
 // NewWith is a scheduler that works on the given authority.
 func NewWith(env Env, authority Authority) *Scheduler {
 	s := &Scheduler{env: env, copy: authority, dispatch: dispatch.New(), records: map[string]record{},
-		proposals: map[uint64]proposal{}, told: map[ledger.Attempt]time.Duration{}, overShare: map[[2]string]uint64{}, wanted: map[string]bool{}}
+		proposals: map[uint64]proposal{}, told: map[ledger.Attempt]time.Duration{}, overShare: map[[2]string]uint64{}, wanted: map[string]bool{}, idle: map[string]idle{}}
 	if env.Central {
 		s.dispatch = dispatch.NewCentral()
 	}
@@ -356,26 +366,16 @@
 	workers := slices.Sorted(maps.Keys(s.records))
 	l := s.copy.View()
 	if !s.stopping && s.copy.Fresh(now) {
-		for _, pull := range dispatch.Pulls {
-			for _, worker := range workers {
-				r := s.records[worker]
-				if !r.recorded && !s.copy.Own() || r.beat.Leaving || !s.holds(r.beat.Site) || s.behind(r) {
-					continue
-				}
-				for {
-					choice, ok := s.dispatch.Next(l, worker, s.held(now), pull)
-					if !ok {
-						break
-					}
-					s.ask(now, DutyOf(r.beat.Site), ledger.KindGrant, choice, out)
+		s.pull(now, workers, out)
+		if now >= s.pushAt || !s.copy.Own() {
+			s.pushAt = now + pushEach
+			for _, site := range s.Duties() {
+				if pick, ok := s.dispatch.PushOut(l, site, s.held(now)); ok {
+					s.ask(now, DutyOf(site), ledger.KindPushOut, pick, out)
+					s.pushAt = now
 				}
 			}
 		}
-		for _, site := range s.Duties() {
-			if pick, ok := s.dispatch.PushOut(l, site, s.held(now)); ok {
-				s.ask(now, DutyOf(site), ledger.KindPushOut, pick, out)
-			}
-		}
 	}
 	unsure := map[ledger.Attempt]bool{}
 	for _, p := range s.proposals {
@@ -397,6 +397,41 @@
 	}
 }
 
+// pull lets every worker that waits with room pull: quick work before all other,
+// own inboxes before helping. In the primary's own process what is asked for is
+// in the ledger at once, and a worker that found nothing is left alone until
+// something has changed for it.
+func (s *Scheduler) pull(now time.Duration, workers []string, out *machine.Output) {
+	l := s.copy.View()
+	held := s.held(now)
+	var able []string
+	for _, worker := range workers {
+		r := s.records[worker]
+		if !r.recorded && !s.copy.Own() || r.beat.Leaving || !s.holds(r.beat.Site) || s.behind(r) {
+			continue
+		}
+		if idle, ok := s.idle[worker]; s.copy.Own() && ok && idle.room == l.Room(worker) && idle.news == s.dispatch.News() && now < idle.until {
+			continue
+		}
+		able = append(able, worker)
+	}
+	for _, pull := range dispatch.Pulls {
+		for _, worker := range able {
+			for {
+				choice, ok := s.dispatch.Next(l, worker, held, pull)
+				if !ok {
+					break
+				}
+				s.ask(now, DutyOf(s.records[worker].beat.Site), ledger.KindGrant, choice, out)
+				held = s.held(now)
+			}
+		}
+	}
+	for _, worker := range able {
+		s.idle[worker] = idle{s.dispatch.News(), l.Room(worker), now + passEach}
+	}
+}
+
 // behind says whether the copy has not yet seen this very beat.
 func (s *Scheduler) behind(r record) bool {
 	w, ok := s.copy.View().Worker(r.beat.Worker)
@@ -421,6 +456,7 @@
 func (s *Scheduler) Drop() {
 	s.dispatch.Update(s.copy.View(), []ledger.Changed{{All: true}})
 	s.records, s.proposals = map[string]record{}, map[uint64]proposal{}
+	s.idle = map[string]idle{}
 	s.overShare, s.wanted, s.told = map[[2]string]uint64{}, map[string]bool{}, map[ledger.Attempt]time.Duration{}
 }
 
@@ -429,11 +465,11 @@
 func (s *Scheduler) orders(now time.Duration, r record, unsure map[ledger.Attempt]bool, out *machine.Output) {
 	orders := r.orders
 	urgent := len(orders.Acks) > 0
-	listed := map[ledger.Attempt]bool{}
-	for _, a := range r.beat.Running {
-		listed[a] = true
-	}
-	if !s.behind(r) {
+	if !s.behind(r) && s.copy.View().Pending(r.beat.Worker) {
+		listed := map[ledger.Attempt]bool{}
+		for _, a := range r.beat.Running {
+			listed[a] = true
+		}
 		for _, p := range s.copy.View().TurnsOn(r.beat.Worker) {
 			if p.Turn.Incarnation != r.beat.Incarnation || unsure[ledger.Attempt{Job: p.Job, Task: p.Task}] {
 				continue
