Have a restarted primary ask both others, so that two of three always go on

The third keeper lost its disk at 12.0 s and its new identity had no seat yet; the primary was killed at 14.8 s and came back at 17.8 s, while the backup was cut off from 16.5 s to 24.5 s and the primary from 22.3 s to 30.3 s. From 30.3 s on both members of the view were up and joined, and nothing was ever decided again: views=1.

Cause: a primary of another run asks its backup for 1.5 s and then only the third. A backup that hears no primary asks only the third, too. With the third gone for good each waits for it, and neither says a word to the other: the choice of the next backup was made on who had been heard, and only the one chosen could be heard.

Ruled out: the register (no view was proposed at all after 14.8 s, so no ballot was lost and no votes split), backoff (nothing was tried), membership (the keepers know each other from the view), the copy (the backup refuses none of its primary).

Now such a primary checks all other witnesses each heartbeat, and prefers its backup unless only the third is heard. No rule of safety is touched: who may lead, what the new backup must have acked and who decides are as before.

New tests drive keepers alone, with writes all the while: any two of three back after a loss of all power, in each order, with pauses of 0 to 20 s, 30 rows.

--- /dev/null
+++ b/core/keeper/keeper_test.go
@@ -0,0 +1,318 @@
+// Keepers alone, on a small network of lines that take 1 ms and disks that take
+// 3 ms: what they decide on when one after another goes away, comes back, comes
+// back empty, or another machine stands at its address. A writer changes the plan
+// all the while, and no answered change may be lost or answered twice.
+package keeper
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"sort"
+	"strings"
+	"testing"
+	"time"
+
+	"sorrelloom/core/code"
+	"sorrelloom/core/ledger"
+	"sorrelloom/core/machine"
+	"sorrelloom/core/wire"
+)
+
+const stride = time.Millisecond
+
+type host struct {
+	address string
+	k       *Keeper
+	life    int
+	boot    time.Duration
+	disk    map[[2]string]json.RawMessage
+	cut     bool
+	slow    time.Duration
+}
+
+// trio is a cluster of three founders and whoever is added later.
+type trio struct {
+	t        *testing.T
+	now      time.Duration
+	hosts    []*host
+	agenda   map[time.Duration][]func()
+	founders []string
+	log      []string
+	asked    uint64
+	answered map[uint64]uint64 // plan sequence to the number of the request
+	last     time.Duration     // when a write was last answered
+	longest  time.Duration     // the longest time without an answer
+	logs     map[string]int
+}
+
+func newTrio(t *testing.T) *trio {
+	c := &trio{t: t, agenda: map[time.Duration][]func(){}, founders: []string{"a", "b", "c"}, answered: map[uint64]uint64{}, logs: map[string]int{}}
+	for _, address := range c.founders {
+		c.add(address)
+	}
+	c.pass(time.Second)
+	if c.primary() == nil {
+		t.Fatal("three empty founders found no cluster")
+	}
+	return c
+}
+
+func (c *trio) add(address string) *host {
+	h := &host{address: address, disk: map[[2]string]json.RawMessage{}}
+	c.hosts = append(c.hosts, h)
+	c.start(h)
+	return h
+}
+
+func (c *trio) host(address string) *host {
+	for _, h := range c.hosts {
+		if h.address == address {
+			return h
+		}
+	}
+	return nil
+}
+
+func (c *trio) start(h *host) {
+	if h.k != nil {
+		return
+	}
+	h.life++
+	h.boot = c.now
+	var records []machine.Record
+	for key, value := range h.disk {
+		records = append(records, machine.Record{Bucket: key[0], Key: key[1], Value: value})
+	}
+	sort.Slice(records, func(i, j int) bool {
+		return records[i].Bucket+"/"+records[i].Key < records[j].Bucket+"/"+records[j].Key
+	})
+	env := Env{Address: h.address, Site: h.address, FreshID: fmt.Sprintf("%s-%d", h.address, h.life), Boot: uint64(h.life)<<16 + uint64(h.address[0])}
+	if slices.Contains(c.founders, h.address) {
+		env.Founders = c.founders
+	}
+	k, err := New(env, records)
+	if err != nil {
+		c.t.Fatalf("%s refuses its own disk: %v", h.address, err)
+	}
+	h.k = k
+	c.say("start %s as %s", h.address, k.ID())
+	c.step(h, machine.Input{})
+}
+
+// kill ends a process; what its disk was at is lost.
+func (c *trio) kill(h *host) {
+	if h.k != nil {
+		c.say("kill %s", h.address)
+	}
+	h.k = nil
+	h.life++
+}
+
+func (c *trio) wipe(h *host) {
+	c.kill(h)
+	c.say("wipe %s", h.address)
+	h.disk = map[[2]string]json.RawMessage{}
+}
+
+func (c *trio) say(format string, args ...any) {
+	c.log = append(c.log, fmt.Sprintf("%8.3f ", c.now.Seconds())+fmt.Sprintf(format, args...))
+}
+
+func (c *trio) after(d time.Duration, do func()) {
+	at := (c.now + d).Truncate(stride)
+	c.agenda[at] = append(c.agenda[at], do)
+}
+
+func (c *trio) step(h *host, in machine.Input) {
+	out := h.k.Step(c.now-h.boot+time.Microsecond, in)
+	life := h.life
+	for _, e := range out.Events {
+		c.logs[e.Name]++
+		c.say("%s %s %v", h.address, e.Name, e.Fields)
+	}
+	for _, s := range out.Sends {
+		if s.To == "writer" {
+			c.answer(h, s)
+			continue
+		}
+		to := c.host(s.To)
+		if to == nil || h.cut {
+			continue
+		}
+		line := machine.Line{Wire: machine.WireSequence, Kind: s.Kind, From: h.address, Body: machine.MustJSON(s.Body)}
+		c.after(stride, func() {
+			if to.k != nil && !to.cut && !h.cut {
+				c.step(to, machine.Input{Line: line})
+			}
+		})
+	}
+	for _, w := range out.Writes {
+		c.after(3*stride+h.slow, func() {
+			if h.life != life {
+				return
+			}
+			for _, bucket := range w.Wipe {
+				for key := range h.disk {
+					if key[0] == bucket {
+						delete(h.disk, key)
+					}
+				}
+			}
+			for _, r := range w.Records {
+				if len(r.Value) == 0 {
+					delete(h.disk, [2]string{r.Bucket, r.Key})
+				} else {
+					h.disk[[2]string{r.Bucket, r.Key}] = r.Value
+				}
+			}
+			c.step(h, machine.Input{Wrote: w.Done})
+		})
+	}
+	if out.Stopped {
+		c.kill(h)
+	}
+}
+
+// write asks every keeper that is up to change the plan.
+func (c *trio) write() {
+	for _, h := range c.hosts {
+		if h.k == nil || h.cut {
+			continue
+		}
+		c.asked++
+		cmd := ledger.Command{Kind: ledger.KindPlan, Plan: ledger.PlanChange{Forced: true, Patch: true, Body: fmt.Appendf(nil, `{"limits":{"keep":"%dm"}}`, 10+c.asked)}}
+		line := machine.Line{Wire: machine.WireSequence, Kind: wire.Command, From: "writer", Body: machine.MustJSON(wire.CommandBody{ID: c.asked, Command: cmd})}
+		c.step(h, machine.Input{Line: line})
+	}
+}
+
+func (c *trio) answer(h *host, s machine.Send) {
+	b, ok := s.Body.(wire.CommandBackBody)
+	if !ok || h.cut || b.Answer.Code == code.NotPrimary {
+		return
+	}
+	if !b.Answer.Code.Good() {
+		c.t.Fatalf("a plan is bounced: %+v", b.Answer)
+	}
+	if other, ok := c.answered[b.Answer.Sequence]; ok && other != b.ID {
+		c.t.Errorf("plan %d was answered to the requests %d and %d", b.Answer.Sequence, other, b.ID)
+	}
+	c.answered[b.Answer.Sequence] = b.ID
+	c.longest, c.last = max(c.longest, c.now-c.last), c.now
+}
+
+// pass lets time go by, with a write each 50 ms.
+func (c *trio) pass(d time.Duration) {
+	for end := c.now + d; c.now < end; {
+		c.now += stride
+		due := c.agenda[c.now]
+		delete(c.agenda, c.now)
+		for _, do := range due {
+			do()
+		}
+		for _, h := range c.hosts {
+			if h.k != nil && h.k.Wakeup() <= c.now-h.boot {
+				c.step(h, machine.Input{})
+			}
+		}
+		if c.now%(50*time.Millisecond) == 0 {
+			c.gossip()
+			c.write()
+		}
+	}
+}
+
+// gossip tells each keeper of the others, as the members would.
+func (c *trio) gossip() {
+	var nodes []wire.Node
+	for _, h := range c.hosts {
+		if h.k != nil && !h.cut {
+			nodes = append(nodes, wire.Node{ID: h.k.ID(), Role: "keeper", Site: h.address, Address: h.address})
+		}
+	}
+	for _, h := range c.hosts {
+		if h.k != nil && !h.cut {
+			c.step(h, machine.Input{Line: machine.Line{Wire: machine.WireSequence, Kind: wire.Nodes, Body: machine.MustJSON(wire.Gossip{Nodes: nodes})}})
+		}
+	}
+}
+
+func (c *trio) primary() *host {
+	for _, h := range c.hosts {
+		if h.k != nil && !h.cut && h.k.proven(c.now-h.boot+time.Microsecond) {
+			return h
+		}
+	}
+	return nil
+}
+
+// serves says how long it takes until a write is answered, at most d.
+func (c *trio) serves(d time.Duration) (time.Duration, bool) {
+	from := c.now
+	for c.now-from < d {
+		c.pass(stride)
+		if c.last > from {
+			return c.now - from, true
+		}
+	}
+	return d, false
+}
+
+// seats says how long it takes until a keeper has a seat in the view by which the
+// cluster serves, at most d.
+func (c *trio) seats(h *host, d time.Duration) (time.Duration, bool) {
+	from := c.now
+	for c.now-from < d {
+		c.pass(stride)
+		if p := c.primary(); p != nil && h.k != nil && slices.ContainsFunc(p.k.View().Witnesses, func(s wire.Seat) bool { return s.ID == h.k.ID() }) {
+			return c.now - from, true
+		}
+	}
+	return d, false
+}
+
+// check looks whether what was answered is still there.
+func (c *trio) check() {
+	var newest uint64
+	for sequence := range c.answered {
+		newest = max(newest, sequence)
+	}
+	p := c.primary()
+	if p == nil {
+		return
+	}
+	if got := p.k.Ledger().Plan(); got.Sequence < newest {
+		c.t.Errorf("plan %d was answered, %s leads with %d", newest, p.address, got.Sequence)
+	}
+}
+
+func (c *trio) tell(n int) string {
+	return strings.Join(c.log[max(0, len(c.log)-n):], "\n")
+}
+
+// TestAnyTwoServeAgain takes the power from all three and gives it back to two of
+// them, in either order and with pauses; the third never comes back. What is left
+// is a primary or a backup and one more, which is enough.
+func TestAnyTwoServeAgain(t *testing.T) {
+	for _, pair := range []string{"ab", "ba", "ac", "ca", "bc", "cb"} {
+		for _, pause := range []time.Duration{0, 500 * time.Millisecond, 2 * time.Second, 5 * time.Second, 20 * time.Second} {
+			t.Run(fmt.Sprintf("%s after %s", pair, pause), func(t *testing.T) {
+				c := newTrio(t)
+				for _, h := range c.hosts {
+					c.kill(h)
+				}
+				c.pass(time.Second)
+				c.start(c.host(pair[:1]))
+				c.pass(pause)
+				c.start(c.host(pair[1:]))
+				took, ok := c.serves(15 * time.Second)
+				if !ok || took > 4*time.Second {
+					t.Errorf("served again after %s: %v\n%s", took, ok, c.tell(30))
+				}
+				c.pass(time.Second)
+				c.check()
+			})
+		}
+	}
+}
--- a/core/keeper/view.go
+++ b/core/keeper/view.go
@@ -62,21 +62,39 @@
 	return best
 }
 
+// partner is whom a primary that was restarted goes on with: its backup, or the
+// third while only that one is heard. It asks both all the while. If it asked just
+// one, and that one never came back, the other could not make itself heard: a
+// backup that hears no primary asks the third, too.
+func (k *Keeper) partner(now time.Duration, out *machine.Output) wire.Seat {
+	for _, s := range k.witness.Known.Witnesses {
+		if s.ID != k.seat.ID {
+			k.sync(now, s, out)
+		}
+	}
+	backup := k.witness.Known.Backup
+	if third := k.spare(now, backup.ID); k.silent(now, backup) && !k.silent(now, third) {
+		return third
+	}
+	return backup
+}
+
+// silent says whether a leader has not heard from a witness for long.
+func (k *Keeper) silent(now time.Duration, s wire.Seat) bool {
+	return now-max(k.peers[s.ID].heardAt, k.beganAt) > suspect
+}
+
 func (k *Keeper) lead(now time.Duration, out *machine.Output) {
 	known := k.witness.Known
 	if known.Boot != k.env.Boot {
-		backup := known.Backup
-		if now-max(k.peers[backup.ID].heardAt, k.beganAt) > suspect {
-			backup = k.spare(now, backup.ID)
-		}
-		k.next(now, k.view(k.seat, backup), out)
+		k.next(now, k.view(k.seat, k.partner(now, out)), out)
 		return
 	}
 	if !k.serving {
 		k.sync(now, known.Backup, out)
 		if backup := k.peers[known.Backup.ID]; backup.synced && backup.at == k.ledger.Position() {
 			k.serve(now, out)
-		} else if now-max(backup.heardAt, k.beganAt) > suspect {
+		} else if k.silent(now, known.Backup) {
 			k.next(now, k.view(k.seat, k.spare(now, known.Backup.ID)), out)
 		}
 		return
@@ -87,7 +105,7 @@
 			k.apply(now, ledger.Command{Kind: ledger.KindTick})
 		}
 	}
-	if now-max(k.peers[known.Backup.ID].heardAt, k.beganAt) > suspect {
+	if k.silent(now, known.Backup) {
 		k.next(now, k.view(k.seat, k.spare(now, known.Backup.ID)), out)
 		return
 	}
