Seat an empty keeper at once at the seat's own address, and sooner at another

Cause: a seat had to be silent for 3 s before its place was given away, counted anew after each change of view, and a silent backup or primary for 1.5 s before that, also where the newcomer stood at the very address of the seat and so proved that the old process and its disk are gone. A dead machine that the members still knew could be picked as the newcomer for 6 s; a newcomer elsewhere learnt of a keeper by chance, after one to five rounds of gossip; a next proposal waited out the pause of the one before, though that epoch was decided.

Now: a word of another identity from a seat's own address, later than the seat's last, makes a leader or a backup act without waiting. This only hastens a proposal; who may lead, what the backup has acked and the votes are untouched, and an empty disk still has an identity of its own. Elsewhere a seat must be silent for 1.5 s, and a new leader gives all 450 ms to answer. Newcomers who are not heard are passed over. Gossip names two keepers first, and a newcomer's daemon is told of the first keeper in that moment. The pause between ballots starts anew with each epoch.

Ruled out: taking the newcomer in while the seat may still speak (swaps of living keepers), and sending the whole ledger to idle spares beforehand.

--- a/core/keeper/keeper.go
+++ b/core/keeper/keeper.go
@@ -29,7 +29,7 @@
 const (
 	heartbeat  = 150 * time.Millisecond
 	suspect    = 1500 * time.Millisecond
-	vanished   = 3 * time.Second
+	vanished   = 1500 * time.Millisecond
 	followFor  = 3 * time.Second
 	inFlight   = 4096
 	entryMax   = 1024
--- a/core/keeper/keeper_test.go
+++ b/core/keeper/keeper_test.go
@@ -344,6 +344,55 @@
 	}
 }
 
+// TestAnEmptyMachineIsSeated loses one keeper's disk and measures from when an
+// empty machine can be reached until it has a seat, at the address of the seat or
+// at another. At the very address nothing needs to be waited for: the old seat is
+// proved gone. At another one the old seat must have been silent.
+func TestAnEmptyMachineIsSeated(t *testing.T) {
+	for _, row := range []struct {
+		who, at string
+		after   time.Duration
+		bound   time.Duration
+	}{
+		{"a", "a", 0, 600 * time.Millisecond},
+		{"b", "b", 0, 600 * time.Millisecond},
+		{"c", "c", 0, 600 * time.Millisecond},
+		{"a", "a", 3 * time.Second, 600 * time.Millisecond},
+		{"b", "b", 3 * time.Second, 600 * time.Millisecond},
+		{"c", "c", 3 * time.Second, 600 * time.Millisecond},
+		{"a", "n", 0, 2500 * time.Millisecond},
+		{"b", "n", 0, 2500 * time.Millisecond},
+		{"c", "n", 0, 2500 * time.Millisecond},
+		{"a", "n", 3 * time.Second, 1500 * time.Millisecond},
+		{"b", "n", 3 * time.Second, 1500 * time.Millisecond},
+		{"c", "n", 3 * time.Second, 1500 * time.Millisecond},
+	} {
+		var worst time.Duration
+		for phase := range 7 {
+			c := newTrio(t)
+			c.pass(2*time.Second + time.Duration(phase)*53*time.Millisecond)
+			h := c.host(row.who)
+			c.wipe(h)
+			if row.at != row.who {
+				c.hosts = slices.DeleteFunc(c.hosts, func(o *host) bool { return o == h })
+			}
+			c.pass(row.after)
+			if row.at == row.who {
+				c.start(h)
+			} else {
+				h = c.add(row.at)
+			}
+			took, ok := c.seats(h, 12*time.Second)
+			if worst = max(worst, took); !ok || took > row.bound {
+				t.Errorf("%s lost, an empty machine at %s after %s: seated after %s: %v\n%s", row.who, row.at, row.after, took, ok, c.tell(12))
+				break
+			}
+			c.check()
+		}
+		t.Logf("%s lost, an empty machine at %s after %s: seated after at most %s", row.who, row.at, row.after, worst)
+	}
+}
+
 // TestRandomDays plays many short days of faults close upon each other and ends
 // each with all cuts mended and two or three keepers up, of which one must be
 // the primary or the backup and none has lost a disk that was still needed. The
--- a/core/keeper/view.go
+++ b/core/keeper/view.go
@@ -33,7 +33,7 @@
 	case k.leads():
 		k.lead(now, out)
 	case k.backs():
-		if now-k.peers[k.witness.Known.Primary.ID].heardAt > suspect && now-k.startAt > suspect {
+		if p := k.witness.Known.Primary; now-max(k.peers[p.ID].heardAt, k.startAt) > suspect || k.gone(p) {
 			k.next(now, k.view(k.seat, k.spare(now, k.witness.Known.Primary.ID)), out)
 		}
 	}
@@ -79,9 +79,19 @@
 	return backup
 }
 
-// silent says whether a leader has not heard from a witness for long.
+// silent says whether a leader has not heard from a witness for long, or knows
+// that it is gone.
 func (k *Keeper) silent(now time.Duration, s wire.Seat) bool {
-	return now-max(k.peers[s.ID].heardAt, k.beganAt) > suspect
+	return now-max(k.peers[s.ID].heardAt, k.beganAt) > suspect || k.gone(s)
+}
+
+// gone says whether another disk's identity has spoken from a seat's own address
+// since the seat was last heard: two processes cannot stand at one address, so
+// nothing needs to be waited for. It only hastens a proposal; who may lead and
+// who decides are the same.
+func (k *Keeper) gone(s wire.Seat) bool {
+	f, ok := k.found[s.Address]
+	return ok && f.Seat.ID != s.ID && f.at > k.peers[s.ID].heardAt
 }
 
 func (k *Keeper) lead(now time.Duration, out *machine.Output) {
@@ -141,36 +151,49 @@
 }
 
 // replace changes the witness set for a keeper that has vanished, once another
-// stands ready at a new identity.
+// stands ready at a new identity. A new leader gives all a moment to answer first.
+// Newcomers that cannot be heard are passed over: members remember the dead.
 func (k *Keeper) replace(now time.Duration, out *machine.Output) {
 	known := k.witness.Known
 	for _, old := range known.Witnesses {
-		if old.ID == k.seat.ID || old.ID == known.Backup.ID || now-max(k.peers[old.ID].heardAt, k.beganAt) < vanished {
+		vanished := now-k.peers[old.ID].heardAt > vanished && now-k.beganAt > 3*heartbeat
+		if old.ID == k.seat.ID || old.ID == known.Backup.ID || !vanished && !k.gone(old) {
 			continue
 		}
-		for _, seat := range k.newcomers(now) {
-			v := k.view(k.seat, known.Backup)
-			v.Witnesses = slices.Clone(known.Witnesses)
-			v.Witnesses[slices.IndexFunc(v.Witnesses, func(s wire.Seat) bool { return s.ID == old.ID })] = seat
+		for _, seat := range k.newcomers(now, old) {
 			k.sync(now, seat, out)
-			if p := k.peers[seat.ID]; p.synced && now-p.heardAt < suspect {
+			p := k.peers[seat.ID]
+			if p.heardAt == 0 || now-p.heardAt > suspect {
+				continue
+			}
+			if p.synced {
+				v := k.view(k.seat, known.Backup)
+				v.Witnesses = slices.Clone(known.Witnesses)
+				v.Witnesses[slices.IndexFunc(v.Witnesses, func(s wire.Seat) bool { return s.ID == old.ID })] = seat
 				k.propose(now, v, out)
 			}
-			return
+			break
 		}
+		return
 	}
 }
 
-// newcomers are keepers without a seat: those that asked for the view a moment
-// ago, then those that the members know.
-func (k *Keeper) newcomers(now time.Duration) []wire.Seat {
+// newcomers are keepers without a seat: the one at the address of the seat that
+// is free, those that asked for the view a moment ago, then those that the
+// members know.
+func (k *Keeper) newcomers(now time.Duration, old wire.Seat) []wire.Seat {
 	var out []wire.Seat
 	for _, f := range k.found {
 		if now-f.at < suspect && !register.Has(k.witness.Known.Witnesses, f.Seat.ID) {
 			out = append(out, f.Seat)
 		}
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	sort.Slice(out, func(i, j int) bool {
+		if a, b := out[i].Address == old.Address, out[j].Address == old.Address; a != b {
+			return a
+		}
+		return out[i].ID < out[j].ID
+	})
 	for _, n := range k.nodes {
 		if n.Role == "keeper" && !register.Has(k.witness.Known.Witnesses, n.ID) && !register.Has(out, n.ID) {
 			out = append(out, wire.Seat{ID: n.ID, Address: n.Address, Site: n.Site})
@@ -315,7 +338,7 @@
 	}
 	k.witness = state
 	k.put(keyRegister, k.witness)
-	k.proposal, k.asked = register.Proposal{}, wire.Ballot{}
+	k.proposal, k.asked, k.triedAt = register.Proposal{}, wire.Ballot{}, 0
 	for _, a := range k.answers {
 		out.Send(a.to, wire.CommandBack, k.notPrimary(a.body.ID))
 	}
@@ -445,7 +468,6 @@
 	if now-k.soughtAt < 2*heartbeat && k.soughtAt > 0 {
 		return
 	}
-	k.soughtAt = now
 	targets := slices.Clone(k.env.Founders)
 	for _, n := range k.nodes {
 		if n.Role == "keeper" && !slices.Contains(targets, n.Address) {
@@ -454,6 +476,7 @@
 	}
 	for _, to := range targets {
 		if to != k.seat.Address {
+			k.soughtAt = now
 			out.Send(to, wire.Found, k.self())
 		}
 	}
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -41,6 +41,7 @@
 	entries map[string]entry
 	graves  map[string]entry
 	next    time.Duration
+	lost    bool // no keeper was known when this member last told its own daemon
 }
 
 func New(env Env) *Member {
@@ -59,6 +60,15 @@
 	return out
 }
 
+func (m *Member) keepers() (count int) {
+	for _, e := range m.entries {
+		if e.node.Role == "keeper" {
+			count++
+		}
+	}
+	return count
+}
+
 func (m *Member) Step(now time.Duration, in machine.Input) machine.Output {
 	var out machine.Output
 	switch in.Line.Kind {
@@ -74,6 +84,10 @@
 		for i, n := range b.Nodes {
 			m.hear(now, n, i == 0 && n.Address == in.Line.From)
 		}
+		if m.lost && m.keepers() > 0 {
+			m.lost = false
+			out.Send("", wire.Nodes, wire.Gossip{Nodes: m.Nodes()})
+		}
 	}
 	if now >= m.next {
 		m.next = now + shuffleEach
@@ -85,7 +99,6 @@
 func (m *Member) shuffle(now time.Duration, out *machine.Output) {
 	m.self.Sequence++
 	var addresses []string
-	lost := true
 	for id, e := range m.entries {
 		if now-e.seen > forgetAfter {
 			m.bury(now, id)
@@ -93,7 +106,6 @@
 			continue
 		}
 		addresses = append(addresses, e.node.Address)
-		lost = lost && e.node.Role != "keeper"
 	}
 	for id, e := range m.graves {
 		if now-e.seen > graveFor {
@@ -101,7 +113,8 @@
 		}
 	}
 	sort.Strings(addresses)
-	if seed := m.env.Seeds; len(seed) > 0 && lost {
+	m.lost = m.keepers() == 0
+	if seed := m.env.Seeds; len(seed) > 0 && m.lost {
 		// Without a keeper nothing can be followed: each seed is asked in turn.
 		if to := seed[m.self.Sequence%uint64(len(seed))]; to != m.self.Address {
 			out.Send(to, wire.Shuffle, wire.Gossip{Nodes: m.sample()})
@@ -121,6 +134,13 @@
 	all := m.Nodes()
 	all = slices.DeleteFunc(all, func(n wire.Node) bool { return n.ID == m.self.ID })
 	m.chance.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	// A newcomer is of no use until it knows a keeper: two go first.
+	for i, found := 0, 0; i < len(all) && found < 2; i++ {
+		if all[i].Role == "keeper" {
+			all[found], all[i] = all[i], all[found]
+			found++
+		}
+	}
 	return append([]wire.Node{m.self}, all[:min(len(all), sampleSize)]...)
 }
 
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -93,3 +94,34 @@
 		}
 	}
 }
+
+// TestANewcomerHearsOfAKeeperAtOnce has a newcomer ask one member that knows many
+// daemons and one keeper: the first reply names the keeper, and the newcomer
+// tells its own daemon in that moment.
+func TestANewcomerHearsOfAKeeperAtOnce(t *testing.T) {
+	for seed := range uint64(30) {
+		asked := New(Env{Self: wire.Node{ID: "f0", Role: "front", Site: "a", Address: "f0"}, Seed: seed})
+		hear := []wire.Node{{ID: "k", Role: "keeper", Site: "a", Address: "k"}}
+		for i := range 24 {
+			site := string(rune('a' + i/8))
+			hear = append(hear, wire.Node{ID: fmt.Sprintf("s%d", i), Role: "scheduler", Site: site, Address: fmt.Sprintf("s%d", i)})
+		}
+		asked.Step(time.Second, machine.Input{Line: machine.Line{Wire: 1, Kind: wire.ShuffleBack, From: "x", Body: machine.MustJSON(wire.Gossip{Nodes: hear})}})
+		fresh := New(Env{Self: wire.Node{ID: "new", Role: "keeper", Site: "a", Address: "new"}, Seeds: []string{"f0"}, Seed: seed})
+		told := false
+		for _, s := range fresh.Step(time.Second, machine.Input{}).Sends {
+			if s.To != "f0" {
+				continue
+			}
+			for _, back := range asked.Step(time.Second, machine.Input{Line: machine.Line{Wire: 1, Kind: s.Kind, From: "new", Body: machine.MustJSON(s.Body)}}).Sends {
+				for _, out := range fresh.Step(time.Second, machine.Input{Line: machine.Line{Wire: 1, Kind: back.Kind, From: "f0", Body: machine.MustJSON(back.Body)}}).Sends {
+					b, ok := out.Body.(wire.Gossip)
+					told = told || ok && out.To == "" && slices.ContainsFunc(b.Nodes, func(n wire.Node) bool { return n.Role == "keeper" && n.ID == "k" })
+				}
+			}
+		}
+		if !told {
+			t.Fatalf("seed %d: the newcomer does not know the keeper after the first reply", seed)
+		}
+	}
+}
