Have a stopping primary take no more writes, so that it can hand over at once

Cause: a primary that is told to stop proposes its backup as the next primary only once the third has acked the very position that the leader stands at. Under steady writes there is always one more command, so it never proposed, kept serving, and was ended by the daemon's own patience; the others then waited out a silent primary. With few writes it worked, which is why the rolling restart did not show it.

Now it bounces new commands as one that doesn't lead, and makes no tick of its own; what is under way is acked a moment later and the view is proposed.

Ruled out: proposing without the third's ack (it may lead after that, and must have all). Not mended: a backup that is told to stop says nothing; writes wait until it is missed. It cannot name the third itself, since only the primary knows what the third has; that needs a word on the wire.

--- a/core/keeper/keeper.go
+++ b/core/keeper/keeper.go
@@ -246,7 +246,9 @@
 }
 
 func (k *Keeper) command(now time.Duration, from string, b wire.CommandBody, out *machine.Output) {
-	if !k.proven(now) {
+	// A stopping leader takes no more: with a new command always under way, the next
+	// backup would never stand where the leader does, and nothing be handed over.
+	if !k.proven(now) || k.stopping {
 		out.Send(from, wire.CommandBack, k.notPrimary(b.ID))
 		return
 	}
--- a/core/keeper/keeper_test.go
+++ b/core/keeper/keeper_test.go
@@ -393,6 +393,47 @@
 	}
 }
 
+// TestAStoppingPrimaryHandsOver asks the primary to go, under a write each
+// millisecond: it takes no more of them, names its backup in the same moment, and
+// leaves. Measured until the next answer, and until the process has gone.
+func TestAStoppingPrimaryHandsOver(t *testing.T) {
+	for _, row := range []struct {
+		name  string
+		third bool
+		slow  time.Duration
+		bound time.Duration
+	}{
+		{"all three are there", true, 0, 150 * time.Millisecond},
+		{"disks of 60 ms", true, 60 * time.Millisecond, 700 * time.Millisecond},
+	} {
+		var worst, gone time.Duration
+		for phase := range 8 {
+			c := newTrio(t)
+			for _, h := range c.hosts {
+				h.slow = row.slow
+			}
+			c.pass(2*time.Second + time.Duration(phase)*23*time.Millisecond)
+			old, last := c.primary(), c.last
+			c.step(old, machine.Input{Stop: true})
+			from := c.now
+			for c.now-from < 3*time.Second && (old.k != nil || c.primary() == nil || c.last <= from || c.last == last) {
+				c.write()
+				c.pass(stride)
+				if old.k != nil {
+					last = c.last
+					gone = max(gone, c.now-from)
+				}
+			}
+			if worst = max(worst, c.now-from); old.k != nil || c.now-from > row.bound {
+				t.Errorf("%s: answered by another after %s, gone=%v\n%s", row.name, c.now-from, old.k == nil, c.tell(12))
+				break
+			}
+			c.check()
+		}
+		t.Logf("%s: gone after at most %s, answered by another after at most %s", row.name, gone, worst)
+	}
+}
+
 // TestRandomDays plays many short days of faults close upon each other and ends
 // each with all cuts mended and two or three keepers up, of which one must be
 // the primary or the backup and none has lost a disk that was still needed. The
--- a/core/keeper/view.go
+++ b/core/keeper/view.go
@@ -109,7 +109,7 @@
 		}
 		return
 	}
-	if now >= k.dueAt {
+	if now >= k.dueAt && !k.stopping {
 		k.dueAt = now + dueEach
 		if k.ledger.Due(k.leadingAt + now - k.beganAt) {
 			k.apply(now, ledger.Command{Kind: ledger.KindTick})
