--- a/core/center/load_test.go
+++ b/core/center/load_test.go
@@ -96,3 +96,4 @@
 
 func BenchmarkCalm(b *testing.B)    { benchmark(b, 11, 200*time.Millisecond) }
 func BenchmarkBacklog(b *testing.B) { benchmark(b, 11, 50*time.Millisecond) }
+func BenchmarkGrown(b *testing.B)   { benchmark(b, 74, 33*time.Millisecond) }
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -80,11 +80,26 @@
 	claims   claims
 	Counters Counters
 	central  bool
-	news     uint64
+	news     map[string]uint64
+	full     []string
 }
 
-// News changes whenever a task has come into an inbox.
-func (d *Dispatch) News() uint64 { return d.news }
+// News changes whenever a task has come into a worker's inbox.
+func (d *Dispatch) News(worker string) uint64 { return d.news[worker] }
+
+// filled gives the workers whose inboxes are not empty, by name.
+func (d *Dispatch) filled() []string {
+	if d.full == nil {
+		d.full = make([]string, 0, len(d.inbox))
+		for id, groups := range d.inbox {
+			if len(groups) > 0 {
+				d.full = append(d.full, id)
+			}
+		}
+		slices.Sort(d.full)
+	}
+	return d.full
+}
 
 // Patience is how long a task may wait in the inbox of a worker that has room
 // for it before others may take it: its scheduler may be gone.
@@ -99,12 +114,13 @@
 }
 
 func New() *Dispatch {
-	d := &Dispatch{health: map[string]health{}, usual: map[[2]string]float64{}}
+	d := &Dispatch{health: map[string]health{}, usual: map[[2]string]float64{}, news: map[string]uint64{}}
 	d.clear()
 	return d
 }
 
 func (d *Dispatch) clear() {
+	d.full = nil
 	d.inbox, d.slots, d.place, d.unplaced = map[string][]group{}, map[string]int{}, map[Ref]placed{}, map[Ref]bool{}
 	d.entries, d.helping, d.ran, d.done = map[string]map[Ref]string{}, map[Ref]string{}, map[Ref]held{}, map[string]int{}
 }
@@ -166,6 +182,7 @@
 		return
 	}
 	delete(d.place, at)
+	d.full = nil
 	d.slots[p.worker] -= p.kind.room.Slots
 	groups := d.inbox[p.worker]
 	for i := range groups {
@@ -281,7 +298,8 @@
 }
 
 func (d *Dispatch) put(job ledger.Job, at Ref, worker string) {
-	d.news++
+	d.news[worker]++
+	d.full = nil
 	delete(d.unplaced, at)
 	k, number := kindOf(job, at.Task), job.Tasks[at.Task].Number
 	d.place[at] = placed{worker, k, number}
--- a/core/dispatch/pick.go
+++ b/core/dispatch/pick.go
@@ -213,20 +213,23 @@
 
 // bestHelp looks for a straggler, unless its own inbox has as good a tier.
 func (d *Dispatch) bestHelp(l *ledger.Ledger, w ledger.Worker, free ledger.Room, held Held, skip map[Ref]bool, pull Pull, own best) best {
+	if len(d.filled()) == 0 {
+		return own
+	}
 	helpers := map[string]int{}
 	for _, from := range d.helping {
 		helpers[from]++
 	}
 	out := own
-	for _, other := range l.Workers() {
-		if other.ID() == w.ID() || len(d.inbox[other.ID()]) == 0 {
+	for _, other := range d.filled() {
+		if other == w.ID() {
 			continue
 		}
-		b := d.bestOf(l, w, other.ID(), free, held, skip, pull)
+		b := d.bestOf(l, w, other, free, held, skip, pull)
 		if !b.found {
 			continue
 		}
-		b.helpers, b.progress = helpers[other.ID()], d.Progress(other.ID())
+		b.helpers, b.progress = helpers[other], d.Progress(other)
 		switch {
 		case !out.found || out.tier.less(b.tier):
 			out = b
--- a/core/keeper/keeper.go
+++ b/core/keeper/keeper.go
@@ -31,7 +31,7 @@
 const (
 	heartbeat  = 150 * time.Millisecond
 	suspect    = 1500 * time.Millisecond
-	vanished   = 3 * time.Second
+	vanished   = 1500 * time.Millisecond
 	followFor  = 3 * time.Second
 	inFlight   = 4096
 	entryMax   = 1024
@@ -54,6 +54,7 @@
 	at       ledger.Position
 	synced   bool
 	token    uint64
+	asked    uint64 // the token of the last line that was for this peer alone
 	resentAt time.Duration
 }
 
@@ -286,7 +287,9 @@
 }
 
 func (k *Keeper) command(now time.Duration, from string, b wire.CommandBody, out *machine.Output) {
-	if !k.proven(now) {
+	// A stopping leader takes no more: with a new command always under way, the next
+	// backup would never stand where the leader does, and nothing be handed over.
+	if !k.proven(now) || k.stopping {
 		k.back(from, k.notPrimary(b.ID), out)
 		return
 	}
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -35,6 +35,8 @@
 	retellAfter = 500 * time.Millisecond
 	refusedFor  = 150 * time.Millisecond
 	pushEach    = 50 * time.Millisecond
+	// passGap is the least time between two passes in the primary's own process.
+	passGap = 8 * time.Millisecond
 )
 
 // DutyOf names the duty that owns a site's inboxes.
@@ -97,6 +99,7 @@
 	pushAt    time.Duration
 	wakeAt    time.Duration
 	passAt    time.Duration
+	passed    time.Duration
 	stopping  bool
 	stopAt    time.Duration
 }
@@ -180,9 +183,12 @@
 	if now >= s.helloAt {
 		s.hello(now, &out)
 	}
-	if len(changes)+len(results) > 0 || in.Line.Kind == wire.Beat || now >= s.passAt {
+	if len(changes)+len(results) > 0 || in.Line.Kind == wire.Beat {
+		s.passAt = min(s.passAt, max(now, s.passed+passGap))
+	}
+	if now >= s.passAt || !s.copy.Own() {
 		s.pass(now, &out)
-		s.passAt = now + passEach
+		s.passAt, s.passed = now+passEach, now
 	}
 	s.wakeAt = s.passAt
 	if s.stopping && (now >= s.stopAt || len(s.Duties()) == 0) {
@@ -410,7 +416,7 @@
 		if !r.recorded && !s.copy.Own() || r.beat.Leaving || !s.holds(r.beat.Site) || s.behind(r) {
 			continue
 		}
-		if idle, ok := s.idle[worker]; s.copy.Own() && ok && idle.room == l.Room(worker) && idle.news == s.dispatch.News() && now < idle.until {
+		if idle, ok := s.idle[worker]; s.copy.Own() && ok && idle.room == l.Room(worker) && idle.news == s.dispatch.News(worker) && now < idle.until {
 			continue
 		}
 		able = append(able, worker)
@@ -428,7 +434,7 @@
 		}
 	}
 	for _, worker := range able {
-		s.idle[worker] = idle{s.dispatch.News(), l.Room(worker), now + passEach}
+		s.idle[worker] = idle{s.dispatch.News(worker), l.Room(worker), now + passEach}
 	}
 }
 
