--- a/core/keeper/keeper.go
+++ b/core/keeper/keeper.go
@@ -38,6 +38,7 @@
 	diskLate   = 400 * time.Millisecond
 	backoffMax = 3 * time.Second
 	dueEach    = 50 * time.Millisecond
+	gather     = 4 * time.Millisecond
 )
 
 const (
@@ -125,6 +126,7 @@
 	entries   []ledger.Entry
 	found     map[string]finding
 	nodes     []wire.Node
+	flushedAt time.Duration
 	own       []wire.CommandBackBody
 	wall      time.Time
 	stopping  bool
@@ -337,6 +339,15 @@
 // flush writes what changed since the last batch and, as leader, sends the new
 // commands along at the same moment.
 func (k *Keeper) flush(now time.Duration, out *machine.Output) {
+	if k.serving && !k.stopping {
+		// What comes within a moment goes out as one line to each copy, and one batch.
+		if now < k.flushedAt+gather {
+			k.wakeAt = min(k.wakeAt, k.flushedAt+gather)
+			k.settle(out)
+			return
+		}
+		k.flushedAt = now
+	}
 	if k.serving {
 		k.replicateNew(now, out)
 	}
--- a/daemon/circuit/circuit.go
+++ b/daemon/circuit/circuit.go
@@ -6,7 +6,6 @@
 
 import (
 	"bufio"
-	"encoding/json"
 	"net"
 	"sync"
 	"syscall"
@@ -113,8 +112,7 @@
 	scanner := bufio.NewScanner(conn)
 	scanner.Buffer(make([]byte, 64<<10), lineMax)
 	for scanner.Scan() {
-		var line machine.Line
-		err := json.Unmarshal(scanner.Bytes(), &line)
+		line, err := machine.Decode(scanner.Bytes())
 		if err != nil || line.Kind == "" || line.From == "" || line.Wire < 1 {
 			logline.Event("circuit_closed", "peer", conn.RemoteAddr().String(), "why", "damaged line", "bytes", len(scanner.Bytes()))
 			return
@@ -128,11 +126,7 @@
 
 // Send puts a line into the peer's inbox; a full inbox drops it.
 func (c *Circuits) Send(to string, line machine.Line) {
-	data, err := json.Marshal(line)
-	if err != nil {
-		logline.Event("line_unsendable", "kind", line.Kind, "why", err.Error())
-		return
-	}
+	data := line.Encode()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
