One member stands for a gang in an inbox; counts instead of walks where a step is wide

Each pull of 58 to 74 workers tried every member of every waiting gang on every rack anew, seeding a step of n tasks walked the job n times per worker, and a release copied the job's tasks once per task.

--- a/core/dispatch/claim.go
+++ b/core/dispatch/claim.go
@@ -13,7 +13,11 @@
 	"sorrelloom/core/ledger"
 )
 
-const claimAfter = 3 * time.Second
+const (
+	claimAfter = 3 * time.Second
+	// claimsEach is how long the claims that were found stand.
+	claimsEach = 50 * time.Millisecond
+)
 
 type claim struct {
 	number uint64
@@ -22,14 +26,14 @@
 }
 
 type claims struct {
-	at        ledger.Position
+	at        time.Duration
 	byService map[string]claim
 }
 
 // claim gives the service's gang that has one, at this position of the ledger.
 func (d *Dispatch) claim(l *ledger.Ledger, service string) (claim, bool) {
-	if d.claims.byService == nil || d.claims.at != l.Position() {
-		d.claims = claims{l.Position(), d.findClaims(l)}
+	if d.claims.byService == nil || l.At() >= d.claims.at+claimsEach {
+		d.claims = claims{l.At(), d.findClaims(l)}
 	}
 	c, ok := d.claims.byService[service]
 	return c, ok
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -82,6 +82,61 @@
 	central  bool
 	news     map[string]uint64
 	full     []string
+	where    map[Ref]spot
+	together map[step]map[string]int
+	inputs   map[input]map[string]int
+	runs     map[string]int
+	tried    map[string]time.Duration
+	sizes    map[string]int
+}
+
+// spot is where a task lies, runs or has ended; step and input name what the
+// counts of such spots are kept for.
+type spot struct {
+	worker string
+	level  int
+	what   string
+}
+
+type step struct {
+	job   string
+	level int
+}
+
+type input struct {
+	job           string
+	first, length int
+}
+
+// put a task at another spot, or at none.
+func (d *Dispatch) move(at Ref, to spot) {
+	was := d.where[at]
+	if was == to {
+		return
+	}
+	count := func(s spot, by int) {
+		if s.worker == "" {
+			return
+		}
+		if s.what == runs {
+			d.runs[s.worker] += by
+		}
+		key := step{at.Job, s.level}
+		if d.together[key] == nil {
+			d.together[key] = map[string]int{}
+		}
+		if d.together[key][s.worker] += by; d.together[key][s.worker] == 0 {
+			delete(d.together[key], s.worker)
+		}
+		if len(d.together[key]) == 0 {
+			delete(d.together, key)
+		}
+	}
+	count(was, -1)
+	count(to, 1)
+	if d.where[at] = to; to.worker == "" {
+		delete(d.where, at)
+	}
 }
 
 // News changes whenever a task has come into a worker's inbox.
@@ -121,16 +176,18 @@
 
 func (d *Dispatch) clear() {
 	d.full = nil
+	d.where, d.together, d.inputs = map[Ref]spot{}, map[step]map[string]int{}, map[input]map[string]int{}
+	d.runs, d.tried, d.sizes = map[string]int{}, map[string]time.Duration{}, map[string]int{}
 	d.inbox, d.slots, d.place, d.unplaced = map[string][]group{}, map[string]int{}, map[Ref]placed{}, map[Ref]bool{}
 	d.entries, d.helping, d.ran, d.done = map[string]map[Ref]string{}, map[Ref]string{}, map[Ref]held{}, map[string]int{}
 }
 
 // Update takes what changed in the ledger.
 func (d *Dispatch) Update(l *ledger.Ledger, changes []ledger.Changed) {
-	d.claims = claims{}
 	for _, c := range changes {
 		switch {
 		case c.All:
+			d.claims = claims{}
 			d.rebuild(l)
 		case c.Worker != "":
 			d.worker(l, c.Worker)
@@ -156,21 +213,16 @@
 }
 
 func (d *Dispatch) forget(job string) {
-	for _, entries := range d.entries {
-		for at := range entries {
-			if at.Job == job {
-				delete(entries, at)
-			}
-		}
-	}
-	for at := range d.place {
-		if at.Job == job {
-			d.remove(at)
-		}
+	for i := range d.sizes[job] {
+		at := Ref{job, i}
+		delete(d.entries[d.where[at].worker], at)
+		d.remove(at)
+		d.move(at, spot{})
 	}
-	for at := range d.unplaced {
-		if at.Job == job {
-			delete(d.unplaced, at)
+	delete(d.sizes, job)
+	for key := range d.inputs {
+		if key.job == job {
+			delete(d.inputs, key)
 		}
 	}
 }
@@ -182,6 +234,7 @@
 		return
 	}
 	delete(d.place, at)
+	d.move(at, spot{})
 	d.full = nil
 	d.slots[p.worker] -= p.kind.room.Slots
 	groups := d.inbox[p.worker]
@@ -228,6 +281,7 @@
 		return
 	}
 	t := job.Tasks[at.Task]
+	d.sizes[at.Job] = len(job.Tasks)
 	if was, ok := d.ran[at]; ok && (!t.Turn.Held() || t.Turn.Worker != was.worker) {
 		d.learn(l, job, at.Task, was)
 		delete(d.entries[was.worker], at)
@@ -239,23 +293,39 @@
 		if d.entries[t.Holder][at] != holds {
 			d.done[t.Holder]++
 		}
-		d.enter(t.Holder, at, holds)
 		d.remove(at)
+		d.enter(t.Holder, at, holds)
+		d.move(at, spot{t.Holder, t.Level, holds})
 	case t.Turn.Held():
 		if from := d.place[at].worker; from != "" && from != t.Turn.Worker {
 			d.helping[at] = from
 		}
+		d.remove(at)
 		d.enter(t.Turn.Worker, at, runs)
+		d.move(at, spot{t.Turn.Worker, t.Level, runs})
 		d.ran[at] = held{t.Turn.Worker, t.Turn.StartedAt, t.Defects, t.Losses}
-		d.remove(at)
 	case t.State == ledger.Open:
-		if _, placed := d.place[at]; !placed {
+		if _, placed := d.place[at]; !placed && leads(job, at.Task) {
 			d.Counters.Releases++
 			d.seed(l, job, at)
 		}
 	default:
 		d.remove(at)
+		d.move(at, spot{})
+	}
+}
+
+// leads says whether a task stands in an inbox for itself, or for its gang, of
+// which only the first member does.
+func leads(job ledger.Job, i int) bool {
+	gang := job.Spec.Tasks[i].Gang
+	if gang == "" {
+		return true
 	}
+	if len(job.Spec.Steps) > 0 {
+		return i == 0 || job.Spec.Tasks[i-1].Gang != gang
+	}
+	return slices.IndexFunc(job.Spec.Tasks, func(t ledger.TaskSpec) bool { return t.Gang == gang }) == i
 }
 
 // worker moves tasks away from a worker that can no longer take them, and
@@ -303,6 +373,7 @@
 	delete(d.unplaced, at)
 	k, number := kindOf(job, at.Task), job.Tasks[at.Task].Number
 	d.place[at] = placed{worker, k, number}
+	d.move(at, spot{worker, job.Tasks[at.Task].Level, "waits"})
 	d.slots[worker] += k.room.Slots
 	groups := d.inbox[worker]
 	i := slices.IndexFunc(groups, func(g group) bool { return g.kind == k })
@@ -383,12 +454,9 @@
 
 // siblings counts tasks of the same job and step that a worker has.
 func (d *Dispatch) siblings(job ledger.Job, at Ref, worker string) int {
-	count := 0
-	for i, t := range job.Tasks {
-		other := Ref{at.Job, i}
-		if i != at.Task && t.Level == job.Tasks[at.Task].Level && (d.place[other].worker == worker || d.entries[worker][other] != "") {
-			count++
-		}
+	count := d.together[step{at.Job, job.Tasks[at.Task].Level}][worker]
+	if d.where[at].worker == worker {
+		count--
 	}
 	return count
 }
@@ -405,13 +473,21 @@
 	if len(needs) == 0 {
 		return 0
 	}
-	held := 0
-	for _, i := range needs {
-		if d.entries[worker][Ref{at.Job, i}] == holds {
-			held++
+	key := input{at.Job, needs[0], len(needs)}
+	held, known := d.inputs[key]
+	if !known {
+		held = map[string]int{}
+		all := true
+		for _, i := range needs {
+			if all = all && job.Tasks[i].State == ledger.Done; job.Tasks[i].State == ledger.Done {
+				held[job.Tasks[i].Holder]++
+			}
+		}
+		if consecutive := needs[len(needs)-1]-needs[0] == len(needs)-1; all && consecutive {
+			d.inputs[key] = held
 		}
 	}
-	return float64(held) / float64(len(needs))
+	return float64(held[worker]) / float64(len(needs))
 }
 
 func (d *Dispatch) sorted(l *ledger.Ledger, set map[Ref]bool) []Ref {
--- a/core/dispatch/pick.go
+++ b/core/dispatch/pick.go
@@ -178,6 +178,9 @@
 			if !ok || held.Tasks[t.at] || skip[t.at] || ownerTakes && l.At()-job.Tasks[t.at.Task].ReleasedAt < Patience {
 				continue
 			}
+			if g.kind.gangSlots > 0 && d.triedLately(l, t.at.Job, job.Spec.Tasks[t.at.Task].Gang) {
+				continue
+			}
 			if l.Crowded(job, t.at.Task, w.ID(), 0) || d.barred(l, job, t.at.Task, w) || d.kept(l, w, g.kind, t.number) {
 				continue
 			}
@@ -252,11 +255,7 @@
 	for _, g := range d.inbox[worker] {
 		left += len(g.tasks)
 	}
-	for _, what := range d.entries[worker] {
-		if what == runs {
-			left++
-		}
-	}
+	left += d.runs[worker]
 	if left == 0 {
 		return 1
 	}
@@ -268,6 +267,9 @@
 	if gang == "" {
 		return job.Spec.Tasks[i].Room.Slots
 	}
+	if steps := job.Spec.Steps; len(steps) > 0 {
+		return steps[job.Spec.Tasks[i].Step].Count * job.Spec.Tasks[i].Room.Slots
+	}
 	slots := 0
 	for j, spec := range job.Spec.Tasks {
 		if spec.Gang == gang && job.Tasks[j].State != ledger.Done {
@@ -293,6 +295,12 @@
 		add(b.at.Task, worker)
 		return choice, true
 	}
+	// A gang that found no room a moment ago has none for another worker's pull.
+	if d.triedLately(l, b.at.Job, gang) {
+		return Choice{}, false
+	}
+	key := b.at.Job + "/" + gang
+	d.tried[key] = l.At()
 	var members []int
 	for i, spec := range b.job.Spec.Tasks {
 		t := b.job.Tasks[i]
@@ -309,12 +317,20 @@
 			for n, i := range members {
 				add(i, seats[n])
 			}
+			delete(d.tried, key)
 			return choice, true
 		}
 	}
 	return Choice{}, false
 }
 
+func (d *Dispatch) triedLately(l *ledger.Ledger, job, gang string) bool {
+	at, tried := d.tried[job+"/"+gang]
+	return tried && l.At() < at+gangEach
+}
+
+const gangEach = 10 * time.Millisecond
+
 // racks are the places to try for a gang: one rack after the other, that of its
 // data and the asking worker's first, if it asks for one; then all of them.
 func (d *Dispatch) racks(l *ledger.Ledger, b best, worker string) []string {
@@ -342,16 +358,28 @@
 func (d *Dispatch) seats(l *ledger.Ledger, job ledger.Job, members []int, worker, rack string, held Held) ([]string, bool) {
 	workers := l.Workers()
 	free, on := make([]ledger.Room, len(workers)), make([]int, len(workers))
+	fits, most := make([]bool, len(workers)), 0
+	head := job.Spec.Tasks[members[0]]
+	alike := len(job.Spec.Steps) > 0
 	for n, w := range workers {
-		if rack == "" || w.Rack == rack {
+		if rack != "" && w.Rack != rack || !d.ration(l, w, 0) {
+			continue
+		}
+		if fits[n] = !alike || l.Fits(job, members[0], w) == code.OK; fits[n] {
 			free[n] = l.Room(w.ID()).Less(held.Room[w.ID()])
+			for r := free[n]; alike && r.Holds(head.Room) && most < len(members); r = r.Less(head.Room) {
+				most++
+			}
 		}
 	}
+	if alike && most < len(members) {
+		return nil, false
+	}
 	out := make([]string, 0, len(members))
 	for _, i := range members {
 		to, need := -1, job.Spec.Tasks[i].Room
 		for n, w := range workers {
-			if !free[n].Holds(need) || l.Fits(job, i, w) != code.OK || l.Crowded(job, i, w.ID(), on[n]) || !d.ration(l, w, 0) {
+			if !fits[n] || !free[n].Holds(need) || !alike && l.Fits(job, i, w) != code.OK || head.PerWorker > 0 && l.Crowded(job, i, w.ID(), on[n]) {
 				continue
 			}
 			if to < 0 {
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -63,6 +63,7 @@
 	over    []string
 	timed   map[ref]bool
 	dirty   map[[2]string]bool
+	cloned  map[string]bool
 	changes []Changed
 	lookups lookups
 
@@ -122,7 +123,7 @@
 	l.jobs, l.workers, l.emptied = map[string]Job{}, map[string]Worker{}, map[string]bool{}
 	l.duties, l.daemons = map[string]Duty{}, map[string]Daemon{}
 	l.requests.byKey, l.past.byKey = map[string]Request{}, map[string]Past{}
-	l.dirty = map[[2]string]bool{}
+	l.dirty, l.cloned = map[[2]string]bool{}, map[string]bool{}
 	l.index()
 	return l
 }
@@ -187,7 +188,9 @@
 func (l *Ledger) needOf(job Job, i int) need {
 	spec := job.Spec.Tasks[i]
 	n := need{job.Spec.Service, job.Spec.Class, strings.Join(spec.Labels, ","), spec.Room, 0}
-	if spec.Gang != "" {
+	if spec.Gang != "" && len(job.Spec.Steps) > 0 {
+		n.gang = job.Spec.Steps[spec.Step].Count * spec.Room.Slots
+	} else if spec.Gang != "" {
 		for _, other := range job.Spec.Tasks {
 			if other.Gang == spec.Gang {
 				n.gang += other.Room.Slots
@@ -198,12 +201,15 @@
 }
 
 // setTask is the only way a task changes; it keeps the counts right. The job's
-// task slice is copied first, so that copies handed out stay as they were.
+// task slice is copied once for a command, so that copies handed out before stay
+// as they were.
 func (l *Ledger) setTask(at ref, t Task) {
 	l.lookups = lookups{}
 	job := l.jobs[at.job]
 	l.count(job, at.task, -1)
-	job.Tasks = slices.Clone(job.Tasks)
+	if !l.cloned[at.job] {
+		job.Tasks, l.cloned[at.job] = slices.Clone(job.Tasks), true
+	}
 	job.Tasks[at.task] = t
 	l.jobs[at.job] = job
 	l.count(job, at.task, 1)
@@ -234,6 +240,7 @@
 		l.newLead(max(l.at, cmd.At))
 	}
 	l.position = cmd.Position
+	l.cloned = map[string]bool{}
 	defer func() {
 		l.lookups = lookups{}
 		l.enter()
