Miss a silent leader or backup after 1.0 s instead of 1.5 s

An ack waits for the peer's disk: a disk that takes 0.4 s to 0.9 s costs its keeper the place by the rule for slow disks, not by this one.

Ruled out: shorter heartbeats, which would make more lines for no earlier notice.

--- a/core/keeper/keeper.go
+++ b/core/keeper/keeper.go
@@ -28,7 +28,7 @@
 
 const (
 	heartbeat  = 150 * time.Millisecond
-	suspect    = 1500 * time.Millisecond
+	suspect    = 1000 * time.Millisecond
 	vanished   = 1500 * time.Millisecond
 	followFor  = 3 * time.Second
 	inFlight   = 4096
