--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -87,6 +87,7 @@
 	inputs   map[input]map[string]int
 	runs     map[string]int
 	tried    map[string]time.Duration
+	wellOff  map[string]wellOff
 	sizes    map[string]int
 }
 
@@ -169,7 +170,7 @@
 }
 
 func New() *Dispatch {
-	d := &Dispatch{health: map[string]health{}, usual: map[[2]string]float64{}, news: map[string]uint64{}}
+	d := &Dispatch{health: map[string]health{}, usual: map[[2]string]float64{}, news: map[string]uint64{}, wellOff: map[string]wellOff{}}
 	d.clear()
 	return d
 }
--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -88,19 +88,33 @@
 	if h := d.health[w.ID()]; !h.sick() && !h.slow() {
 		return false
 	}
-	well, all := 0, 0
-	for _, other := range l.Workers() {
-		if other.Service != w.Service || !l.Live(other) || other.Leaving {
-			continue
-		}
-		all++
-		if h := d.health[other.ID()]; !h.sick() && !h.slow() {
-			well++
+	known, ok := d.wellOff[w.Service]
+	if !ok || l.At() >= known.at+wellEach {
+		well, all := 0, 0
+		for _, other := range l.Workers() {
+			if other.Service != w.Service || !l.Live(other) || other.Leaving {
+				continue
+			}
+			all++
+			if h := d.health[other.ID()]; !h.sick() && !h.slow() {
+				well++
+			}
 		}
+		known = wellOff{l.At(), 2*well >= all}
+		d.wellOff[w.Service] = known
 	}
-	return 2*well >= all
+	return known.most
 }
 
+// wellOff says whether most workers of a service were well at a time; it stands
+// for wellEach.
+type wellOff struct {
+	at   time.Duration
+	most bool
+}
+
+const wellEach = 50 * time.Millisecond
+
 // ration says whether a spared worker may pull now: a sick one when its pause
 // is over and it runs nothing, a slow one up to its slots by its pace.
 func (d *Dispatch) ration(l *ledger.Ledger, w ledger.Worker, heldSlots int) bool {
--- a/core/dispatch/pick.go
+++ b/core/dispatch/pick.go
@@ -60,6 +60,9 @@
 
 func (d *Dispatch) tierOf(l *ledger.Ledger, job ledger.Job, i int) tier {
 	class := l.Plan().Services[job.Spec.Service].Classes[job.Spec.Class]
+	if l.Rules().ByPriority() {
+		return tier{class.Quick, float64(class.Priority)}
+	}
 	usedSlots, shareSlots := l.ClassUse(job.Spec.Service, job.Spec.Class)
 	order := l.Rules().Order(plan.OrderNames{
 		Priority: class.Priority, Level: job.Tasks[i].Level, Waited: (l.At() - job.Tasks[i].ReleasedAt).Seconds(),
@@ -168,8 +171,10 @@
 		if held.Closed[[2]string{g.kind.service, g.kind.class}] {
 			continue
 		}
-		if allowed, _ := l.Allowed(g.kind.service, g.kind.class, max(g.kind.room.Slots, g.kind.gangSlots), held.Slots); !allowed {
-			continue
+		if !l.Rules().AlwaysLends() {
+			if allowed, _ := l.Allowed(g.kind.service, g.kind.class, max(g.kind.room.Slots, g.kind.gangSlots), held.Slots); !allowed {
+				continue
+			}
 		}
 		ownerTakes := !own && ownerRoom.Holds(g.kind.room) && l.Fits(head, g.tasks[0].at.Task, owner) == code.OK
 		looked := 0
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -318,6 +318,9 @@
 	byPriority, always bool
 }
 
+// ByPriority says that the order policy is just "priority".
+func (r Rules) ByPriority() bool { return r.byPriority }
+
 // AlwaysLends says that the borrowing policy is just "true".
 func (r Rules) AlwaysLends() bool { return r.always }
 
