Have a site's home of news tell its subscribers that it goes

Followers of a site take the ledger's news from one daemon of the site. When that one was stopped in good order they heard nothing until two renewals had failed, 1.2 s: grants were refused as task-not-open, and starts that were granted were not handed out.

--- a/core/center/center.go
+++ b/core/center/center.go
@@ -40,9 +40,10 @@
 	next   uint64
 }
 
-func (o *own) View() *ledger.Ledger { return o.keeper.Ledger() }
-func (o *own) Own() bool            { return true }
-func (o *own) Loaded() bool         { return o.keeper.Serving() }
+func (o *own) View() *ledger.Ledger  { return o.keeper.Ledger() }
+func (o *own) Own() bool             { return true }
+func (o *own) Leave(*machine.Output) {}
+func (o *own) Loaded() bool          { return o.keeper.Serving() }
 
 func (o *own) Fresh(now time.Duration) bool { return o.keeper.Proven(now) }
 
--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -63,6 +63,7 @@
 	askedAt  time.Duration
 	heardAt  time.Duration
 	loaded   bool
+	leaving  bool
 	heard    bool // whether the keeper asked last has said anything, if only who leads
 }
 
@@ -135,7 +136,11 @@
 		}
 	case wire.Follow:
 		var b wire.FollowBody
-		if err = json.Unmarshal(line.Body, &b); err == nil {
+		switch err = json.Unmarshal(line.Body, &b); {
+		case err != nil:
+		case c.leaving:
+			c.sendOff(line.From, b.At, out)
+		default:
 			c.subs[line.From] = subscriber{b.At, now + subscribed}
 			c.pass(now, line.From, out)
 		}
@@ -265,7 +270,7 @@
 		return
 	}
 	if !c.Fresh(now) {
-		out.Send(to, wire.News, wire.NewsBody{Relayed: true, Bounced: true, At: s.at, After: s.at})
+		c.sendOff(to, s.at, out)
 		return
 	}
 	body := wire.NewsBody{Relayed: true, Age: now - c.heardAt, Primary: c.primary, Epoch: c.Ledger.Position().Epoch, After: s.at, At: c.Ledger.Position()}
@@ -278,6 +283,21 @@
 	out.Send(to, wire.News, body)
 }
 
+// sendOff tells a subscriber to ask the primary itself for a while.
+func (c *Copy) sendOff(to string, at ledger.Position, out *machine.Output) {
+	out.Send(to, wire.News, wire.NewsBody{Relayed: true, Bounced: true, At: at, After: at})
+}
+
+// Leave ends the passing on of news before the process goes, so that subscribers
+// ask the primary at once, not only when they have noticed the silence.
+func (c *Copy) Leave(out *machine.Output) {
+	c.leaving = true
+	for _, to := range slices.Sorted(maps.Keys(c.subs)) {
+		c.sendOff(to, c.subs[to].at, out)
+	}
+	clear(c.subs)
+}
+
 // ask renews the subscription: at the site's home, or at the primary itself if
 // this is the home or the home has had no news lately.
 func (c *Copy) ask(now time.Duration, out *machine.Output) {
--- a/core/front/front.go
+++ b/core/front/front.go
@@ -163,6 +163,7 @@
 	switch {
 	case in.Stop:
 		f.stopping = true
+		f.copy.Leave(&out)
 	case in.Ask.Key > 0:
 		f.take(now, in.Ask, &out)
 	case in.Line.Kind == wire.BeatBack:
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -73,6 +73,8 @@
 	Submit(now time.Duration, cmd ledger.Command, wait time.Duration, out *machine.Output) uint64
 	Line(now time.Duration, line machine.Line, out *machine.Output) ([]follow.Result, bool)
 	Wake(now time.Duration, out *machine.Output) []follow.Result
+	// Leave is said once, before the process goes.
+	Leave(out *machine.Output)
 }
 
 type Scheduler struct {
@@ -147,6 +149,7 @@
 	switch {
 	case in.Stop:
 		s.stopping, s.stopAt = true, now+2*time.Second
+		s.copy.Leave(&out)
 		s.handOver(now, &out)
 	case in.Line.Kind == wire.Beat:
 		var b wire.BeatBody
