Play centers, doors and sides in the simulator

simulate -composition center plays the machines of core/center, core/relay and core/agent, with workers that keep the agent's contract and jobs in steps handed in through relays.

--- a/tool/sim/actors.go
+++ b/tool/sim/actors.go
@@ -198,6 +198,10 @@
 	probe      bool
 	impossible bool
 	dependable bool
+	// asks is a job in steps as it was handed in, spec then its steps written out.
+	asks     ledger.JobSpec
+	unclear  bool
+	gaveUpAt time.Duration
 }
 
 func (s *Scenario) submit(c *caller) {
--- /dev/null
+++ b/tool/sim/beside.go
@@ -0,0 +1,390 @@
+// Workers beside a side: what a worker does by the contract of core/agent, with
+// its own notes of every run.
+package sim
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"sorrelloom/core/agent"
+	"sorrelloom/core/ledger"
+	"sorrelloom/core/machine"
+	"sorrelloom/tool/worker"
+)
+
+const (
+	callWithin = time.Second
+	saveEach   = 200 * time.Millisecond
+	gangWait   = 4 * time.Second
+	gangTells  = 200 * time.Millisecond
+	// slowest is by how much a worker's clock may go slow.
+	slowest = 0.02
+)
+
+// ward is one run that goes on.
+type ward struct {
+	run     run
+	took    time.Duration
+	until   time.Duration
+	percent int
+	fails   bool
+	gang    *ring
+}
+
+// ring is one try of a gang: its members run only while all are there, and end as
+// one.
+type ring struct {
+	size    int
+	members []*beside
+	at      []ledger.Attempt
+	broken  bool
+}
+
+// beside is one life of a worker. Its clock begins with its life and goes at rate.
+type beside struct {
+	c       *Centers
+	hand    *hand
+	place   *place
+	rate    float64
+	born    time.Duration
+	up      bool
+	number  uint64
+	ends    uint64
+	fence   uint64
+	hold    time.Duration
+	run     map[ledger.Attempt]*ward
+	ended   []agent.Ended
+	seen    map[ledger.Attempt]bool
+	leaving time.Duration
+	fails   bool
+	keeps   bool // breaks the contract: runs on when its hold is over
+}
+
+// place is a machine with its side, at which one life of a worker follows another.
+type place struct {
+	number  int
+	address string
+	side    *node
+	site    string
+	rack    string
+	service string
+	labels  []string
+	total   ledger.Room
+	lives   int
+	now     *beside
+	cut     bool
+}
+
+func (b *beside) name() string { return b.hand.env.ID }
+
+func (b *beside) local(now time.Duration) time.Duration {
+	return time.Duration(float64(now-b.born) * b.rate)
+}
+
+func (b *beside) world(local time.Duration) time.Duration {
+	return b.born + time.Duration(float64(local)/b.rate) + time.Microsecond
+}
+
+// birth starts a worker's process under a new name.
+func (c *Centers) birth(p *place) {
+	if p.now != nil && p.now.up {
+		return
+	}
+	p.lives++
+	e := worker.Env{ID: fmt.Sprintf("w%02d.%d", p.number, p.lives), Site: p.site, Rack: p.rack, Service: p.service, Labels: p.labels, Total: p.total}
+	h := &hand{env: e, w: worker.New(e), up: true, acked: map[ledger.Attempt]time.Duration{}}
+	c.hands[e.ID] = h
+	p.now = &beside{c: c, hand: h, place: p, rate: 1 - slowest*c.w.chance.Float64(), born: c.w.Now, up: true, run: map[ledger.Attempt]*ward{}, seen: map[ledger.Attempt]bool{}}
+	c.w.say("worker %s at %s", e.ID, p.address)
+	p.now.call()
+}
+
+// death ends a worker's process with all that it runs.
+func (b *beside) death() {
+	if !b.up {
+		return
+	}
+	b.c.w.say("worker %s dies", b.name())
+	for _, a := range b.attempts() {
+		b.end(a, "", false)
+	}
+	b.up = false
+	b.hand.up = false
+	b.hand.silent(b.c.w.Now)
+	if n := len(b.hand.lefts); n > 0 {
+		b.hand.lefts[n-1][1] = b.c.w.Now
+	}
+}
+
+func (b *beside) attempts() []ledger.Attempt {
+	out := make([]ledger.Attempt, 0, len(b.run))
+	for a := range b.run {
+		out = append(out, a)
+	}
+	slices.SortFunc(out, func(x, y ledger.Attempt) int { return strings.Compare(x.String(), y.String()) })
+	return out
+}
+
+// how is each outcome in the words of the contract.
+var how = map[string]string{"good": agent.Good, "bad": agent.Failed, "stopped": agent.Stopped, "lapsed": agent.Lost, "broken": agent.Lost, "alone": agent.Lost}
+
+// end ends one run, and says so from the next call on. A gang breaks with it.
+func (b *beside) end(a ledger.Attempt, outcome string, quiet bool) {
+	w, ok := b.run[a]
+	if !ok {
+		return
+	}
+	delete(b.run, a)
+	w.run.to, w.run.Outcome = b.c.w.Now, outcome
+	b.hand.past = append(b.hand.past, w.run)
+	if outcome != "" {
+		b.ends++
+		b.ended = append(b.ended, agent.Ended{Number: b.ends, Run: agent.Run{Attempt: a, Saved: b.saved(a, w), Percent: w.percent}, How: how[outcome], Why: outcome})
+	}
+	if w.gang != nil && !quiet {
+		w.gang.breaks(b.c)
+	}
+}
+
+// breaks tells the other members after a moment that one is gone.
+func (g *ring) breaks(c *Centers) {
+	if g.broken {
+		return
+	}
+	g.broken = true
+	c.w.After(gangTells, func() {
+		for i, m := range g.members {
+			m.end(g.at[i], "broken", true)
+		}
+	})
+}
+
+// textOf is what a run's saved text begins with: its task's, or its gang's.
+func textOf(a ledger.Attempt, gang string) string {
+	if gang != "" {
+		return a.Job + "/" + gang + ":"
+	}
+	return a.Job + "/" + a.Task + ":"
+}
+
+func (b *beside) saved(a ledger.Attempt, w *ward) string {
+	if w.percent == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%s%d", textOf(a, w.run.Gang), w.percent)
+}
+
+// call says all that the worker has to say, and calls again after the answer.
+func (b *beside) call() {
+	if !b.up {
+		return
+	}
+	b.number++
+	number, sent := b.number, b.local(b.c.w.Now)
+	said := agent.Call{Worker: b.name(), Number: number, Address: b.place.address, Service: b.place.service, Site: b.place.site, Rack: b.place.rack,
+		Labels: b.place.labels, Free: b.place.total, Leaving: b.leaving > 0, Ended: slices.Clone(b.ended)}
+	if b.leaving > 0 {
+		said.LeavesIn = max(time.Millisecond, b.leaving-b.c.w.Now)
+	}
+	for _, a := range b.attempts() {
+		said.Running = append(said.Running, agent.Run{Attempt: a, Saved: b.saved(a, b.run[a]), Percent: b.run[a].percent})
+	}
+	ask := machine.Ask{Kind: agent.AskCall, Name: b.name(), Value: said, Wait: callWithin}
+	b.c.w.Ask(b.place.address, b.place.site, b.place.side.address, ask, callWithin, func(v any) {
+		b.c.w.trace(b.name(), number, len(v.(agent.Told).Begins))
+	}, func(v any, ok bool) {
+		if !b.up || number != b.number {
+			return
+		}
+		again := 100 * time.Millisecond
+		if told, is := v.(agent.Told); ok && is {
+			b.told(sent, told)
+			again = max(again, told.Again)
+		}
+		b.c.w.After(again, b.call)
+	})
+}
+
+// told takes the answer to the last call.
+func (b *beside) told(sent time.Duration, t agent.Told) {
+	now := b.c.w.Now
+	if t.Fence > 0 && t.Fence < b.fence {
+		b.c.excuse("fence", "an answer below the fence is dropped by the worker")
+		return
+	}
+	b.fence = max(b.fence, t.Fence)
+	b.ended = slices.DeleteFunc(b.ended, func(e agent.Ended) bool {
+		if e.Number > t.Seen {
+			return false
+		}
+		b.hand.acked[e.Attempt] = now
+		return true
+	})
+	if t.Hold > 0 && sent+t.Hold > b.hold {
+		b.hold = sent + t.Hold
+		if b.local(now) < b.hold {
+			b.hand.heard(now)
+			b.c.w.At(b.world(b.hold), b.lapse)
+		}
+	}
+	for _, a := range t.Stops {
+		if _, ok := b.run[a]; ok {
+			b.c.w.After(time.Duration(10+b.c.w.chance.IntN(40))*time.Millisecond, func() { b.end(a, "stopped", false) })
+		}
+	}
+	for _, begin := range t.Begins {
+		if !b.seen[begin.Attempt] {
+			b.seen[begin.Attempt] = true
+			b.begin(begin)
+		}
+	}
+}
+
+// lapse ends everything once the hold is over by the worker's own clock.
+func (b *beside) lapse() {
+	if !b.up || b.local(b.c.w.Now) < b.hold {
+		return
+	}
+	b.hand.silent(b.c.w.Now)
+	if b.keeps {
+		return
+	}
+	for _, a := range b.attempts() {
+		b.end(a, "lapsed", false)
+	}
+}
+
+func (b *beside) begin(order agent.Begin) {
+	now := b.c.w.Now
+	if b.local(now) >= b.hold && !b.keeps {
+		b.ends++
+		b.ended = append(b.ended, agent.Ended{Number: b.ends, Run: agent.Run{Attempt: order.Attempt}, How: agent.Lost, Why: "refused"})
+		return
+	}
+	var payload struct {
+		RunMs []int64 `json:"runMs"`
+	}
+	task, step, due := b.c.find(order.Attempt)
+	if json.Unmarshal(order.Payload, &payload) != nil || task == nil || step >= len(payload.RunMs) {
+		b.c.fault("wrong-worker", "%s begins on %s and nobody asked for it", order.Attempt, b.name())
+		return
+	}
+	if b.c.count("before-due"); !due.IsZero() && b.c.w.wall().Before(due) {
+		b.c.fault("before-due", "%s begins on %s at %s, %s before its time", order.Attempt, b.name(), secs(now), due.Sub(b.c.w.wall()))
+	}
+	job := b.c.byID[order.Job]
+	w := &ward{took: time.Duration(payload.RunMs[step]) * time.Millisecond, fails: b.fails && b.c.w.chance.IntN(3) == 0}
+	w.run = run{Run: worker.Run{Attempt: order.Attempt, Worker: b.name(), Class: job.spec.Class, Service: b.place.service, Room: task.Room, Gang: task.Gang}, from: now}
+	if order.Saved != "" {
+		b.c.count("saved-of-another")
+		if _, err := fmt.Sscanf(strings.TrimPrefix(order.Saved, textOf(order.Attempt, task.Gang)), "%d", &w.percent); err != nil {
+			b.c.fault("saved-of-another", "%s on %s is handed %q", order.Attempt, b.name(), order.Saved)
+		}
+	}
+	if !task.Progress {
+		w.percent = 0
+	}
+	b.run[order.Attempt] = w
+	if task.Gang == "" {
+		b.go_(order.Attempt, w, task.Progress, task.Lasting)
+		return
+	}
+	b.join(order.Attempt, w, task.Progress)
+}
+
+// join waits for the other members, for so long only.
+func (b *beside) join(a ledger.Attempt, w *ward, progress bool) {
+	key := fmt.Sprintf("%s/%s/%d", a.Job, w.run.Gang, a.Try)
+	g := b.c.rings[key]
+	if g == nil {
+		g = &ring{size: b.c.gangSize(a.Job, w.run.Gang)}
+		b.c.rings[key] = g
+	}
+	w.gang = g
+	g.members, g.at = append(g.members, b), append(g.at, a)
+	if g.broken {
+		b.c.w.After(gangTells, func() { b.end(a, "broken", true) })
+		return
+	}
+	if len(g.members) == g.size {
+		for i, m := range g.members {
+			m.go_(g.at[i], m.run[g.at[i]], progress, false)
+		}
+		return
+	}
+	b.c.w.After(gangWait, func() {
+		if b.run[a] == w && len(g.members) < g.size {
+			b.end(a, "alone", false)
+		}
+	})
+}
+
+// go_ lets a run go on to its end.
+func (b *beside) go_(a ledger.Attempt, w *ward, progress, lasting bool) {
+	left := w.took * time.Duration(100-w.percent) / 100
+	from, at := w.percent, b.c.w.Now
+	if progress {
+		var save func()
+		save = func() {
+			if b.run[a] != w {
+				return
+			}
+			w.percent = min(99, from+int(100*(b.c.w.Now-at)/max(1, w.took)))
+			b.c.w.After(saveEach, save)
+		}
+		b.c.w.After(saveEach, save)
+	}
+	if lasting {
+		return
+	}
+	b.c.w.After(left, func() {
+		if b.run[a] != w {
+			return
+		}
+		if g := w.gang; g != nil {
+			if g.broken {
+				return
+			}
+			for i, m := range g.members {
+				if other := m.run[g.at[i]]; other != nil && other.fails {
+					m.end(g.at[i], "bad", false)
+					return
+				}
+			}
+			g.broken = true
+			for i, m := range g.members {
+				m.end(g.at[i], "good", true)
+			}
+			return
+		}
+		if w.fails {
+			b.end(a, "bad", false)
+		} else {
+			b.end(a, "good", false)
+		}
+	})
+}
+
+// leave has a worker say that it goes, with time left, and go.
+func (b *beside) leave(left, back time.Duration) {
+	if !b.up || b.leaving > 0 {
+		return
+	}
+	c, p := b.c, b.place
+	c.w.say("worker %s leaves in %s", b.name(), left)
+	b.leaving = c.w.Now + left
+	b.hand.lefts = append(b.hand.lefts, [2]time.Duration{c.w.Now, b.leaving})
+	c.w.After(left, func() {
+		if !b.up {
+			return
+		}
+		if c.w.chance.IntN(2) == 0 {
+			c.w.Ask(p.address, p.site, p.side.address, machine.Ask{Kind: agent.AskLeave, Name: b.name()}, callWithin, func(any) {}, func(any, bool) {})
+		}
+		b.death()
+		c.w.After(back, func() { c.birth(p) })
+	})
+}
