--- a/tool/sim/centers.go
+++ b/tool/sim/centers.go
@@ -111,9 +111,28 @@
 		c.w.Run(c.w.Now + time.Second)
 	}
 	c.end = c.w.Now
+	c.explain()
 	return c.finish()
 }
 
+// explain says why what is still open waits, for who reads the events of a day.
+func (c *Centers) explain() {
+	n := c.primary()
+	if n == nil || c.w.Verbose == nil {
+		return
+	}
+	l := n.main.(*center.Center).Keeper().Ledger()
+	for _, one := range c.callers {
+		if one.acceptedAt > 0 && one.overAt == 0 {
+			job, _ := l.Job(one.spec.ID)
+			c.w.say("open %s: %+v; %s", one.spec.ID, l.Explain(one.spec.ID), machine.MustJSON(job.Tasks))
+		}
+	}
+	for _, w := range l.Workers() {
+		c.w.say("worker %s live %v room %+v of %s", w.ID(), l.Live(w), l.Room(w.ID()), machine.MustJSON(w))
+	}
+}
+
 func (c *Centers) build() {
 	var seeds []string
 	for i := range 3 {
