Have a primary that leads again look at all that waits

A center that led, lost the lead and led again before another had taken the sites' duties held them still, so nothing told its dispatcher what had come meanwhile: tasks that were accepted stayed open for ever while workers were idle.

--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -419,8 +419,10 @@
 	s.proposals[s.copy.Submit(now, ledger.Command{Kind: kind, Grant: grant}, commandWait, out)] = p
 }
 
-// Drop forgets what was under way, for a primary that no longer leads.
+// Drop forgets what was under way, for a primary that begins to lead or no longer
+// does. What changed in the ledger meanwhile was not followed: all is looked at anew.
 func (s *Scheduler) Drop() {
+	s.dispatch.Update(s.copy.View(), []ledger.Changed{{All: true}})
 	s.records, s.proposals = map[string]record{}, map[uint64]proposal{}
 	s.overShare, s.wanted, s.told = map[[2]string]uint64{}, map[string]bool{}, map[ledger.Attempt]time.Duration{}
 }
