--- a/core/keeper/keeper.go
+++ b/core/keeper/keeper.go
@@ -39,6 +39,7 @@
 	backoffMax = 3 * time.Second
 	dueEach    = 50 * time.Millisecond
 	gather     = 4 * time.Millisecond
+	catchUp    = 2 * time.Second
 )
 
 const (
--- a/core/keeper/keeper_test.go
+++ b/core/keeper/keeper_test.go
@@ -23,6 +23,7 @@
 const stride = time.Millisecond
 
 type host struct {
+	lag     time.Duration // what lines to it take
 	address string
 	k       *Keeper
 	life    int
@@ -142,7 +143,8 @@
 			continue
 		}
 		line := machine.Line{Wire: machine.WireSequence, Kind: s.Kind, From: h.address, Body: machine.MustJSON(s.Body)}
-		c.after(stride, func() {
+		c.logs["line "+s.Kind+" to "+s.To]++
+		c.after(stride+to.lag, func() {
 			if to.k != nil && !to.cut && !h.cut {
 				c.step(to, machine.Input{Line: line})
 			}
@@ -538,3 +540,25 @@
 		return !slices.ContainsFunc(c.hosts, func(h *host) bool { return h.k != nil && h.k.ID() == s.ID })
 	})
 }
+
+// TestACopyIsSentOnce has an empty keeper behind a slow line: what it says of the
+// lines that were sent before the copy must not bring more copies, each larger than
+// what the line carries meanwhile.
+func TestACopyIsSentOnce(t *testing.T) {
+	c := newTrio(t)
+	c.pass(3 * time.Second)
+	third := c.host("c")
+	if c.primary() == third {
+		third = c.host("b")
+	}
+	c.wipe(third)
+	third.lag = 700 * time.Millisecond
+	kind := "line " + wire.Copy + " to " + third.address
+	before := c.logs[kind]
+	c.start(third)
+	c.pass(6 * time.Second)
+	if sent := c.logs[kind] - before; sent < 1 || sent > 3 {
+		t.Errorf("%d copies in 6 s\n%s", sent, c.tell(30))
+	}
+	c.check()
+}
--- a/core/keeper/view.go
+++ b/core/keeper/view.go
@@ -448,7 +448,8 @@
 		return
 	}
 	p.synced = false
-	if now-p.resentAt < heartbeat/2 && p.resentAt > 0 && b.Token != p.asked {
+	if p.resentAt > 0 && (b.Token < p.asked && now-p.resentAt < catchUp || now-p.resentAt < heartbeat/2 && b.Token != p.asked) {
+		// It answers what was sent before the rest or the copy that is on its way.
 		k.peers[b.From.ID] = p
 		return
 	}
--- a/core/ledger/tail.go
+++ b/core/ledger/tail.go
@@ -5,7 +5,7 @@
 import "slices"
 
 // TailMax is how many commands a tail keeps at least, once it has them.
-const TailMax = 4096
+const TailMax = 8192
 
 // Tail begins after a base position; its commands follow without a gap.
 type Tail struct {
