--- a/core/keeper/keeper.go
+++ b/core/keeper/keeper.go
@@ -215,6 +215,9 @@
 	k.command(now, "", wire.CommandBody{ID: id, Command: cmd}, out)
 }
 
+// Behind says whether so much waits for the disks that no more should be begun.
+func (k *Keeper) Behind() bool { return len(k.answers) > inFlight/4 }
+
 // HasOwn says whether there are any.
 func (k *Keeper) HasOwn() bool { return len(k.own) > 0 }
 
--- a/core/ledger/views.go
+++ b/core/ledger/views.go
@@ -87,6 +87,17 @@
 	return out
 }
 
+// Untold gives the turns of a worker that are to be started or stopped.
+func (l *Ledger) Untold(worker string) []Pending {
+	var out []Pending
+	for _, at := range l.turnsOn(worker) {
+		if t := l.jobs[at.job].Tasks[at.task].Turn; t.Stop != "" || t.StartedAt == 0 {
+			out = append(out, Pending{l.attempt(at), t, l.start(at)})
+		}
+	}
+	return out
+}
+
 // Stopping is the room of the turns on a worker that are being stopped.
 func (l *Ledger) Stopping(worker string) Room { return l.loads[worker].stopping }
 
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -60,6 +60,7 @@
 	rooms   []ledger.Room
 	class   [2]string
 	pushOut bool
+	refused bool
 	until   time.Duration
 	at      uint64
 }
@@ -92,6 +93,7 @@
 	copy      Authority
 	dispatch  *dispatch.Dispatch
 	records   map[string]record
+	commands  map[uint64]string
 	proposals map[uint64]proposal
 	told      map[ledger.Attempt]time.Duration
 	overShare map[[2]string]uint64
@@ -112,7 +114,7 @@
 
 // NewWith is a scheduler that works on the given authority.
 func NewWith(env Env, authority Authority) *Scheduler {
-	s := &Scheduler{env: env, copy: authority, dispatch: dispatch.New(), records: map[string]record{},
+	s := &Scheduler{env: env, copy: authority, dispatch: dispatch.New(), records: map[string]record{}, commands: map[uint64]string{},
 		proposals: map[uint64]proposal{}, told: map[ledger.Attempt]time.Duration{}, overShare: map[[2]string]uint64{}, wanted: map[string]bool{}, idle: map[string]idle{}}
 	if env.Central {
 		s.dispatch = dispatch.NewCentral()
@@ -295,6 +297,7 @@
 	r := record{id: b.ID, from: from, beat: b.Beat, holdFor: b.Hold, until: now + b.Hold}
 	r.command = s.copy.Submit(now, ledger.Command{Kind: ledger.KindBeat, Beat: b.Beat}, commandWait, out)
 	s.records[b.Beat.Worker] = r
+	s.commands[r.command] = b.Beat.Worker
 }
 
 func (s *Scheduler) reply(r record, a ledger.Answer, out *machine.Output) {
@@ -307,7 +310,7 @@
 		if r.Answer.Code.Good() {
 			p.at = r.At
 		} else {
-			p.until, p.at = now+refusedFor, 0
+			p.until, p.at, p.refused = now+refusedFor, 0, true
 			switch {
 			case p.pushOut:
 			case r.Answer.Code == code.TaskNotOpen:
@@ -322,15 +325,14 @@
 		s.proposals[r.ID] = p
 		return
 	}
-	for _, worker := range slices.Sorted(maps.Keys(s.records)) {
-		rec := s.records[worker]
-		if rec.command != r.ID {
-			continue
-		}
-		if !r.Answer.Code.Good() {
-			s.reply(rec, r.Answer, out)
-			return
-		}
+	worker := s.commands[r.ID]
+	delete(s.commands, r.ID)
+	rec, ok := s.records[worker]
+	switch {
+	case !ok || rec.command != r.ID:
+	case !r.Answer.Code.Good():
+		s.reply(rec, r.Answer, out)
+	default:
 		rec.recorded, rec.orders = true, r.Answer.Orders
 		rec.orders.Starts = nil
 		s.records[worker] = rec
@@ -354,6 +356,9 @@
 			delete(s.proposals, id)
 			continue
 		}
+		if s.copy.Own() && !p.refused {
+			continue
+		}
 		for _, at := range p.refs {
 			h.Tasks[at] = true
 		}
@@ -389,7 +394,7 @@
 	unsure := map[ledger.Attempt]bool{}
 	for _, p := range s.proposals {
 		for i := range p.refs {
-			if s.copy.Own() && p.at == 0 {
+			if s.copy.Own() && p.at == 0 && !p.refused {
 				unsure[ledger.Attempt{Job: p.picks[i].Job, Task: p.picks[i].Task}] = true
 			}
 		}
@@ -431,8 +436,13 @@
 				if !ok {
 					break
 				}
-				s.ask(now, DutyOf(s.records[worker].beat.Site), ledger.KindGrant, choice, out)
-				held = s.held(now)
+				if s.ask(now, DutyOf(s.records[worker].beat.Site), ledger.KindGrant, choice, out); !s.copy.Own() {
+					held = s.held(now)
+					continue
+				}
+				for _, at := range choice.Refs {
+					held.Tasks[at] = true
+				}
 			}
 		}
 	}
@@ -464,7 +474,7 @@
 // that waits from the ledger anew.
 func (s *Scheduler) Drop() {
 	s.dispatch.Update(s.copy.View(), []ledger.Changed{{All: true}})
-	s.records, s.proposals = map[string]record{}, map[uint64]proposal{}
+	s.records, s.proposals, s.commands = map[string]record{}, map[uint64]proposal{}, map[uint64]string{}
 	s.idle = map[string]idle{}
 	s.overShare, s.wanted, s.told = map[[2]string]uint64{}, map[string]bool{}, map[ledger.Attempt]time.Duration{}
 }
@@ -479,7 +489,7 @@
 		for _, a := range r.beat.Running {
 			listed[a] = true
 		}
-		for _, p := range s.copy.View().TurnsOn(r.beat.Worker) {
+		for _, p := range s.copy.View().Untold(r.beat.Worker) {
 			if p.Turn.Incarnation != r.beat.Incarnation || unsure[ledger.Attempt{Job: p.Job, Task: p.Task}] {
 				continue
 			}
