Let a view have as many backups as machines may be lost

A yes rested on two disks, so two losses at once could take what was answered. A view now names f backups; committed is what the primary and all f have synced, and each of them may lead the next. Seats are 2f+1, spread over sites; founding waits up to 3 s for them, and spares are added later one at a time. Closed besides, also for f = 1: a backup whose proposal was on its way still acked in the old view, so that the next view could be decided with a backup that lacked what was committed meanwhile. It now says that it stands (kept on its disk), and a primary commits also with whomever it named. Ruled out: any f+1 of 2f+1 (see docs/design/ledger.md).

--- a/core/center/center.go
+++ b/core/center/center.go
@@ -1,8 +1,8 @@
 // Package center is a keeper and a dispatcher in one machine: while the keeper
 // leads, the dispatcher takes the duties of all sites and works on the keeper's
 // own ledger, so that nobody else needs a copy of it. What it chooses is checked
-// by the ledger as any other's choice, and told to a worker only once two disks
-// have it. When the lead goes, all that the dispatcher knows is dropped.
+// by the ledger as any other's choice, and told to a worker only once all disks
+// of the view have it. When the lead goes, all that the dispatcher knows is dropped.
 package center
 
 import (
@@ -24,6 +24,8 @@
 	Founders []string
 	FreshID  string
 	Boot     uint64
+	// Copies is how many backups the keeper's view shall have.
+	Copies int
 }
 
 type Center struct {
@@ -66,7 +68,7 @@
 
 // New rebuilds a center from its keeper's data file.
 func New(env Env, records []machine.Record) (*Center, error) {
-	k, err := keeper.New(keeper.Env{Address: env.Address, Site: env.Site, Founders: env.Founders, FreshID: env.FreshID, Boot: env.Boot, Dispatches: true}, records)
+	k, err := keeper.New(keeper.Env{Address: env.Address, Site: env.Site, Founders: env.Founders, FreshID: env.FreshID, Boot: env.Boot, Copies: env.Copies, Dispatches: true}, records)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/core/keeper/copies_test.go
@@ -0,0 +1,286 @@
+// Five keepers with two backups in a view: any two may be lost at once, also right
+// after a yes, with their disks or without.
+package keeper
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"sorrelloom/core/wire"
+)
+
+// newFive founds a cluster of five with two backups, in three sites.
+func newFive(t *testing.T) *trio {
+	c := emptyTrio(t)
+	c.copies, c.sites = 2, map[string]string{"a": "x", "d": "x", "b": "y", "e": "y", "c": "z"}
+	for _, address := range []string{"a", "b", "c", "d", "e"} {
+		c.add(address)
+	}
+	c.pass(2 * time.Second)
+	p := c.primary()
+	if p == nil || len(p.k.View().Witnesses) != 5 || len(p.k.View().Backups) != 2 {
+		t.Fatalf("five empty keepers found no view of five\n%s", c.tell(20))
+	}
+	return c
+}
+
+// yes lets time go by until a write has just been answered.
+func (c *trio) yes() {
+	for c.pass(stride); c.last != c.now; {
+		c.pass(stride)
+	}
+}
+
+func (c *trio) after5(pair []*host, lost string) {
+	for _, h := range pair {
+		switch lost {
+		case "power":
+			c.kill(h)
+		case "power and lines":
+			c.kill(h)
+			h.cut = true
+		case "disk":
+			c.wipe(h)
+		case "disk, back at once":
+			c.wipe(h)
+			c.start(h)
+		case "cut":
+			h.cut = true
+		}
+	}
+}
+
+// TestAnyTwoOfFiveAreLost loses each two of five right after a yes, the second at
+// once or a little later, and wants an answer again within 3 s.
+func TestAnyTwoOfFiveAreLost(t *testing.T) {
+	names := []string{"a", "b", "c", "d", "e"}
+	for _, lost := range []string{"power", "power and lines", "disk", "disk, back at once", "cut"} {
+		for _, gap := range []time.Duration{0, 40 * time.Millisecond, 700 * time.Millisecond, 1200 * time.Millisecond} {
+			t.Run(fmt.Sprintf("%s, %s apart", lost, gap), func(t *testing.T) {
+				t.Parallel()
+				var worst time.Duration
+				for _, one := range names {
+					for _, two := range names {
+						if one == two || gap == 0 && one > two {
+							continue
+						}
+						c := newFive(t)
+						c.pass(500 * time.Millisecond)
+						c.yes()
+						c.after5([]*host{c.host(one)}, lost)
+						if gap > 0 {
+							c.pass(gap)
+						}
+						c.after5([]*host{c.host(two)}, lost)
+						took, ok := c.serves(8 * time.Second)
+						if worst = max(worst, took); !ok || took > 3*time.Second {
+							t.Fatalf("%s and %s lost: served again after %s: %v\n%s", one, two, took, ok, c.tell(40))
+						}
+						c.pass(4 * time.Second)
+						c.check()
+						if p := c.primary(); p == nil || len(p.k.View().Backups) != 2 {
+							t.Fatalf("%s and %s lost: two backups are not there after 4 s\n%s", one, two, c.tell(40))
+						}
+						if lost == "disk, back at once" && !c.seated() {
+							t.Fatalf("%s and %s lost their disks: not seated again after 4 s\n%s", one, two, c.tell(40))
+						}
+						if t.Failed() {
+							t.Fatalf("%s and %s lost\n%s", one, two, c.tell(40))
+						}
+					}
+				}
+				t.Logf("served again after at most %s", worst)
+			})
+		}
+	}
+}
+
+// TestAllOfFiveLosePower gives the power back to any three of them only.
+func TestAllOfFiveLosePower(t *testing.T) {
+	names := []string{"a", "b", "c", "d", "e"}
+	for _, one := range names {
+		for _, two := range names {
+			if one >= two {
+				continue
+			}
+			c := newFive(t)
+			c.yes()
+			for _, h := range c.hosts {
+				c.kill(h)
+			}
+			c.pass(500 * time.Millisecond)
+			for _, h := range c.hosts {
+				if h.address != one && h.address != two {
+					c.start(h)
+				}
+			}
+			if took, ok := c.serves(8 * time.Second); !ok || took > 3*time.Second {
+				t.Errorf("without %s and %s: served again after %s: %v\n%s", one, two, took, ok, c.tell(40))
+			}
+			c.pass(time.Second)
+			c.check()
+		}
+	}
+}
+
+// TestAStalledDisk stops the disk of one keeper for 6 s. Nobody waits for it longer
+// than about a second; measured is the longest time between two answers.
+func TestAStalledDisk(t *testing.T) {
+	for _, five := range []bool{false, true} {
+		for at := range 5 {
+			if !five && at > 2 {
+				continue
+			}
+			c := newTrio(t)
+			if five {
+				c = newFive(t)
+			}
+			c.pass(500 * time.Millisecond)
+			c.yes()
+			c.longest = 0
+			h := c.hosts[at]
+			h.slow = 6 * time.Second
+			c.pass(6 * time.Second)
+			h.slow = 0
+			c.pass(3 * time.Second)
+			if c.longest > 1100*time.Millisecond {
+				t.Errorf("five %v, the disk of %s stalls: nothing answered for %s\n%s", five, h.address, c.longest, c.tell(30))
+			}
+			c.check()
+			t.Logf("five %v, the disk of %s stalls: at most %s between two answers", five, h.address, c.longest)
+		}
+	}
+}
+
+// TestWhoStandsCommitsNothing has the backup miss the primary and ask the witnesses,
+// with its lines on their way for 600 ms. Meanwhile the primary hears it again. What
+// it then acks must not be answered in the old view: the new view's backup lacks it,
+// and would lead without it once the new primary's disk is lost.
+func TestWhoStandsCommitsNothing(t *testing.T) {
+	c := newTrio(t)
+	c.yes()
+	var stood time.Duration
+	c.late = func(from, to, kind string) time.Duration {
+		pair := from + to
+		switch {
+		case kind == wire.Prepare && from == "b":
+			if stood == 0 {
+				stood = c.now
+			}
+			return 600 * time.Millisecond
+		case stood == 0 && pair == "ab":
+			return -1
+		case kind == wire.Prepare && from == "a" || stood > 0 && pair == "ac":
+			return -1
+		}
+		return 0
+	}
+	for stood == 0 && c.now < 10*time.Second {
+		c.pass(stride)
+	}
+	if stood == 0 {
+		t.Fatalf("the backup never asked\n%s", c.tell(20))
+	}
+	for c.host("c").k.View().Primary.Address != "b" && c.now < stood+3*time.Second {
+		c.pass(stride)
+	}
+	c.wipe(c.host("b"))
+	c.late = nil
+	if took, ok := c.serves(10 * time.Second); !ok {
+		t.Errorf("not served after %s\n%s", took, c.tell(40))
+	}
+	c.pass(time.Second)
+	c.check()
+	if t.Failed() {
+		t.Log(c.tell(40))
+	}
+}
+
+// TestAYesIsCounted says what a command costs: one line to each other seat, one ack
+// from each, one batch on each disk.
+func TestAYesIsCounted(t *testing.T) {
+	for _, row := range []struct {
+		five         bool
+		lines, disks int
+	}{{false, 2, 2}, {true, 4, 3}} {
+		c := newTrio(t)
+		if row.five {
+			c = newFive(t)
+		}
+		c.yes()
+		before, answered := map[string]int{}, len(c.answered)
+		for kind, n := range c.sends {
+			before[kind] = n
+		}
+		p := c.primary()
+		batches := p.k.Batches()
+		c.pass(10 * time.Second)
+		n := len(c.answered) - answered
+		sent, acks := c.sends[wire.Replicate]-before[wire.Replicate], c.sends[wire.ReplicateAck]-before[wire.ReplicateAck]
+		t.Logf("five %v: %d answers, %d lines to copies, %d acks, %d batches of the primary", row.five, n, sent, acks, p.k.Batches()-batches)
+		if len(p.k.View().Backups)+1 != row.disks {
+			t.Errorf("a yes rests on %d disks, want %d", len(p.k.View().Backups)+1, row.disks)
+		}
+		if sent < n*row.lines || sent > n*row.lines*3/2 {
+			t.Errorf("%d lines for %d answers, want about %d each", sent, n, row.lines)
+		}
+	}
+}
+
+// TestSeatsAreSpread founds with more keepers than seats, with some that come late,
+// and with founders that have no disk.
+func TestSeatsAreSpread(t *testing.T) {
+	for _, row := range []struct {
+		name    string
+		sites   string // by address, from a on
+		proxies string
+		later   string
+		copies  int
+		seats   int
+		within  time.Duration
+	}{
+		{"three zones, two each", "xyzxyz", "", "", 2, 5, time.Second},
+		{"four zones, two each", "xyzwxyzw", "", "", 2, 5, time.Second},
+		{"only three", "xyz", "", "", 2, 3, 4 * time.Second},
+		{"two come after the founding", "xyzxy", "", "de", 2, 5, 8 * time.Second},
+		{"one founder has no disk", "xyzxyz", "a", "", 1, 3, time.Second},
+		{"one founder has no disk, two backups", "xyzxyz", "b", "", 2, 5, time.Second},
+		{"no founder has a disk", "xyzxyz", "abc", "", 1, 3, 4 * time.Second},
+	} {
+		c := emptyTrio(t)
+		c.copies = row.copies
+		for i, site := range row.sites {
+			address := string(rune('a' + i))
+			c.sites[address] = string(site)
+			if strings.Contains(row.proxies, address) {
+				c.proxies = append(c.proxies, address)
+			}
+		}
+		for address := range strings.SplitSeq("abcdefgh"[:len(row.sites)], "") {
+			if !strings.Contains(row.later, address) && !slices.Contains(c.proxies, address) {
+				c.add(address)
+			}
+		}
+		if row.later != "" {
+			c.pass(4 * time.Second)
+			for address := range strings.SplitSeq(row.later, "") {
+				c.add(address)
+			}
+		}
+		c.pass(row.within + 100*time.Millisecond)
+		p := c.primary()
+		if p == nil {
+			t.Errorf("%s: no cluster after %s\n%s", row.name, row.within, c.tell(20))
+			continue
+		}
+		v := p.k.View()
+		if len(v.Witnesses) != row.seats || len(v.Backups) != min(row.copies, (row.seats-1)/2) || most(v.Witnesses) > max(row.copies, 1) {
+			t.Errorf("%s: seats %v, backups %v\n%s", row.name, v.Witnesses, v.Backups, c.tell(20))
+		}
+		c.pass(time.Second)
+		c.check()
+	}
+}
--- a/core/keeper/keeper.go
+++ b/core/keeper/keeper.go
@@ -1,13 +1,14 @@
 // Package keeper is the trusted daemon round the ledger. The primary stamps
-// commands, and answers each only once its own disk and the backup's have it
-// synced, in the epoch that the witnesses decided; it never answers alone. The
-// third keeper follows, ready to be backup. Reads wait for the same proof, so a
+// commands, and answers each only once its own disk and those of all backups have
+// it synced, in the epoch that the witnesses decided; it never answers alone. The
+// other witnesses follow, ready to be backups. Reads wait for the same proof, so a
 // primary that was replaced without knowing cannot answer from the past.
 package keeper
 
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -24,6 +25,8 @@
 	Founders []string
 	FreshID  string
 	Boot     uint64
+	// Copies is how many backups a view has, at least 1: that many disks may be lost at once.
+	Copies int
 	// Dispatches says that a dispatcher in the same process takes the changes.
 	Dispatches bool
 }
@@ -35,6 +38,8 @@
 	followFor  = 3 * time.Second
 	inFlight   = 4096
 	entryMax   = 1024
+	apart      = 150 * time.Millisecond
+	foundWait  = 3 * time.Second
 	diskLate   = 400 * time.Millisecond
 	backoffMax = 3 * time.Second
 	dueEach    = 50 * time.Millisecond
@@ -45,6 +50,7 @@
 	bucketSelf  = "keeper"
 	keyIdentity = "identity"
 	keyRegister = "register"
+	keyStands   = "stands"
 )
 
 // Buckets are all that a keeper's data file holds.
@@ -57,6 +63,10 @@
 	token    uint64
 	asked    uint64 // the token of the last line that was for this peer alone
 	resentAt time.Duration
+	stands   bool // it wants to lead itself: its acks commit nothing in this epoch
+	// mark is a sequence that was sent and not acked when this was last looked at.
+	mark   uint64
+	markAt time.Duration
 }
 
 type pending struct {
@@ -75,6 +85,7 @@
 type after struct {
 	sends    []machine.Send
 	sequence uint64
+	stands   uint64
 }
 
 // finding is what another keeper said of itself, and when.
@@ -95,6 +106,11 @@
 	proposal register.Proposal
 	asked    wire.Ballot
 	triedAt  time.Duration
+	// stands is the epoch in which this backup wants to lead the next, stood the
+	// same once it is synced, also those that a primary named for the next.
+	stands uint64
+	stood  uint64
+	named  []wire.Seat
 
 	ledger    *ledger.Ledger
 	tail      ledger.Tail
@@ -110,7 +126,6 @@
 	beatAt    time.Duration
 	soughtAt  time.Duration
 	dueAt     time.Duration
-	lagSince  time.Duration
 	peers     map[string]peer
 	answers   []pending
 	acks      []ack
@@ -147,7 +162,10 @@
 		case r.Key == keyIdentity:
 			err = json.Unmarshal(r.Value, &k.seat.ID)
 		case r.Key == keyRegister:
-			err = json.Unmarshal(r.Value, &k.witness)
+			err = k.load(r.Value)
+		case r.Key == keyStands:
+			err = json.Unmarshal(r.Value, &k.stands)
+			k.stood = k.stands
 		}
 		if err != nil {
 			return nil, fmt.Errorf("record %s/%s: %w", r.Bucket, r.Key, err)
@@ -170,6 +188,27 @@
 	return k, nil
 }
 
+// load takes the register, also of a file that was written when a view had one backup.
+func (k *Keeper) load(value json.RawMessage) error {
+	var old struct {
+		Known struct{ Backup wire.Seat }
+		Value struct{ Backup wire.Seat }
+	}
+	if err := json.Unmarshal(value, &old); err != nil {
+		return err
+	}
+	if err := json.Unmarshal(value, &k.witness); err != nil {
+		return err
+	}
+	if old.Known.Backup.ID != "" {
+		k.witness.Known.Backups = []wire.Seat{old.Known.Backup}
+	}
+	if old.Value.Backup.ID != "" {
+		k.witness.Value.Backups = []wire.Seat{old.Value.Backup}
+	}
+	return nil
+}
+
 // reset forgets the tail: a copy begins where the ledger stands.
 func (k *Keeper) reset() {
 	k.tail, k.sent = ledger.TailFrom(k.ledger.Position()), k.ledger.Position()
@@ -185,7 +224,7 @@
 func (k *Keeper) Serving() bool          { return k.serving }
 func (k *Keeper) Ledger() *ledger.Ledger { return k.ledger }
 func (k *Keeper) leads() bool            { return k.witness.Known.Primary.ID == k.seat.ID }
-func (k *Keeper) backs() bool            { return k.witness.Known.Backup.ID == k.seat.ID }
+func (k *Keeper) backs() bool            { return register.Has(k.witness.Known.Backups, k.seat.ID) }
 
 // Flush writes and sends what commands of the same process have changed.
 func (k *Keeper) Flush(now time.Duration) machine.Output {
@@ -203,7 +242,7 @@
 	return out
 }
 
-// Proven says whether this keeper serves and its backup has just confirmed it.
+// Proven says whether this keeper serves and its backups have just confirmed it.
 func (k *Keeper) Proven(now time.Duration) bool { return k.proven(now) }
 
 // Command takes a command from the same process; its answer comes by TakeOwn.
@@ -283,9 +322,15 @@
 	do(b)
 }
 
-// proven says whether the backup has answered in this epoch a moment ago.
+// proven says whether all backups have answered in this epoch a moment ago. Each
+// of them may lead the next, so the word of some is no proof.
 func (k *Keeper) proven(now time.Duration) bool {
-	return k.serving && now-k.peers[k.witness.Known.Backup.ID].heardAt < suspect
+	for _, s := range k.witness.Known.Backups {
+		if now-k.peers[s.ID].heardAt >= suspect {
+			return false
+		}
+	}
+	return k.serving
 }
 
 func (k *Keeper) command(now time.Duration, from string, b wire.CommandBody, out *machine.Output) {
@@ -376,7 +421,7 @@
 	if k.wipe {
 		w.Wipe = ledger.Buckets
 	}
-	k.writing[k.nextWrite] = after{k.sends, k.ledger.Position().Sequence}
+	k.writing[k.nextWrite] = after{k.sends, k.ledger.Position().Sequence, k.stands}
 	k.records, k.sends, k.wipe, k.wroteAt = nil, nil, false, now
 	out.Writes = append(out.Writes, w)
 }
@@ -407,13 +452,31 @@
 	if took := now - k.wroteAt; took > 500*time.Millisecond {
 		out.Log("disk_slow", "tookMs", took.Milliseconds())
 	}
-	k.synced = w.sequence
+	k.synced, k.stood = w.sequence, w.stands
 	out.Sends = append(out.Sends, w.sends...)
 	k.settle(out)
 }
 
-// settle sends what waited for the disks: the backup's acks, and the leader's
-// answers once both have everything that the answer rests on.
+// shared is up to where all have synced that must, and the newest line that all
+// backups have acked. Whoever was named as a backup of the next view must have it
+// too: that view may be decided at any moment.
+func (k *Keeper) shared() (sequence, token uint64) {
+	sequence, token = k.synced, math.MaxUint64
+	for _, s := range register.Union(k.witness.Known.Backups, k.named) {
+		p := k.peers[s.ID]
+		if !p.synced || p.stands {
+			sequence = 0
+		}
+		sequence = min(sequence, p.at.Sequence)
+	}
+	for _, s := range k.witness.Known.Backups {
+		token = min(token, k.peers[s.ID].token)
+	}
+	return sequence, token
+}
+
+// settle sends what waited for the disks: a backup's acks, and the leader's
+// answers once all have everything that the answer rests on.
 func (k *Keeper) settle(out *machine.Output) {
 	var keep []ack
 	for _, a := range k.acks {
@@ -427,14 +490,12 @@
 	if !k.serving {
 		return
 	}
-	backup := k.peers[k.witness.Known.Backup.ID]
-	if backup.synced {
-		k.committed = max(k.committed, min(k.synced, backup.at.Sequence))
-	}
+	sequence, token := k.shared()
+	k.committed = max(k.committed, sequence)
 	n := 0
 	for ; n < len(k.answers); n++ {
 		a := k.answers[n]
-		if a.sequence > k.committed || a.token > backup.token {
+		if a.sequence > k.committed || a.token > token {
 			break
 		}
 		k.back(a.to, a.body, out)
--- a/core/keeper/keeper_test.go
+++ b/core/keeper/keeper_test.go
@@ -45,10 +45,16 @@
 	last     time.Duration     // when a write was last answered
 	longest  time.Duration     // the longest time without an answer
 	logs     map[string]int
+	copies   int
+	sites    map[string]string
+	proxies  []string // hosts that have no disk and only answer as such
+	// late is by how much a line comes later; a negative one never comes.
+	late  func(from, to, kind string) time.Duration
+	sends map[string]int
 }
 
 func newTrio(t *testing.T) *trio {
-	c := &trio{t: t, agenda: map[time.Duration][]func(){}, founders: []string{"a", "b", "c"}, answered: map[uint64]uint64{}, logs: map[string]int{}}
+	c := emptyTrio(t)
 	for _, address := range c.founders {
 		c.add(address)
 	}
@@ -59,6 +65,10 @@
 	return c
 }
 
+func emptyTrio(t *testing.T) *trio {
+	return &trio{t: t, agenda: map[time.Duration][]func(){}, founders: []string{"a", "b", "c"}, answered: map[uint64]uint64{}, logs: map[string]int{}, sites: map[string]string{}, sends: map[string]int{}}
+}
+
 func (c *trio) add(address string) *host {
 	h := &host{address: address, disk: map[[2]string]json.RawMessage{}}
 	c.hosts = append(c.hosts, h)
@@ -88,8 +98,8 @@
 	sort.Slice(records, func(i, j int) bool {
 		return records[i].Bucket+"/"+records[i].Key < records[j].Bucket+"/"+records[j].Key
 	})
-	env := Env{Address: h.address, Site: h.address, FreshID: fmt.Sprintf("%s-%d", h.address, h.life), Boot: uint64(h.life)<<16 + uint64(h.address[0])}
-	if slices.Contains(c.founders, h.address) {
+	env := Env{Address: h.address, Site: c.site(h.address), Copies: c.copies, FreshID: fmt.Sprintf("%s-%d", h.address, h.life), Boot: uint64(h.life)<<16 + uint64(h.address[0])}
+	if slices.Contains(c.founders, h.address) || len(c.proxies) > 0 {
 		env.Founders = c.founders
 	}
 	k, err := New(env, records)
@@ -101,6 +111,13 @@
 	c.step(h, machine.Input{})
 }
 
+func (c *trio) site(address string) string {
+	if site, ok := c.sites[address]; ok {
+		return site
+	}
+	return address
+}
+
 // kill ends a process; what its disk was at is lost.
 func (c *trio) kill(h *host) {
 	if h.k != nil {
@@ -133,6 +150,16 @@
 		c.say("%s %s %v", h.address, e.Name, e.Fields)
 	}
 	for _, s := range out.Sends {
+		if slices.Contains(c.proxies, s.To) && s.Kind == wire.Found {
+			body := wire.FoundBody{Seat: wire.Seat{ID: s.To, Address: s.To, Site: c.site(s.To)}, Empty: true, Proxy: true}
+			line := machine.Line{Wire: machine.WireSequence, Kind: wire.FoundBack, From: s.To, Body: machine.MustJSON(body)}
+			c.after(2*stride, func() {
+				if h.k != nil && h.life == life {
+					c.step(h, machine.Input{Line: line})
+				}
+			})
+			continue
+		}
 		if s.To == "writer" {
 			c.answer(h, s)
 			continue
@@ -142,7 +169,14 @@
 			continue
 		}
 		line := machine.Line{Wire: machine.WireSequence, Kind: s.Kind, From: h.address, Body: machine.MustJSON(s.Body)}
-		c.after(stride, func() {
+		c.sends[s.Kind]++
+		var late time.Duration
+		if c.late != nil {
+			if late = c.late(h.address, s.To, s.Kind); late < 0 {
+				continue
+			}
+		}
+		c.after(stride+late, func() {
 			if to.k != nil && !to.cut && !h.cut {
 				c.step(to, machine.Input{Line: line})
 			}
@@ -231,7 +265,7 @@
 	var nodes []wire.Node
 	for _, h := range c.hosts {
 		if h.k != nil && !h.cut {
-			nodes = append(nodes, wire.Node{ID: h.k.ID(), Role: "keeper", Site: h.address, Address: h.address})
+			nodes = append(nodes, wire.Node{ID: h.k.ID(), Role: "keeper", Site: c.site(h.address), Address: h.address})
 		}
 	}
 	for _, h := range c.hosts {
--- a/core/keeper/view.go
+++ b/core/keeper/view.go
@@ -1,6 +1,6 @@
 // The keeper's part in views: founding the first, following the leader, and
 // leading the next. Only a member of the last view may lead the next, and its
-// new backup is copied in full before the witnesses are asked. A process that
+// new backups are copied in full before the witnesses are asked. A process that
 // starts again as primary asks for a new epoch first, so that no position of
 // the ledger ever has two meanings.
 package keeper
@@ -29,13 +29,12 @@
 	}
 	switch {
 	case k.witness.Known.Epoch == 0:
+		k.establish(now, out)
 		k.seek(now, out)
 	case k.leads():
 		k.lead(now, out)
 	case k.backs():
-		if p := k.witness.Known.Primary; now-max(k.peers[p.ID].heardAt, k.startAt) > suspect || k.gone(p) {
-			k.next(now, k.view(k.seat, k.spare(now, k.witness.Known.Primary.ID)), out)
-		}
+		k.stand(now, out)
 	}
 	if !register.Has(k.witness.Known.Witnesses, k.seat.ID) || now-k.peers[k.witness.Known.Primary.ID].heardAt > 2*suspect {
 		k.seek(now, out)
@@ -43,40 +42,102 @@
 }
 
 // view is the next view with these members and the same witnesses.
-func (k *Keeper) view(primary, backup wire.Seat) wire.View {
-	v := wire.View{Epoch: k.witness.Known.Epoch + 1, Primary: primary, Backup: backup, Witnesses: k.witness.Known.Witnesses}
+func (k *Keeper) view(primary wire.Seat, backups []wire.Seat) wire.View {
+	v := wire.View{Epoch: k.witness.Known.Epoch + 1, Primary: primary, Backups: backups, Witnesses: k.witness.Known.Witnesses}
 	if primary.ID == k.seat.ID {
 		v.Boot = k.env.Boot
 	}
 	return v
 }
 
-// spare is the witness to take in as backup, not the one given.
-func (k *Keeper) spare(now time.Duration, not string) wire.Seat {
-	var best wire.Seat
+// width is how many backups the next view shall have: with them and the primary
+// gone but one, the rest of the witnesses must still be a majority.
+func (k *Keeper) width() int {
+	return max(1, min(k.env.Copies, (len(k.witness.Known.Witnesses)-1)/2))
+}
+
+// crew are the backups to go on with, none of those given: a leader's own while
+// they are heard, then those that have everything, then those last heard.
+func (k *Keeper) crew(now time.Duration, not ...string) []wire.Seat {
+	rank := func(s wire.Seat) int {
+		switch {
+		case k.leads() && register.Has(k.witness.Known.Backups, s.ID) && !k.silent(now, s):
+			return 0
+		case k.ready(now, s):
+			return 1
+		}
+		return 2
+	}
+	var out []wire.Seat
 	for _, s := range k.witness.Known.Witnesses {
-		if s.ID != k.seat.ID && s.ID != not && (best.ID == "" || k.peers[s.ID].heardAt > k.peers[best.ID].heardAt) {
-			best = s
+		if s.ID != k.seat.ID && !slices.Contains(not, s.ID) {
+			out = append(out, s)
 		}
 	}
-	return best
+	sort.SliceStable(out, func(i, j int) bool {
+		if a, b := rank(out[i]), rank(out[j]); a != b {
+			return a < b
+		}
+		return k.peers[out[i].ID].heardAt > k.peers[out[j].ID].heardAt
+	})
+	return out[:min(k.width(), len(out))]
+}
+
+// ready says whether a seat may be a backup of the next view: it stands where this
+// keeper does, or, while this one serves, where all that is committed is. What a
+// serving primary commits from then on, it commits with that seat.
+func (k *Keeper) ready(now time.Duration, s wire.Seat) bool {
+	p := k.peers[s.ID]
+	if !p.synced || now-p.heardAt >= suspect {
+		return false
+	}
+	return p.at == k.ledger.Position() || k.serving && p.at.Sequence >= k.committed
 }
 
-// partner is whom a primary that was restarted goes on with: its backup, or the
-// third while only that one is heard. It asks both all the while. If it asked just
-// one, and that one never came back, the other could not make itself heard: a
-// backup that hears no primary asks the third, too.
-func (k *Keeper) partner(now time.Duration, out *machine.Output) wire.Seat {
+// stand has a backup that misses the primary lead the next view. From before its
+// first line to the others on, nothing is committed in this epoch by its acks any
+// more, nor after a restart: else the next view could be decided with backups that
+// lack what was committed meanwhile. Those later in rank give it time.
+func (k *Keeper) stand(now time.Duration, out *machine.Output) {
+	known := k.witness.Known
+	rank := slices.IndexFunc(known.Backups, func(s wire.Seat) bool { return s.ID == k.seat.ID })
+	missed := now - max(k.peers[known.Primary.ID].heardAt, k.startAt)
+	if f := k.found[known.Primary.Address]; k.gone(known.Primary) {
+		missed = max(missed, suspect+time.Nanosecond+now-f.at)
+	}
+	if missed <= suspect+time.Duration(rank)*apart {
+		return
+	}
+	for _, s := range known.Backups[:rank] {
+		if now-k.peers[s.ID].heardAt < 2*heartbeat && missed < 2*suspect {
+			return
+		}
+	}
+	if k.stands != known.Epoch {
+		k.stands = known.Epoch
+		k.put(keyStands, k.stands)
+	}
+	if k.stood != known.Epoch {
+		return
+	}
+	for _, s := range known.Witnesses {
+		if s.ID != k.seat.ID && s.ID != known.Primary.ID {
+			k.sync(now, s, out)
+		}
+	}
+	k.next(now, k.view(k.seat, k.crew(now, known.Primary.ID)), out)
+}
+
+// retake has a primary that was restarted go on with its backups, or with others
+// while only those are heard. It asks all the while. If it asked just some, and one
+// of them never came back, the rest could not make themselves heard.
+func (k *Keeper) retake(now time.Duration, out *machine.Output) {
 	for _, s := range k.witness.Known.Witnesses {
 		if s.ID != k.seat.ID {
 			k.sync(now, s, out)
 		}
 	}
-	backup := k.witness.Known.Backup
-	if third := k.spare(now, backup.ID); k.silent(now, backup) && !k.silent(now, third) {
-		return third
-	}
-	return backup
+	k.next(now, k.view(k.seat, k.crew(now)), out)
 }
 
 // silent says whether a leader has not heard from a witness for long, or knows
@@ -97,15 +158,20 @@
 func (k *Keeper) lead(now time.Duration, out *machine.Output) {
 	known := k.witness.Known
 	if known.Boot != k.env.Boot {
-		k.next(now, k.view(k.seat, k.partner(now, out)), out)
+		k.retake(now, out)
 		return
 	}
+	away := slices.ContainsFunc(known.Backups, func(s wire.Seat) bool { return k.silent(now, s) })
 	if !k.serving {
-		k.sync(now, known.Backup, out)
-		if backup := k.peers[known.Backup.ID]; backup.synced && backup.at == k.ledger.Position() {
+		all := true
+		for _, s := range known.Backups {
+			k.sync(now, s, out)
+			all = all && k.peers[s.ID].synced && k.peers[s.ID].at == k.ledger.Position()
+		}
+		if all {
 			k.serve(now, out)
-		} else if k.silent(now, known.Backup) {
-			k.next(now, k.view(k.seat, k.spare(now, known.Backup.ID)), out)
+		} else if away {
+			k.retake(now, out)
 		}
 		return
 	}
@@ -115,39 +181,57 @@
 			k.apply(now, ledger.Command{Kind: ledger.KindTick})
 		}
 	}
-	if k.silent(now, known.Backup) {
-		k.next(now, k.view(k.seat, k.spare(now, known.Backup.ID)), out)
+	stands := slices.ContainsFunc(known.Backups, func(s wire.Seat) bool { return k.peers[s.ID].stands })
+	if away || stands || len(known.Backups) < k.width() || len(k.named) > 0 && now-k.triedAt > suspect/2 {
+		k.next(now, k.view(k.seat, k.crew(now)), out)
 		return
 	}
 	if k.slow(now, out) {
 		return
 	}
 	if k.stopping {
-		k.next(now, k.view(known.Backup, k.spare(now, known.Backup.ID)), out)
+		k.next(now, k.view(known.Backups[0], k.crew(now, known.Backups[0].ID)), out)
 	}
 	k.replace(now, out)
 }
 
-// slow gives the lead to the backup when this keeper's own disk has been at one
-// batch for long, and takes the third as backup when the backup's has.
+// slow gives the lead to a backup when this keeper's own disk has been at one
+// batch for long, and takes another seat for a backup whose disk has.
 func (k *Keeper) slow(now time.Duration, out *machine.Output) bool {
 	known := k.witness.Known
-	third := k.spare(now, known.Backup.ID)
-	backup, ready := k.peers[known.Backup.ID], k.peers[third.ID].synced && now-k.peers[third.ID].heardAt < suspect
-	if backup.at.Sequence >= k.sent.Sequence {
-		k.lagSince = now
+	var lags []string
+	var ahead wire.Seat
+	for _, s := range known.Backups {
+		p := k.peers[s.ID]
+		if p.at.Sequence >= p.mark {
+			p.mark, p.markAt = k.sent.Sequence, now
+			k.peers[s.ID] = p
+		}
+		if now-p.markAt > diskLate {
+			lags = append(lags, s.ID)
+		} else if p.synced && p.at.Sequence >= k.synced && (ahead.ID == "" || p.at.Sequence > k.peers[ahead.ID].at.Sequence) {
+			ahead = s
+		}
 	}
-	switch {
-	case !ready:
-		return false
-	case len(k.writing) > 0 && now-k.wroteAt > diskLate && backup.synced && backup.at.Sequence >= k.synced:
-		k.next(now, k.view(known.Backup, third), out)
-	case now-k.lagSince > diskLate && k.peers[third.ID].at.Sequence > backup.at.Sequence:
-		k.next(now, k.view(k.seat, third), out)
-	default:
-		return false
+	able := func(seats []wire.Seat) bool {
+		return len(seats) == k.width() && !slices.ContainsFunc(seats, func(s wire.Seat) bool { return !k.ready(now, s) })
+	}
+	if len(k.writing) > 0 && now-k.wroteAt > diskLate && ahead.ID != "" {
+		if crew := k.crew(now, append(lags, ahead.ID)...); able(crew) {
+			k.next(now, k.view(ahead, crew), out)
+			return true
+		}
 	}
-	return true
+	if len(lags) > 0 {
+		crew := k.crew(now, lags...)
+		if able(crew) && slices.ContainsFunc(crew, func(s wire.Seat) bool {
+			return !register.Has(known.Backups, s.ID) && k.peers[s.ID].at.Sequence > k.peers[lags[0]].at.Sequence
+		}) {
+			k.next(now, k.view(k.seat, crew), out)
+			return true
+		}
+	}
+	return false
 }
 
 // replace changes the witness set for a keeper that has vanished, once another
@@ -157,22 +241,31 @@
 	known := k.witness.Known
 	for _, old := range known.Witnesses {
 		vanished := now-k.peers[old.ID].heardAt > vanished && now-k.beganAt > 3*heartbeat
-		if old.ID == k.seat.ID || old.ID == known.Backup.ID || !vanished && !k.gone(old) {
+		if old.ID == k.seat.ID || register.Has(known.Backups, old.ID) || !vanished && !k.gone(old) {
 			continue
 		}
-		for _, seat := range k.newcomers(now, old) {
-			k.sync(now, seat, out)
-			p := k.peers[seat.ID]
-			if p.heardAt == 0 || now-p.heardAt > suspect {
-				continue
-			}
-			if p.synced {
-				v := k.view(k.seat, known.Backup)
-				v.Witnesses = slices.Clone(known.Witnesses)
-				v.Witnesses[slices.IndexFunc(v.Witnesses, func(s wire.Seat) bool { return s.ID == old.ID })] = seat
-				k.propose(now, v, out)
-			}
-			break
+		k.admit(now, old, out)
+		return
+	}
+	if len(known.Witnesses) < 2*k.env.Copies+1 {
+		k.admit(now, wire.Seat{}, out)
+	}
+}
+
+// admit gives the seat of another, or one more, to the first newcomer that answers,
+// once it has everything.
+func (k *Keeper) admit(now time.Duration, old wire.Seat, out *machine.Output) {
+	for _, seat := range k.newcomers(now, old) {
+		k.sync(now, seat, out)
+		p := k.peers[seat.ID]
+		if p.heardAt == 0 || now-p.heardAt > suspect {
+			continue
+		}
+		if p.synced {
+			v := k.view(k.seat, k.witness.Known.Backups)
+			v.Witnesses = slices.DeleteFunc(slices.Clone(v.Witnesses), func(s wire.Seat) bool { return s.ID == old.ID })
+			v.Witnesses = append(v.Witnesses, seat)
+			k.propose(now, v, out)
 		}
 		return
 	}
@@ -180,34 +273,58 @@
 
 // newcomers are keepers without a seat: the one at the address of the seat that
 // is free, those that asked for the view a moment ago, then those that the
-// members know.
+// members know; of each, those of sites with the fewest seats first.
 func (k *Keeper) newcomers(now time.Duration, old wire.Seat) []wire.Seat {
 	var out []wire.Seat
 	for _, f := range k.found {
-		if now-f.at < suspect && !register.Has(k.witness.Known.Witnesses, f.Seat.ID) {
+		if !f.Proxy && now-f.at < suspect && !register.Has(k.witness.Known.Witnesses, f.Seat.ID) {
 			out = append(out, f.Seat)
 		}
 	}
+	held := map[string]int{}
+	for _, s := range k.witness.Known.Witnesses {
+		if s.ID != old.ID {
+			held[s.Site]++
+		}
+	}
 	sort.Slice(out, func(i, j int) bool {
 		if a, b := out[i].Address == old.Address, out[j].Address == old.Address; a != b {
 			return a
 		}
+		if a, b := held[out[i].Site], held[out[j].Site]; a != b {
+			return a < b
+		}
 		return out[i].ID < out[j].ID
 	})
+	asked := len(out)
 	for _, n := range k.nodes {
 		if n.Role == "keeper" && !register.Has(k.witness.Known.Witnesses, n.ID) && !register.Has(out, n.ID) {
 			out = append(out, wire.Seat{ID: n.ID, Address: n.Address, Site: n.Site})
 		}
 	}
+	sort.SliceStable(out[asked:], func(i, j int) bool { return held[out[asked+i].Site] < held[out[asked+j].Site] })
 	return out
 }
 
 func (k *Keeper) serve(now time.Duration, out *machine.Output) {
 	k.serving, k.leadingAt, k.beganAt = true, k.ledger.At()+time.Nanosecond, now
 	k.committed, k.told = k.ledger.Position().Sequence, k.ledger.Position().Sequence
-	k.sent, k.lagSince = k.ledger.Position(), now
+	k.sent = k.ledger.Position()
+	for _, s := range k.witness.Known.Backups {
+		p := k.peers[s.ID]
+		p.mark, p.markAt = k.sent.Sequence, now
+		k.peers[s.ID] = p
+	}
 	k.announce(out)
-	out.Log("serving", "epoch", k.witness.Known.Epoch, "sequence", k.committed, "backup", k.witness.Known.Backup.Address)
+	out.Log("serving", "epoch", k.witness.Known.Epoch, "sequence", k.committed, "backups", addresses(k.witness.Known.Backups))
+}
+
+func addresses(seats []wire.Seat) []string {
+	out := make([]string, 0, len(seats))
+	for _, s := range seats {
+		out = append(out, s.Address)
+	}
+	return out
 }
 
 // announce names the primary: a leader that goes to its followers, a new one to
@@ -243,22 +360,19 @@
 	out.Send(to.Address, wire.Replicate, wire.ReplicateBody{Boot: k.env.Boot, View: k.witness.Known, From: k.seat, Token: k.token, After: position})
 }
 
-// next makes sure that the new backup has everything, then asks the witnesses.
+// next makes sure that the new backups have everything, then asks the witnesses.
 func (k *Keeper) next(now time.Duration, v wire.View, out *machine.Output) {
-	other := v.Backup
-	if other.ID == k.seat.ID {
-		other = v.Primary
-	}
-	if other.ID == "" {
-		return
+	ready := len(v.Backups) == k.width()
+	for _, s := range v.Backups {
+		if k.ready(now, s) {
+			continue
+		}
+		if ready = false; !k.serving || !register.Has(k.witness.Known.Backups, s.ID) {
+			k.sync(now, s, out)
+		}
 	}
-	p := k.peers[other.ID]
-	if p.synced && p.at == k.ledger.Position() && now-p.heardAt < suspect {
+	if ready {
 		k.propose(now, v, out)
-		return
-	}
-	if !k.serving || !register.Has([]wire.Seat{k.witness.Known.Backup}, other.ID) {
-		k.sync(now, other, out)
 	}
 }
 
@@ -267,6 +381,9 @@
 		return
 	}
 	k.triedAt = now
+	if k.serving {
+		k.named = register.Union(k.named, v.Backups)
+	}
 	above := k.asked
 	for _, b := range []wire.Ballot{k.proposal.Highest, k.witness.Promised} {
 		if above.Less(b) {
@@ -276,7 +393,7 @@
 	var asks []wire.RegisterBody
 	k.proposal, asks = register.Begin(k.witness.Known, v, k.seat, strconv.FormatUint(k.env.Boot, 36), above)
 	k.asked = k.proposal.Ballot
-	out.Log("view_proposed", "epoch", v.Epoch, "primary", v.Primary.Address, "backup", v.Backup.Address, "round", k.asked.Round)
+	out.Log("view_proposed", "epoch", v.Epoch, "primary", v.Primary.Address, "backups", addresses(v.Backups), "round", k.asked.Round)
 	k.ask(wire.Prepare, asks, out)
 }
 
@@ -342,10 +459,10 @@
 	for _, a := range k.answers {
 		k.back(a.to, k.notPrimary(a.body.ID), out)
 	}
-	k.answers, k.acks, k.serving, k.committed = nil, nil, false, 0
+	k.answers, k.acks, k.serving, k.committed, k.named = nil, nil, false, 0, nil
 	k.beganAt = now
 	for id, p := range k.peers {
-		p.synced, p.token, p.asked, p.resentAt = false, 0, 0, 0
+		p.synced, p.stands, p.token, p.asked, p.resentAt = false, false, 0, 0, 0
 		k.peers[id] = p
 	}
 	if !k.leads() {
@@ -356,7 +473,7 @@
 		p.heardAt = now
 		k.peers[v.Primary.ID] = p
 	}
-	out.Log("view_learned", "epoch", v.Epoch, "primary", v.Primary.Address, "backup", v.Backup.Address, "witnesses", len(v.Witnesses))
+	out.Log("view_learned", "epoch", v.Epoch, "primary", v.Primary.Address, "backups", addresses(v.Backups), "witnesses", len(v.Witnesses))
 }
 
 // replicate follows a member of the known view, and acks once all is synced.
@@ -382,7 +499,7 @@
 
 func (k *Keeper) willAck(to string, boot, epoch, token uint64) {
 	at := k.ledger.Position()
-	k.acks = append(k.acks, ack{to, wire.ReplicateAckBody{Boot: boot, Epoch: epoch, From: k.seat, Token: token, At: at, Good: true, Known: k.witness.Known}, at.Sequence})
+	k.acks = append(k.acks, ack{to, wire.ReplicateAckBody{Boot: boot, Epoch: epoch, From: k.seat, Token: token, At: at, Good: true, Stands: k.stands == epoch, Known: k.witness.Known}, at.Sequence})
 }
 
 // bouncedView refuses the lines of a leader whose epoch has passed, and those
@@ -390,7 +507,7 @@
 func (k *Keeper) bouncedView(now time.Duration, from string, v wire.View, sender wire.Seat, boot, token uint64, out *machine.Output) bool {
 	k.learn(now, v, out)
 	known := k.witness.Known
-	member := sender.ID == known.Primary.ID || sender.ID == known.Backup.ID && !k.leads()
+	member := sender.ID == known.Primary.ID || register.Has(known.Backups, sender.ID) && !k.leads()
 	if v.Epoch != known.Epoch || !member || sender.ID == k.seat.ID || k.leads() && k.serving {
 		body := wire.ReplicateAckBody{Boot: boot, Epoch: v.Epoch, From: k.seat, Token: token, At: k.ledger.Position(), Known: known}
 		out.Send(from, wire.ReplicateAck, body)
@@ -406,9 +523,6 @@
 	if k.bouncedView(now, from, b.View, b.From, b.Boot, b.Token, out) {
 		return
 	}
-	if k.backs() && b.From.ID != k.witness.Known.Primary.ID {
-		return
-	}
 	l, err := ledger.Load(b.Records)
 	if err != nil || l.Position() != b.At {
 		out.Log("copy_damaged", "from", from)
@@ -425,7 +539,7 @@
 	k.records = append(own, b.Records...)
 	k.wipe, k.acks, k.synced = true, nil, 0
 	for id, w := range k.writing {
-		k.writing[id] = after{w.sends, 0}
+		k.writing[id] = after{w.sends, 0, w.stands}
 	}
 	out.Log("copied", "from", from, "epoch", b.At.Epoch, "sequence", b.At.Sequence, "records", len(b.Records))
 	k.willAck(from, b.Boot, b.View.Epoch, b.Token)
@@ -440,7 +554,10 @@
 	p := k.peers[b.From.ID]
 	p.heardAt = now
 	if b.Good {
-		p.synced, p.at, p.token = true, b.At, max(p.token, b.Token)
+		p.synced, p.at, p.stands = true, b.At, p.stands || b.Stands
+		if !b.Stands {
+			p.token = max(p.token, b.Token)
+		}
 		k.peers[b.From.ID] = p
 		return
 	}
@@ -462,8 +579,7 @@
 	}
 }
 
-// seek asks founders and other keepers for the view. The founder with the
-// smallest address founds the cluster, once all are there and all are empty.
+// seek asks founders and other keepers for the view.
 func (k *Keeper) seek(now time.Duration, out *machine.Output) {
 	if now-k.soughtAt < 2*heartbeat && k.soughtAt > 0 {
 		return
@@ -492,22 +608,92 @@
 	}
 	k.learn(now, b.View, out)
 	k.found[b.Seat.Address] = finding{b, now}
-	if k.witness.Known.Epoch > 0 || len(k.env.Founders) < 3 || slices.Min(k.env.Founders) != k.seat.Address {
+	k.establish(now, out)
+}
+
+// establish founds the cluster. All founders must have answered, each with an empty
+// disk or as one without; the smallest of those with a disk founds, or, where none
+// has one, the smallest keeper that the members know. It takes the founders, and
+// for more than one backup waits a while for others to spread the seats over sites.
+func (k *Keeper) establish(now time.Duration, out *machine.Output) {
+	if k.witness.Known.Epoch > 0 || len(k.env.Founders) < 3 {
 		return
 	}
-	seats := []wire.Seat{}
+	waited := now-k.startAt > foundWait
+	seats := []wire.Seat{k.seat}
+	disks := 0
 	for _, address := range k.env.Founders {
 		f := k.found[address]
-		if address == k.seat.Address {
-			f.FoundBody = k.self()
-		}
-		if f.Seat.ID == "" || !f.Empty || register.Has(seats, f.Seat.ID) {
+		switch {
+		case address == k.seat.Address:
+			disks++
+			continue
+		case f.Seat.ID == "" || !f.Empty:
+			return
+		case f.Proxy:
+			continue
+		case address < k.seat.Address || register.Has(seats, f.Seat.ID):
 			return
 		}
+		disks++
 		seats = append(seats, f.Seat)
 	}
+	founds := slices.Contains(k.env.Founders, k.seat.Address)
+	if disks > 0 && !founds {
+		return
+	}
+	if disks == 0 && (!waited || slices.ContainsFunc(k.nodes, func(n wire.Node) bool { return n.Role == "keeper" && n.Address < k.seat.Address })) {
+		return
+	}
+	others := []wire.Seat{}
+	for _, f := range k.found {
+		if f.Empty && !f.Proxy && now-f.at < suspect && !register.Has(seats, f.Seat.ID) {
+			others = append(others, f.Seat)
+		}
+	}
+	sort.Slice(others, func(i, j int) bool { return others[i].Address < others[j].Address })
 	sort.Slice(seats, func(i, j int) bool { return seats[i].Address < seats[j].Address })
-	k.learn(now, wire.View{Epoch: 1, Boot: k.env.Boot, Primary: seats[0], Backup: seats[1], Witnesses: seats}, out)
+	copies := max(1, k.env.Copies)
+	if copies > 1 || disks < 3 {
+		all := append(seats, others...)
+		if seats = spread(k.seat, all, 2*copies+1); !waited && (len(seats) < 2*copies+1 || most(seats) > copies) {
+			return
+		}
+		if len(seats)%2 == 0 {
+			seats = seats[:len(seats)-1]
+		}
+	}
+	if len(seats) < 3 {
+		return
+	}
+	k.learn(now, wire.View{Epoch: 1, Boot: k.env.Boot, Primary: seats[0], Backups: seats[1 : 1+min(copies, (len(seats)-1)/2)], Witnesses: seats}, out)
+}
+
+// spread chooses seats, this one first, from the site that has the fewest of them
+// each time, in the order given.
+func spread(first wire.Seat, from []wire.Seat, count int) []wire.Seat {
+	out, held := []wire.Seat{first}, map[string]int{first.Site: 1}
+	for len(out) < min(count, len(from)) {
+		var best *wire.Seat
+		for i, s := range from {
+			if !register.Has(out, s.ID) && (best == nil || held[s.Site] < held[best.Site]) {
+				best = &from[i]
+			}
+		}
+		out = append(out, *best)
+		held[best.Site]++
+	}
+	return out
+}
+
+// most is how many seats the site with the most of them holds.
+func most(seats []wire.Seat) (count int) {
+	held := map[string]int{}
+	for _, s := range seats {
+		held[s.Site]++
+		count = max(count, held[s.Site])
+	}
+	return count
 }
 
 // Status is what the keeper shows of itself.
--- a/core/register/register_test.go
+++ b/core/register/register_test.go
@@ -93,7 +93,7 @@
 func short(v wire.View) string { return v.Primary.ID + string('0'+rune(v.Boot)) }
 
 func viewName(v wire.View) string {
-	return fmt.Sprintf("%d %d %s %s %v", v.Epoch, v.Boot, v.Primary.ID, v.Backup.ID, v.Witnesses)
+	return fmt.Sprintf("%d %d %s %v %v", v.Epoch, v.Boot, v.Primary.ID, v.Backups, v.Witnesses)
 }
 
 func (w *world) begin(i int, base wire.View) {
@@ -181,11 +181,11 @@
 func TestNoEpochIsDecidedTwice(t *testing.T) {
 	three := []wire.Seat{seat("A"), seat("B"), seat("C")}
 	changed := []wire.Seat{seat("A"), seat("B"), seat("D")}
-	base := wire.View{Epoch: 1, Primary: seat("A"), Backup: seat("B"), Witnesses: three}
-	byA := wire.View{Epoch: 2, Primary: seat("A"), Backup: seat("C"), Witnesses: three}
-	byB := wire.View{Epoch: 2, Primary: seat("B"), Backup: seat("C"), Witnesses: three}
-	again := wire.View{Epoch: 2, Boot: 2, Primary: seat("A"), Backup: seat("B"), Witnesses: three}
-	byNew := wire.View{Epoch: 2, Primary: seat("A"), Backup: seat("B"), Witnesses: changed}
+	base := wire.View{Epoch: 1, Primary: seat("A"), Backups: []wire.Seat{seat("B")}, Witnesses: three}
+	byA := wire.View{Epoch: 2, Primary: seat("A"), Backups: []wire.Seat{seat("C")}, Witnesses: three}
+	byB := wire.View{Epoch: 2, Primary: seat("B"), Backups: []wire.Seat{seat("C")}, Witnesses: three}
+	again := wire.View{Epoch: 2, Boot: 2, Primary: seat("A"), Backups: []wire.Seat{seat("B")}, Witnesses: three}
+	byNew := wire.View{Epoch: 2, Primary: seat("A"), Backups: []wire.Seat{seat("B")}, Witnesses: changed}
 	table := []struct {
 		name  string
 		a, b  wire.View
@@ -212,7 +212,7 @@
 // TestAnEmptyDiskNeverVotesAsTheOldOne wipes a witness after its vote: its
 // address answers, its identity does not, so its voice is not counted twice.
 func TestAnEmptyDiskNeverVotesAsTheOldOne(t *testing.T) {
-	base := wire.View{Epoch: 1, Primary: seat("A"), Backup: seat("B"), Witnesses: []wire.Seat{seat("A"), seat("B"), seat("C")}}
+	base := wire.View{Epoch: 1, Primary: seat("A"), Backups: []wire.Seat{seat("B")}, Witnesses: []wire.Seat{seat("A"), seat("B"), seat("C")}}
 	_, asks := Begin(base, wire.View{Epoch: 2, Primary: seat("B")}, seat("B"), "1", wire.Ballot{})
 	empty := wire.Seat{ID: "fresh", Address: "C"}
 	for _, ask := range asks {
@@ -226,7 +226,7 @@
 // fail: with witnesses that forget what they promised, it must find two views.
 func TestAVoteThatIsForgottenBreaksThePromise(t *testing.T) {
 	three := []wire.Seat{seat("A"), seat("B"), seat("C")}
-	base := wire.View{Epoch: 1, Primary: seat("A"), Backup: seat("B"), Witnesses: three}
+	base := wire.View{Epoch: 1, Primary: seat("A"), Backups: []wire.Seat{seat("B")}, Witnesses: three}
 	w := world{witnesses: map[string]State{"A": {Known: base}, "B": {Known: base}, "C": {Known: base}}, decided: map[string]bool{}}
 	w.candidates = [2]candidate{
 		{me: seat("A"), wanted: wire.View{Epoch: 2, Primary: seat("A"), Witnesses: three}},
--- a/core/wire/wire.go
+++ b/core/wire/wire.go
@@ -55,19 +55,22 @@
 	Site    string `json:"site"`
 }
 
-// View says who leads an epoch. Boot names the process that may serve in it:
-// another run of the same keeper asks for an epoch of its own first.
+// View says who leads an epoch, and whose disks must have all that it answers.
+// Boot names the process that may serve in it: another run of the same keeper asks
+// for an epoch of its own first.
 type View struct {
 	Epoch     uint64 `json:"epoch"`
 	Boot      uint64 `json:"boot"`
 	Primary   Seat   `json:"primary"`
-	Backup    Seat   `json:"backup"`
+	Backups   []Seat `json:"backups"`
 	Witnesses []Seat `json:"witnesses"`
 }
 
 type FoundBody struct {
 	Seat  Seat `json:"seat"`
 	Empty bool `json:"empty"`
+	// Proxy says that the process has no disk and never takes a seat.
+	Proxy bool `json:"proxy,omitempty"`
 	View  View `json:"view"`
 }
 
@@ -117,7 +120,10 @@
 	Token uint64          `json:"token"`
 	At    ledger.Position `json:"at"`
 	Good  bool            `json:"good"`
-	Known View            `json:"known"`
+	// Stands says that the sender wants to lead the next epoch itself, so that in
+	// this one nothing more is committed by its ack.
+	Stands bool `json:"stands,omitempty"`
+	Known  View `json:"known"`
 }
 
 type CopyBody struct {
--- a/tool/sim/keepers_test.go
+++ b/tool/sim/keepers_test.go
@@ -55,7 +55,7 @@
 	view := s.primary().main.(*keeper.Keeper).View()
 	i := slices.IndexFunc(s.keepers, func(n *node) bool {
 		id := n.main.(*keeper.Keeper).ID()
-		return id == view.Primary.ID && who == "primary" || id == view.Backup.ID && who == "backup" || id != view.Primary.ID && id != view.Backup.ID && who == "third"
+		return id == view.Primary.ID && who == "primary" || id == view.Backups[0].ID && who == "backup" || id != view.Primary.ID && id != view.Backups[0].ID && who == "third"
 	})
 	n := s.keepers[i]
 	s.w.Wipe(n)
