--- a/core/keeper/copies_test.go
+++ b/core/keeper/copies_test.go
@@ -284,3 +284,48 @@
 		c.check()
 	}
 }
+
+// TestDisksAreLostWhileTheRestLosesPower empties two disks right after a yes while
+// all others lose power, and has all start again.
+func TestDisksAreLostWhileTheRestLosesPower(t *testing.T) {
+	names := []string{"a", "b", "c", "d", "e"}
+	for _, pause := range []time.Duration{0, 300 * time.Millisecond, 2 * time.Second} {
+		for _, one := range names {
+			for _, two := range names {
+				if one >= two {
+					continue
+				}
+				c := newFive(t)
+				c.yes()
+				for _, h := range c.hosts {
+					c.kill(h)
+					if h.address == one || h.address == two {
+						c.wipe(h)
+					}
+				}
+				c.pass(time.Second)
+				for _, h := range c.hosts {
+					c.start(h)
+					c.pass(pause / 4)
+				}
+				if took, ok := c.serves(8 * time.Second); !ok || took > 3*time.Second {
+					t.Errorf("%s and %s empty, %s: served again after %s: %v\n%s", one, two, pause, took, ok, c.tell(40))
+				}
+				c.pass(time.Second)
+				c.check()
+			}
+		}
+	}
+}
+
+// TestRandomDaysOfFive plays the random days with five keepers.
+func TestRandomDaysOfFive(t *testing.T) {
+	for seed := range uint64(100) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			if c := randomDay(newFive(t), seed); t.Failed() {
+				t.Log(c.tell(120))
+			}
+		})
+	}
+}
--- a/core/keeper/view.go
+++ b/core/keeper/view.go
@@ -613,8 +613,9 @@
 
 // establish founds the cluster. All founders must have answered, each with an empty
 // disk or as one without; the smallest of those with a disk founds, or, where none
-// has one, the smallest keeper that the members know. It takes the founders, and
-// for more than one backup waits a while for others to spread the seats over sites.
+// has one, the smallest keeper that the members know. It takes the founders. Where
+// they are too few, or a site would hold more seats than may be lost, it waits a
+// while for others.
 func (k *Keeper) establish(now time.Duration, out *machine.Output) {
 	if k.witness.Known.Epoch > 0 || len(k.env.Founders) < 3 {
 		return
@@ -654,7 +655,7 @@
 	sort.Slice(others, func(i, j int) bool { return others[i].Address < others[j].Address })
 	sort.Slice(seats, func(i, j int) bool { return seats[i].Address < seats[j].Address })
 	copies := max(1, k.env.Copies)
-	if copies > 1 || disks < 3 {
+	if copies > 1 || disks < 3 || most(seats) > copies {
 		all := append(seats, others...)
 		if seats = spread(k.seat, all, 2*copies+1); !waited && (len(seats) < 2*copies+1 || most(seats) > copies) {
 			return
--- a/core/register/register_test.go
+++ b/core/register/register_test.go
@@ -1,7 +1,8 @@
 // The register's promise is that no epoch is ever decided twice with different
 // views. A small case is explored in full: two candidates, three witnesses, a
 // message to a witness delivered now, later or never, each candidate trying
-// twice, and once with one witness exchanged by the new view.
+// twice, and once with one witness exchanged by the new view, and
+// once with one added.
 package register
 
 import (
@@ -186,6 +187,7 @@
 	byB := wire.View{Epoch: 2, Primary: seat("B"), Backups: []wire.Seat{seat("C")}, Witnesses: three}
 	again := wire.View{Epoch: 2, Boot: 2, Primary: seat("A"), Backups: []wire.Seat{seat("B")}, Witnesses: three}
 	byNew := wire.View{Epoch: 2, Primary: seat("A"), Backups: []wire.Seat{seat("B")}, Witnesses: changed}
+	grown := wire.View{Epoch: 2, Primary: seat("A"), Backups: []wire.Seat{seat("B"), seat("C")}, Witnesses: append(slices.Clone(three), seat("D"))}
 	table := []struct {
 		name  string
 		a, b  wire.View
@@ -195,6 +197,7 @@
 		{"two candidates", byA, byB, seat("A"), seat("B")},
 		{"a candidate and its next run, with the same round", byA, again, seat("A"), seat("A")},
 		{"one of them exchanges a witness for an empty one", byNew, byB, seat("A"), seat("B")},
+		{"one of them adds a witness and a backup", grown, byB, seat("A"), seat("B")},
 	}
 	for _, row := range table {
 		t.Run(row.name, func(t *testing.T) {
