--- a/core/dispatch/pick.go
+++ b/core/dispatch/pick.go
@@ -423,12 +423,12 @@
 			if seen[g.kind] {
 				continue
 			}
-			seen[g.kind] = true
 			at := g.tasks[0].at
 			job, ok := l.Job(at.Job)
 			if !ok || held.Tasks[at] || g.kind.gangSlots > 0 || l.At()-job.Tasks[at.Task].ReleasedAt < 20*time.Millisecond {
 				continue
 			}
+			seen[g.kind] = true
 			usedSlots, shareSlots := l.ClassUse(job.Spec.Service, job.Spec.Class)
 			wanted := min(d.alike(g.kind), (shareSlots-usedSlots)/g.kind.room.Slots)
 			if wanted <= 0 || d.coming(l, job, at.Task) >= wanted {
