--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -236,9 +236,6 @@
 // Apply makes one change, or bounces it leaving everything as it was. It never
 // looks at a clock: cmd.At is ledger time, and never runs backwards.
 func (l *Ledger) Apply(cmd Command) Answer {
-	if cmd.Epoch != l.position.Epoch && l.position.Epoch > 0 {
-		l.newLead(max(l.at, cmd.At))
-	}
 	l.position = cmd.Position
 	l.cloned = map[string]bool{}
 	defer func() {
@@ -278,16 +275,6 @@
 	return bounce(code.Malformed, "unknown command %q", cmd.Kind)
 }
 
-// newLead lengthens every lease when another primary leads: the one before may
-// have renewed it up to its last moment without a word in the ledger.
-func (l *Ledger) newLead(at time.Duration) {
-	for id, w := range l.workers {
-		w.CutoffAt = max(w.CutoffAt, at+l.plan.Limits.Lease.Duration)
-		l.workers[id] = w
-		l.touch("worker", id)
-	}
-}
-
 // resolve finds the class of a job that names host and path.
 func (l *Ledger) resolve(host, path string) (plan.Entry, Answer) {
 	if l.plan.Sequence == 0 {
