--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -10,6 +10,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"reflect"
 	"slices"
 	"sort"
 	"strconv"
@@ -501,13 +502,29 @@
 		}
 		next.Sequence = c.Sequence
 	}
+	// Where tasks may go does not hang on the entries, nor on what classes come and go.
+	same := reflect.DeepEqual(l.plan.Policies, next.Policies) && l.plan.Limits == next.Limits && kept(l.plan, next)
 	l.plan, l.rules = next, next.Compile()
 	l.touch("meta", "plan")
 	l.decide(Decision{Kind: "plan", Plan: next.Sequence, Digest: digest(next)})
-	l.changes = append(l.changes, Changed{All: true})
+	if !same {
+		l.changes = append(l.changes, Changed{All: true})
+	}
 	return Answer{Code: code.OK, Sequence: next.Sequence}
 }
 
+// kept says whether every class of a plan stands in the next as it was.
+func kept(old, next plan.Plan) bool {
+	for name, service := range old.Services {
+		for class, was := range service.Classes {
+			if now, ok := next.Services[name].Classes[class]; !ok || now.Priority != was.Priority || now.Quick != was.Quick {
+				return false
+			}
+		}
+	}
+	return len(old.Services) > 0
+}
+
 func (l *Ledger) site(name string, on bool) Answer {
 	if known := l.sites(); !slices.Contains(known, name) {
 		if l.plan.Sequence == 0 {
@@ -688,7 +705,6 @@
 	l.decide(Decision{Kind: "duty", Name: name, Worker: h.Daemon})
 	l.duties[name] = Duty{Name: name, Holder: h.Daemon, Epoch: l.duties[name].Epoch + 1, SeenAt: l.at}
 	l.touch("duty", name)
-	l.changes = append(l.changes, Changed{All: true})
 	return Answer{Code: code.OK}
 }
 
--- a/tool/sim/sim_test.go
+++ b/tool/sim/sim_test.go
@@ -90,23 +90,37 @@
 // bring it about. A verdict without anything judged must not hold.
 func TestEveryLineIsPlayed(t *testing.T) {
 	var days []Env
+	var of []int
 	for i, l := range Lines {
+		// A bounce with a time is rare now that any two keepers go on: one day may
+		// judge none, so four are played, and all of them must hold.
+		count := 1
+		if l.Name == "come-back" {
+			count = 4
+		}
 		e := env(t, []string{"podcast", "reseller"}[i%2], 0, "none")
-		played, err := l.Days(e, 900+uint64(i), 1)
+		played, err := l.Days(e, 900+uint64(i), count)
 		if err != nil {
 			t.Fatalf("%s: %v", l.Name, err)
 		}
 		days = append(days, played...)
+		for range played {
+			of = append(of, i)
+		}
+	}
+	results := make([][]Result, len(Lines))
+	for n, r := range PlayAll(days) {
+		results[of[n]] = append(results[of[n]], r)
 	}
 	covered := map[string]bool{}
-	for i, r := range PlayAll(days) {
-		if holds, text := Lines[i].Verdict([]Result{r}); !holds {
+	for i, line := range Lines {
+		if holds, text := line.Verdict(results[i]); !holds {
 			t.Errorf("%v", text)
 		}
-		if holds, _ := Lines[i].Verdict([]Result{{}}); holds {
-			t.Errorf("%s holds with nothing judged", Lines[i].Name)
+		if holds, _ := line.Verdict([]Result{{}}); holds {
+			t.Errorf("%s holds with nothing judged", line.Name)
 		}
-		for _, check := range Lines[i].Checks {
+		for _, check := range line.Checks {
 			covered[check] = true
 		}
 	}
