--- a/tool/sim/centers_test.go
+++ b/tool/sim/centers_test.go
@@ -67,6 +67,37 @@
 	}
 }
 
+// TestRollingRestartOfCenters stops and starts every center, every door and every
+// center again, with speed judged all the time.
+func TestRollingRestartOfCenters(t *testing.T) {
+	e := centerEnv(t, 71, "none")
+	restarts, slow := 0, 0
+	e.PrepareCenters = func(c *Centers) {
+		for i, n := range slices.Concat(c.centers, c.doors, c.centers) {
+			at := 9*time.Second + time.Duration(i)*3500*time.Millisecond
+			c.w.At(at, func() { c.w.Stop(n) })
+			c.w.At(at+1500*time.Millisecond, func() {
+				if n.state != down {
+					t.Errorf("%s is still there 1.5 s after it was asked to go", n.name)
+					c.w.Kill(n)
+				}
+				restarts++
+				c.w.Boot(n)
+			})
+		}
+	}
+	r := PlayCenters(e)
+	for _, ms := range r.QuickMs {
+		if ms > 1000 {
+			slow++
+		}
+	}
+	if len(r.Broken) > 0 || restarts != 9 || slow > 5 {
+		t.Errorf("%d restarts, %d of %d quick jobs over 1 s, %v", restarts, slow, len(r.QuickMs), r.Broken)
+	}
+	t.Logf("views %d, quick jobs p99 %.1f ms, %d over 1 s", r.Views, percentile(r.QuickMs, .99), slow)
+}
+
 func TestOneSeedIsOneRunOfCenters(t *testing.T) {
 	e := centerEnv(t, 7, "all")
 	e.For = 25 * time.Second
