Keep callers when a leader replaces a backup, and while it is about to serve

Now a leader that keeps the lead keeps what it has not answered, and its dispatcher's state; it answers once the new backups have it.

Ruled out: answering them in the new view without the acks of its backups.

--- a/core/center/center.go
+++ b/core/center/center.go
@@ -33,9 +33,15 @@
 	keeper    *keeper.Keeper
 	scheduler *scheduler.Scheduler
 	own       own
-	led       bool
+	// term is the keeper's count of terms that the dispatcher works in; 0 is none.
+	term uint64
+	// beats wait while the keeper is about to serve.
+	beats []machine.Line
 }
 
+// beatsMax is how many reports wait for the keeper to serve.
+const beatsMax = 1024
+
 // own is the keeper's ledger as the dispatcher's authority.
 type own struct {
 	keeper *keeper.Keeper
@@ -86,7 +92,7 @@
 func (c *Center) Scheduler() *scheduler.Scheduler { return c.scheduler }
 
 func (c *Center) Wakeup() time.Duration {
-	if at := c.scheduler.Wakeup(); c.led && at > 0 {
+	if at := c.scheduler.Wakeup(); c.term > 0 && c.keeper.Serving() && at > 0 {
 		return min(at, c.keeper.Wakeup())
 	}
 	return c.keeper.Wakeup()
@@ -100,23 +106,32 @@
 	if !beat {
 		out = c.keeper.Step(now, in)
 	}
-	if serving := c.keeper.Serving(); serving != c.led {
-		c.led = serving
-		c.scheduler.Drop()
-	}
+	c.follow()
 	switch {
-	case c.led:
+	case c.keeper.Serving():
 		passed := in
 		if !beat {
 			passed = machine.Input{}
 		}
+		for _, line := range c.takeBeats() {
+			c.dispatch(now, machine.Input{Line: line}, &out)
+		}
 		c.dispatch(now, passed, &out)
 		for c.keeper.HasOwn() {
 			c.dispatch(now, machine.Input{}, &out)
 		}
+	case beat && c.keeper.Starting() && len(c.beats) < beatsMax:
+		c.beats = append(c.beats, in.Line)
+	case c.keeper.Starting():
+		if beat {
+			c.bounce(in.Line, &out)
+		}
 	default:
 		c.keeper.TakeOwn()
 		c.keeper.Ledger().TakeChanges()
+		for _, line := range c.takeBeats() {
+			c.bounce(line, &out)
+		}
 		if beat {
 			c.bounce(in.Line, &out)
 		}
@@ -124,6 +139,25 @@
 	return out
 }
 
+// follow has the dispatcher forget everything when a term of the keeper begins or
+// ends. A keeper that keeps the lead through a change of view stays in its term.
+func (c *Center) follow() {
+	term := uint64(0)
+	if c.keeper.Serving() || c.keeper.Resuming() {
+		term = c.keeper.Terms()
+	}
+	if term != c.term {
+		c.term = term
+		c.scheduler.Drop()
+	}
+}
+
+func (c *Center) takeBeats() []machine.Line {
+	lines := c.beats
+	c.beats = nil
+	return lines
+}
+
 func (c *Center) dispatch(now time.Duration, in machine.Input, out *machine.Output) {
 	mine := c.scheduler.Step(now, in)
 	mine.Stopped = false
--- a/core/keeper/keeper.go
+++ b/core/keeper/keeper.go
@@ -123,7 +123,12 @@
 	synced    uint64
 	token     uint64
 
-	serving   bool
+	serving bool
+	// resuming says that this process keeps the lead from the view before, and serves
+	// on once the new backups have everything; terms counts the times it began anew.
+	resuming  bool
+	terms     uint64
+	waiting   []waitingCommand
 	startAt   time.Duration
 	leadingAt time.Duration
 	beganAt   time.Duration
@@ -344,7 +349,9 @@
 	// A stopping leader takes no more: with a new command always under way, the next
 	// backup would never stand where the leader does, and nothing be handed over.
 	if !k.proven(now) || k.stopping {
-		k.back(from, k.notPrimary(b.ID), out)
+		if !k.await(now, from, b) {
+			k.back(from, k.notPrimary(b.ID), out)
+		}
 		return
 	}
 	if len(k.answers) > inFlight {
--- a/core/keeper/keeper_test.go
+++ b/core/keeper/keeper_test.go
@@ -52,6 +52,8 @@
 	// late is by how much a line comes later; a negative one never comes.
 	late  func(from, to, kind string) time.Duration
 	sends map[string]int
+	// rejected counts the writes that a host sent elsewhere.
+	rejected map[string]int
 }
 
 func newTrio(t *testing.T) *trio {
@@ -67,7 +69,7 @@
 }
 
 func emptyTrio(t *testing.T) *trio {
-	return &trio{t: t, agenda: map[time.Duration][]func(){}, founders: []string{"a", "b", "c"}, answered: map[uint64]uint64{}, logs: map[string]int{}, sites: map[string]string{}, sends: map[string]int{}}
+	return &trio{t: t, agenda: map[time.Duration][]func(){}, founders: []string{"a", "b", "c"}, answered: map[uint64]uint64{}, logs: map[string]int{}, sites: map[string]string{}, sends: map[string]int{}, rejected: map[string]int{}}
 }
 
 func (c *trio) add(address string) *host {
@@ -226,6 +228,9 @@
 
 func (c *trio) answer(h *host, s machine.Send) {
 	b, ok := s.Body.(wire.CommandBackBody)
+	if ok && b.Answer.Code == code.NotPrimary {
+		c.rejected[h.address]++
+	}
 	if !ok || h.cut || b.Answer.Code == code.NotPrimary {
 		return
 	}
--- /dev/null
+++ b/core/keeper/resume_test.go
@@ -0,0 +1,40 @@
+// A leader that keeps the lead through a change of view sends nobody away.
+package keeper
+
+import (
+	"testing"
+	"time"
+)
+
+// TestALeaderThatReplacesABackupRejectsNothing loses each backup in turn. The leader
+// proposes a view with another, and answers all that came before and meanwhile.
+func TestALeaderThatReplacesABackupRejectsNothing(t *testing.T) {
+	for _, five := range []bool{false, true} {
+		for at := range 2 {
+			if !five && at > 0 {
+				continue
+			}
+			c := newTrio(t)
+			if five {
+				c = newFive(t)
+			}
+			c.yes()
+			leader := c.primary()
+			before, epoch := c.rejected[leader.address], leader.k.View().Epoch
+			terms := leader.k.Terms()
+			c.kill(c.host(leader.k.View().Backups[at].Address))
+			c.pass(4 * time.Second)
+			if leader.k.View().Epoch == epoch || c.primary() != leader {
+				t.Fatalf("five %v: the backup was not replaced by the same leader\n%s", five, c.tell(30))
+			}
+			// From the loss until it is missed, a leader without proof says that it has none.
+			if n := c.rejected[leader.address] - before; n > 0 {
+				t.Errorf("five %v, backup %d: %d writes were sent elsewhere\n%s", five, at, n, c.tell(30))
+			}
+			if leader.k.Terms() != terms {
+				t.Errorf("five %v: the leader began term %d anew", five, leader.k.Terms())
+			}
+			c.check()
+		}
+	}
+}
--- a/core/keeper/view.go
+++ b/core/keeper/view.go
@@ -21,6 +21,7 @@
 
 func (k *Keeper) wakeups(now time.Duration, out *machine.Output) {
 	k.wakeAt = now + heartbeat/3
+	k.rejectWaiting(now, out)
 	for address, f := range k.followers {
 		if now > f.until {
 			delete(k.followers, address)
@@ -316,6 +317,7 @@
 		k.peers[s.ID] = p
 	}
 	k.announce(out)
+	k.begin(now, out)
 	out.Log("serving", "epoch", k.witness.Known.Epoch, "sequence", k.committed, "backups", addresses(k.witness.Known.Backups))
 }
 
@@ -446,20 +448,22 @@
 	}
 }
 
-// learn takes a decided view. A leader that is replaced bounces all it has not
-// answered; the caller asks again, and nothing was promised.
+// learn takes a decided view. A leader that is replaced rejects all it has not
+// answered; the caller asks again, and nothing was promised. One that keeps the
+// lead keeps these answers: they go out once the new backups have the commands.
 func (k *Keeper) learn(now time.Duration, v wire.View, out *machine.Output) {
 	state, news := k.witness.Learn(v)
 	if !news {
 		return
 	}
+	k.resuming = k.resumes(v)
 	k.witness = state
 	k.put(keyRegister, k.witness)
 	k.proposal, k.asked, k.triedAt = register.Proposal{}, wire.Ballot{}, 0
-	for _, a := range k.answers {
-		k.back(a.to, k.notPrimary(a.body.ID), out)
+	if !k.resuming {
+		k.rejectAll(out)
 	}
-	k.answers, k.acks, k.serving, k.committed, k.named = nil, nil, false, 0, nil
+	k.acks, k.serving, k.committed, k.named = nil, false, 0, nil
 	k.beganAt = now
 	for id, p := range k.peers {
 		p.synced, p.stands, p.token, p.asked, p.resentAt = false, false, 0, 0, 0
