Encode the bodies of lines in one place

Every state machine called encoding/json itself, so the encoding between processes could not be changed without touching all of them. machine.Marshal, Unmarshal and MustMarshal are now the one place; the encoding is still JSON and nothing else changes. Tests that built bodies with MustJSON build them with MustMarshal.

go test ./core/... ./daemon/... passes (keeper 186 s, register 63 s).

--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -7,7 +7,6 @@
 package agent
 
 import (
-	"encoding/json"
 	"slices"
 	"time"
 
@@ -135,7 +134,7 @@
 		a.ask(now, in.Ask, &out)
 	case in.Line.Kind == wire.BeatBack:
 		var b wire.BeatBackBody
-		if err := json.Unmarshal(in.Line.Body, &b); err != nil {
+		if err := machine.Unmarshal(in.Line.Body, &b); err != nil {
 			out.Log("line_damaged", "kind", in.Line.Kind, "from", in.Line.From, "why", err.Error())
 			break
 		}
--- a/core/agent/agent_test.go
+++ b/core/agent/agent_test.go
@@ -97,7 +97,7 @@
 }
 
 func (p *play) line(b wire.BeatBackBody) {
-	p.step(machine.Input{Line: machine.Line{Wire: 1, Kind: wire.BeatBack, From: "k1", Body: machine.MustJSON(b)}})
+	p.step(machine.Input{Line: machine.Line{Wire: 1, Kind: wire.BeatBack, From: "k1", Body: machine.MustMarshal(b)}})
 }
 
 // good replies to the last report.
--- a/core/center/center.go
+++ b/core/center/center.go
@@ -6,7 +6,6 @@
 package center
 
 import (
-	"encoding/json"
 	"time"
 
 	"sorrelloom/core/code"
@@ -134,7 +133,7 @@
 // bounce sends a beat on to the one that leads.
 func (c *Center) bounce(line machine.Line, out *machine.Output) {
 	var b wire.BeatBody
-	if err := json.Unmarshal(line.Body, &b); err != nil {
+	if err := machine.Unmarshal(line.Body, &b); err != nil {
 		out.Log("line_damaged", "kind", line.Kind, "from", line.From, "why", err.Error())
 		return
 	}
--- a/core/center/center_test.go
+++ b/core/center/center_test.go
@@ -70,7 +70,7 @@
 	c := d.center
 	out := c.Step(n.now-d.boot, in)
 	for _, s := range out.Sends {
-		body := machine.MustJSON(s.Body)
+		body := machine.MustMarshal(s.Body)
 		n.queue = append(n.queue, func() { n.deliver(at, s.To, machine.Line{Wire: 1, Kind: s.Kind, From: at, Body: body}) })
 	}
 	for _, w := range out.Writes {
@@ -100,12 +100,12 @@
 	switch line.Kind {
 	case wire.BeatBack:
 		var b wire.BeatBackBody
-		if json.Unmarshal(line.Body, &b) == nil {
+		if machine.Unmarshal(line.Body, &b) == nil {
 			n.replies[b.ID] = b
 		}
 	case wire.CommandBack:
 		var b wire.CommandBackBody
-		if json.Unmarshal(line.Body, &b) == nil {
+		if machine.Unmarshal(line.Body, &b) == nil {
 			n.answers[b.ID] = b
 		}
 	default:
@@ -138,7 +138,7 @@
 
 func (n *net) command(cmd ledger.Command) ledger.Answer {
 	n.id++
-	line := machine.Line{Wire: 1, Kind: wire.Command, From: "door", Body: machine.MustJSON(wire.CommandBody{ID: n.id, Command: cmd})}
+	line := machine.Line{Wire: 1, Kind: wire.Command, From: "door", Body: machine.MustMarshal(wire.CommandBody{ID: n.id, Command: cmd})}
 	n.step(n.leader(), machine.Input{Line: line})
 	n.run(50 * time.Millisecond)
 	b, ok := n.answers[n.id]
@@ -150,7 +150,7 @@
 
 func (n *net) beat(b ledger.Beat) wire.BeatBackBody {
 	n.id++
-	line := machine.Line{Wire: 1, Kind: wire.Beat, From: "side", Body: machine.MustJSON(wire.BeatBody{ID: n.id, Hold: 200 * time.Millisecond, Beat: b})}
+	line := machine.Line{Wire: 1, Kind: wire.Beat, From: "side", Body: machine.MustMarshal(wire.BeatBody{ID: n.id, Hold: 200 * time.Millisecond, Beat: b})}
 	n.step(n.leader(), machine.Input{Line: line})
 	n.run(300 * time.Millisecond)
 	return n.replies[n.id]
--- a/core/center/load_test.go
+++ b/core/center/load_test.go
@@ -27,7 +27,7 @@
 	for a := range r.running {
 		b.Running = append(b.Running, a)
 	}
-	line := machine.Line{Wire: 1, Kind: wire.Beat, From: "side", Body: machine.MustJSON(wire.BeatBody{ID: n.id, Hold: 500 * time.Millisecond, Beat: b})}
+	line := machine.Line{Wire: 1, Kind: wire.Beat, From: "side", Body: machine.MustMarshal(wire.BeatBody{ID: n.id, Hold: 500 * time.Millisecond, Beat: b})}
 	n.step(n.leader(), machine.Input{Line: line})
 }
 
@@ -51,7 +51,7 @@
 			}
 			n.id++
 			cmd := ledger.Command{Kind: ledger.KindAccept, Brief: true, Accept: ledger.JobSpec{ID: fmt.Sprintf("j%d", made), Service: "s", Class: class, Steps: steps}}
-			n.step(n.leader(), machine.Input{Line: machine.Line{Wire: 1, Kind: wire.Command, From: "door", Body: machine.MustJSON(wire.CommandBody{ID: n.id, Command: cmd})}})
+			n.step(n.leader(), machine.Input{Line: machine.Line{Wire: 1, Kind: wire.Command, From: "door", Body: machine.MustMarshal(wire.CommandBody{ID: n.id, Command: cmd})}})
 		}
 		for _, r := range all {
 			dirty := r.open == 0
--- a/core/center/proxy.go
+++ b/core/center/proxy.go
@@ -1,7 +1,6 @@
 package center
 
 import (
-	"encoding/json"
 	"slices"
 	"time"
 
@@ -115,7 +114,7 @@
 // take decodes a line's body; a damaged one is logged and dropped.
 func take[B any](line machine.Line, out *machine.Output, do func(B)) {
 	var b B
-	if err := json.Unmarshal(line.Body, &b); err != nil {
+	if err := machine.Unmarshal(line.Body, &b); err != nil {
 		out.Log("line_damaged", "kind", line.Kind, "from", line.From, "why", err.Error())
 		return
 	}
--- a/core/center/proxy_test.go
+++ b/core/center/proxy_test.go
@@ -16,7 +16,7 @@
 func TestAProxySendsOn(t *testing.T) {
 	p := NewProxy(wire.Seat{ID: "p", Address: "p:1", Site: "x"}, []string{"p:1", "a:1"})
 	step := func(kind string, body any) []machine.Send {
-		return p.Step(time.Second, machine.Input{Line: machine.Line{Wire: 1, Kind: kind, From: "f:1", Body: machine.MustJSON(body)}}).Sends
+		return p.Step(time.Second, machine.Input{Line: machine.Line{Wire: 1, Kind: kind, From: "f:1", Body: machine.MustMarshal(body)}}).Sends
 	}
 	if out := p.Step(0, machine.Input{}).Sends; len(out) != 1 || out[0].To != "a:1" || out[0].Kind != wire.Found || !out[0].Body.(wire.FoundBody).Proxy {
 		t.Errorf("it asks %+v for the view", out)
@@ -71,8 +71,8 @@
 	}
 	for range 30 {
 		for _, at := range keepers {
-			n.step(at, machine.Input{Line: machine.Line{Wire: 1, Kind: wire.Nodes, Body: machine.MustJSON(wire.Gossip{Nodes: nodes})}})
-			n.step(at, machine.Input{Line: machine.Line{Wire: 1, Kind: wire.FoundBack, From: "a:1", Body: machine.MustJSON(p.self())}})
+			n.step(at, machine.Input{Line: machine.Line{Wire: 1, Kind: wire.Nodes, Body: machine.MustMarshal(wire.Gossip{Nodes: nodes})}})
+			n.step(at, machine.Input{Line: machine.Line{Wire: 1, Kind: wire.FoundBack, From: "a:1", Body: machine.MustMarshal(p.self())}})
 		}
 		n.run(100 * time.Millisecond)
 	}
--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -6,7 +6,6 @@
 package follow
 
 import (
-	"encoding/json"
 	"hash/fnv"
 	"maps"
 	"slices"
@@ -121,22 +120,22 @@
 	switch line.Kind {
 	case wire.Nodes:
 		var b wire.Gossip
-		if err = json.Unmarshal(line.Body, &b); err == nil {
+		if err = machine.Unmarshal(line.Body, &b); err == nil {
 			c.know(b.Nodes)
 		}
 	case wire.CommandBack:
 		var b wire.CommandBackBody
-		if err = json.Unmarshal(line.Body, &b); err == nil {
+		if err = machine.Unmarshal(line.Body, &b); err == nil {
 			results = c.answered(now, line.From, b)
 		}
 	case wire.News:
 		var b wire.NewsBody
-		if err = json.Unmarshal(line.Body, &b); err == nil {
+		if err = machine.Unmarshal(line.Body, &b); err == nil {
 			c.news(now, line.From, b, out)
 		}
 	case wire.Follow:
 		var b wire.FollowBody
-		switch err = json.Unmarshal(line.Body, &b); {
+		switch err = machine.Unmarshal(line.Body, &b); {
 		case err != nil:
 		case c.leaving:
 			c.sendOff(line.From, b.At, out)
--- a/core/follow/follow_test.go
+++ b/core/follow/follow_test.go
@@ -14,14 +14,14 @@
 // sent on as well if they ask it once more.
 func TestAHomeOfNewsThatGoesSaysSo(t *testing.T) {
 	const ms = time.Millisecond
-	nodes := machine.MustJSON(wire.Gossip{Nodes: []wire.Node{{Role: "keeper", Address: "k0"}, {Role: "front", Site: "s", Address: "a"}, {Role: "front", Site: "s", Address: "b"}}})
+	nodes := machine.MustMarshal(wire.Gossip{Nodes: []wire.Node{{Role: "keeper", Address: "k0"}, {Role: "front", Site: "s", Address: "a"}, {Role: "front", Site: "s", Address: "b"}}})
 	a, b := New("a", "s", 1), New("b", "s", 1)
 	line := func(c *Copy, at time.Duration, from, kind string, body any) map[string][]string {
 		var out machine.Output
 		if raw, ok := body.([]byte); ok {
 			c.Line(at, machine.Line{Kind: kind, From: from, Body: raw}, &out)
 		} else {
-			c.Line(at, machine.Line{Kind: kind, From: from, Body: machine.MustJSON(body)}, &out)
+			c.Line(at, machine.Line{Kind: kind, From: from, Body: machine.MustMarshal(body)}, &out)
 		}
 		return sent(out)
 	}
--- a/core/front/front.go
+++ b/core/front/front.go
@@ -168,7 +168,7 @@
 		f.take(now, in.Ask, &out)
 	case in.Line.Kind == wire.BeatBack:
 		var b wire.BeatBackBody
-		if err := json.Unmarshal(in.Line.Body, &b); err != nil {
+		if err := machine.Unmarshal(in.Line.Body, &b); err != nil {
 			out.Log("line_damaged", "kind", in.Line.Kind, "from", in.Line.From, "why", err.Error())
 		} else {
 			f.beatBack(now, b, &out)
@@ -176,7 +176,7 @@
 	case in.Line.Kind != "":
 		if in.Line.Kind == wire.Nodes {
 			var b wire.Gossip
-			if json.Unmarshal(in.Line.Body, &b) == nil {
+			if machine.Unmarshal(in.Line.Body, &b) == nil {
 				f.nodes = b.Nodes
 			}
 		}
--- a/core/front/front_test.go
+++ b/core/front/front_test.go
@@ -19,7 +19,7 @@
 	w.Worker("w1", 4)
 	w.Job("j", "quick", "a")
 	f := New(Env{Address: "1.1.1.1:1", Site: "a", First: 1})
-	body := machine.MustJSON(wire.NewsBody{Epoch: 1, At: w.Ledger.Position(), Records: w.Ledger.Records()})
+	body := machine.MustMarshal(wire.NewsBody{Epoch: 1, At: w.Ledger.Position(), Records: w.Ledger.Records()})
 	f.Step(time.Second, machine.Input{Line: machine.Line{Wire: 1, Kind: wire.News, From: "2.2.2.2:2", Body: body}})
 	return f
 }
--- a/core/front/schema_test.go
+++ b/core/front/schema_test.go
@@ -52,8 +52,8 @@
 	w.Job("k", "batch", "a:3", "b:3", "c+gpu")
 	f := New(Env{Address: "1.1.1.1:1", Site: "a", First: 1})
 	node := wire.Node{ID: "2.2.2.2:2", Role: "scheduler", Site: "a", Address: "2.2.2.2:2", HTTP: "2.2.2.2:3"}
-	f.Step(time.Second, machine.Input{Line: machine.Line{Wire: 1, Kind: wire.Nodes, From: "1.1.1.1:1", Body: machine.MustJSON(wire.Gossip{Nodes: []wire.Node{node}})}})
-	f.Step(time.Second, machine.Input{Line: machine.Line{Wire: 1, Kind: wire.News, From: "2.2.2.2:2", Body: machine.MustJSON(wire.NewsBody{Epoch: 1, At: w.Ledger.Position(), Records: w.Ledger.Records()})}})
+	f.Step(time.Second, machine.Input{Line: machine.Line{Wire: 1, Kind: wire.Nodes, From: "1.1.1.1:1", Body: machine.MustMarshal(wire.Gossip{Nodes: []wire.Node{node}})}})
+	f.Step(time.Second, machine.Input{Line: machine.Line{Wire: 1, Kind: wire.News, From: "2.2.2.2:2", Body: machine.MustMarshal(wire.NewsBody{Epoch: 1, At: w.Ledger.Position(), Records: w.Ledger.Records()})}})
 	for kind, schema := range map[string]string{Jobs: "jobs", Workers: "workers", Nodes: "nodes", Duties: "duties"} {
 		r, ok := ask(f, kind, "", "")
 		if !ok || r.Status != 200 {
--- a/core/keeper/keeper.go
+++ b/core/keeper/keeper.go
@@ -322,7 +322,7 @@
 // take decodes a line's body; a damaged one is logged and dropped.
 func take[B any](line machine.Line, out *machine.Output, do func(B)) {
 	var b B
-	if err := json.Unmarshal(line.Body, &b); err != nil {
+	if err := machine.Unmarshal(line.Body, &b); err != nil {
 		out.Log("line_damaged", "kind", line.Kind, "from", line.From, "why", err.Error())
 		return
 	}
--- a/core/keeper/keeper_test.go
+++ b/core/keeper/keeper_test.go
@@ -153,7 +153,7 @@
 	for _, s := range out.Sends {
 		if slices.Contains(c.proxies, s.To) && s.Kind == wire.Found {
 			body := wire.FoundBody{Seat: wire.Seat{ID: s.To, Address: s.To, Site: c.site(s.To)}, Empty: true, Proxy: true}
-			line := machine.Line{Wire: machine.WireSequence, Kind: wire.FoundBack, From: s.To, Body: machine.MustJSON(body)}
+			line := machine.Line{Wire: machine.WireSequence, Kind: wire.FoundBack, From: s.To, Body: machine.MustMarshal(body)}
 			c.after(2*stride, func() {
 				if h.k != nil && h.life == life {
 					c.step(h, machine.Input{Line: line})
@@ -169,7 +169,7 @@
 		if to == nil || h.cut {
 			continue
 		}
-		line := machine.Line{Wire: machine.WireSequence, Kind: s.Kind, From: h.address, Body: machine.MustJSON(s.Body)}
+		line := machine.Line{Wire: machine.WireSequence, Kind: s.Kind, From: h.address, Body: machine.MustMarshal(s.Body)}
 		c.logs["line "+s.Kind+" to "+s.To]++
 		c.sends[s.Kind]++
 		var late time.Duration
@@ -219,7 +219,7 @@
 		}
 		c.asked++
 		cmd := ledger.Command{Kind: ledger.KindPlan, Plan: ledger.PlanChange{Forced: true, Patch: true, Body: fmt.Appendf(nil, `{"limits":{"keep":"%dm"}}`, 10+c.asked)}}
-		line := machine.Line{Wire: machine.WireSequence, Kind: wire.Command, From: "writer", Body: machine.MustJSON(wire.CommandBody{ID: c.asked, Command: cmd})}
+		line := machine.Line{Wire: machine.WireSequence, Kind: wire.Command, From: "writer", Body: machine.MustMarshal(wire.CommandBody{ID: c.asked, Command: cmd})}
 		c.step(h, machine.Input{Line: line})
 	}
 }
@@ -272,7 +272,7 @@
 	}
 	for _, h := range c.hosts {
 		if h.k != nil && !h.cut {
-			c.step(h, machine.Input{Line: machine.Line{Wire: machine.WireSequence, Kind: wire.Nodes, Body: machine.MustJSON(wire.Gossip{Nodes: nodes})}})
+			c.step(h, machine.Input{Line: machine.Line{Wire: machine.WireSequence, Kind: wire.Nodes, Body: machine.MustMarshal(wire.Gossip{Nodes: nodes})}})
 		}
 	}
 }
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -5,7 +5,6 @@
 package member
 
 import (
-	"encoding/json"
 	"math/rand/v2"
 	"slices"
 	"sort"
@@ -74,7 +73,7 @@
 	switch in.Line.Kind {
 	case wire.Shuffle, wire.ShuffleBack:
 		var b wire.Gossip
-		if err := json.Unmarshal(in.Line.Body, &b); err != nil {
+		if err := machine.Unmarshal(in.Line.Body, &b); err != nil {
 			out.Log("line_damaged", "kind", in.Line.Kind, "from", in.Line.From, "why", err.Error())
 			return out
 		}
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -27,7 +27,7 @@
 func (c *town) send(from string, out machine.Output) {
 	for _, s := range out.Sends {
 		if to := c.members[s.To]; to != nil {
-			line := machine.Line{Wire: 1, Kind: s.Kind, From: from, Body: machine.MustJSON(s.Body)}
+			line := machine.Line{Wire: 1, Kind: s.Kind, From: from, Body: machine.MustMarshal(s.Body)}
 			c.send(s.To, to.Step(c.now, machine.Input{Line: line}))
 		}
 	}
@@ -106,15 +106,15 @@
 			site := string(rune('a' + i/8))
 			hear = append(hear, wire.Node{ID: fmt.Sprintf("s%d", i), Role: "scheduler", Site: site, Address: fmt.Sprintf("s%d", i)})
 		}
-		asked.Step(time.Second, machine.Input{Line: machine.Line{Wire: 1, Kind: wire.ShuffleBack, From: "x", Body: machine.MustJSON(wire.Gossip{Nodes: hear})}})
+		asked.Step(time.Second, machine.Input{Line: machine.Line{Wire: 1, Kind: wire.ShuffleBack, From: "x", Body: machine.MustMarshal(wire.Gossip{Nodes: hear})}})
 		fresh := New(Env{Self: wire.Node{ID: "new", Role: "keeper", Site: "a", Address: "new"}, Seeds: []string{"f0"}, Seed: seed})
 		told := false
 		for _, s := range fresh.Step(time.Second, machine.Input{}).Sends {
 			if s.To != "f0" {
 				continue
 			}
-			for _, back := range asked.Step(time.Second, machine.Input{Line: machine.Line{Wire: 1, Kind: s.Kind, From: "new", Body: machine.MustJSON(s.Body)}}).Sends {
-				for _, out := range fresh.Step(time.Second, machine.Input{Line: machine.Line{Wire: 1, Kind: back.Kind, From: "f0", Body: machine.MustJSON(back.Body)}}).Sends {
+			for _, back := range asked.Step(time.Second, machine.Input{Line: machine.Line{Wire: 1, Kind: s.Kind, From: "new", Body: machine.MustMarshal(s.Body)}}).Sends {
+				for _, out := range fresh.Step(time.Second, machine.Input{Line: machine.Line{Wire: 1, Kind: back.Kind, From: "f0", Body: machine.MustMarshal(back.Body)}}).Sends {
 					b, ok := out.Body.(wire.Gossip)
 					told = told || ok && out.To == "" && slices.ContainsFunc(b.Nodes, func(n wire.Node) bool { return n.Role == "keeper" && n.ID == "k" })
 				}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"encoding/json"
 	"slices"
 	"time"
 
@@ -97,7 +96,7 @@
 		r.take(now, in.Ask, &out)
 	case in.Line.Kind == wire.CommandBack:
 		var b wire.CommandBackBody
-		if err := json.Unmarshal(in.Line.Body, &b); err != nil {
+		if err := machine.Unmarshal(in.Line.Body, &b); err != nil {
 			out.Log("line_damaged", "kind", in.Line.Kind, "from", in.Line.From, "why", err.Error())
 		} else {
 			r.back(now, in.Line.From, b, &out)
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -61,7 +61,7 @@
 func (p *play) back(at time.Duration, from, kind string, b wire.CommandBackBody) {
 	p.Helper()
 	b.ID = p.last[kind]
-	p.step(at, machine.Input{Line: machine.Line{Wire: 1, Kind: wire.CommandBack, From: from, Body: machine.MustJSON(b)}})
+	p.step(at, machine.Input{Line: machine.Line{Wire: 1, Kind: wire.CommandBack, From: from, Body: machine.MustMarshal(b)}})
 }
 
 func (p *play) want(sent ...string) {
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -7,7 +7,6 @@
 package scheduler
 
 import (
-	"encoding/json"
 	"maps"
 	"slices"
 	"sort"
@@ -168,7 +167,7 @@
 		s.handOver(now, &out)
 	case in.Line.Kind == wire.Beat:
 		var b wire.BeatBody
-		if err := json.Unmarshal(in.Line.Body, &b); err != nil {
+		if err := machine.Unmarshal(in.Line.Body, &b); err != nil {
 			out.Log("line_damaged", "kind", in.Line.Kind, "from", in.Line.From, "why", err.Error())
 			break
 		}
--- a/daemon/host/host.go
+++ b/daemon/host/host.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync"
 	"time"
 
@@ -161,7 +160,7 @@
 }
 
 func (s *Shard) send(send machine.Send) {
-	body, err := json.Marshal(send.Body)
+	body, err := machine.Marshal(send.Body)
 	if err != nil {
 		logline.Event("line_unsendable", "kind", send.Kind, "why", err.Error())
 		return
--- a/tool/sim/sim.go
+++ b/tool/sim/sim.go
@@ -358,7 +358,7 @@
 	if w.alter != nil {
 		s = w.alter(n, s)
 	}
-	body := machine.MustJSON(s.Body)
+	body := machine.MustMarshal(s.Body)
 	line := machine.Line{Wire: machine.WireSequence, Kind: s.Kind, From: n.address, Body: body}
 	life := n.life
 	if s.To == "" || s.To == n.address {
--- a/tool/sim/sim_test.go
+++ b/tool/sim/sim_test.go
@@ -191,7 +191,7 @@
 						ack.From = seat
 					}
 				}
-				line := machine.Line{Wire: 1, Kind: wire.ReplicateAck, From: send.To, Body: machine.MustJSON(ack)}
+				line := machine.Line{Wire: 1, Kind: wire.ReplicateAck, From: send.To, Body: machine.MustMarshal(ack)}
 				s.w.After(time.Millisecond, func() { s.w.into(n, n.life, func() { s.w.step(n, machine.Input{Line: line}, false) }) })
 				return true
 			}
