Encode a replicated body once for all its receivers

The leader encoded the same Replicate body once per receiver. machine.Output.Broadcast makes sends that share the encoding of their body, made when the first of them is sent; the bodies stay typed, so that machines and tests read them as before. keeper.replicateNew uses it.

--- a/core/keeper/keeper.go
+++ b/core/keeper/keeper.go
@@ -442,11 +442,15 @@
 	commands, _ := k.tail.Since(k.sent)
 	k.token++
 	k.beatAt = now
+	var receivers []string
 	for _, seat := range k.witness.Known.Witnesses {
 		if seat.ID != k.seat.ID {
-			out.Send(seat.Address, wire.Replicate, wire.ReplicateBody{Boot: k.env.Boot, View: k.witness.Known, From: k.seat, Token: k.token, After: k.sent, Commands: slices.Clone(commands)})
+			receivers = append(receivers, seat.Address)
 		}
 	}
+	out.Broadcast(receivers, wire.Replicate, wire.ReplicateBody{
+		Boot: k.env.Boot, View: k.witness.Known, From: k.seat, Token: k.token, After: k.sent, Commands: slices.Clone(commands),
+	})
 	k.sent = position
 }
 
--- a/core/machine/machine.go
+++ b/core/machine/machine.go
@@ -9,10 +9,29 @@
 	"time"
 )
 
+// Send is a line to be sent. Those that Broadcast made share their encoding.
 type Send struct {
-	To   string
-	Kind string
-	Body any
+	To     string
+	Kind   string
+	Body   any
+	shared *encoded
+}
+
+// encoded is a body's encoding, made when the first receiver's line is sent.
+type encoded struct {
+	data []byte
+	err  error
+}
+
+// Encode gives the body's encoding, which must not be changed.
+func (s Send) Encode() ([]byte, error) {
+	if s.shared == nil {
+		return Marshal(s.Body)
+	}
+	if s.shared.data == nil && s.shared.err == nil {
+		s.shared.data, s.shared.err = Marshal(s.Body)
+	}
+	return s.shared.data, s.shared.err
 }
 
 // Record is one key of the data file; an empty Value deletes it.
@@ -85,6 +104,14 @@
 	o.Sends = append(o.Sends, Send{To: to, Kind: kind, Body: body})
 }
 
+// Broadcast sends one body to several receivers, for whom it is encoded once.
+func (o *Output) Broadcast(receivers []string, kind string, body any) {
+	shared := &encoded{}
+	for _, to := range receivers {
+		o.Sends = append(o.Sends, Send{To: to, Kind: kind, Body: body, shared: shared})
+	}
+}
+
 func (o *Output) Answer(key uint64, body any) {
 	o.Answers = append(o.Answers, Answer{Key: key, Body: body})
 }
--- /dev/null
+++ b/core/machine/send_test.go
@@ -0,0 +1,55 @@
+package machine
+
+import (
+	"slices"
+	"testing"
+)
+
+// counted is a body that counts how often it is encoded.
+type counted struct{ times *int }
+
+func (c counted) MarshalCBOR() ([]byte, error) {
+	*c.times++
+	return Marshal("body")
+}
+
+func TestABroadcastBodyIsEncodedOnce(t *testing.T) {
+	times := 0
+	var out Output
+	out.Broadcast([]string{"a", "b", "c"}, "kind", counted{&times})
+	want := MustMarshal("body")
+	var receivers []string
+	for _, send := range out.Sends {
+		receivers = append(receivers, send.To)
+		if data, err := send.Encode(); err != nil || !slices.Equal(data, want) || send.Kind != "kind" {
+			t.Errorf("%+v is encoded as %x, %v", send, data, err)
+		}
+	}
+	if times != 1 || !slices.Equal(receivers, []string{"a", "b", "c"}) {
+		t.Errorf("encoded %d times for %v", times, receivers)
+	}
+}
+
+// TestSendsOfTheirOwnAreEncodedEach: two broadcasts share nothing, nor do plain sends.
+func TestSendsOfTheirOwnAreEncodedEach(t *testing.T) {
+	var out Output
+	out.Broadcast([]string{"a", "b"}, "kind", 1)
+	out.Broadcast([]string{"a"}, "kind", 2)
+	out.Send("a", "kind", 3)
+	for i, want := range []int{1, 1, 2, 3} {
+		data, err := out.Sends[i].Encode()
+		if err != nil || !slices.Equal(data, MustMarshal(want)) {
+			t.Errorf("send %d is encoded as %x, %v", i, data, err)
+		}
+	}
+}
+
+func TestABodyThatCannotBeEncodedIsAnError(t *testing.T) {
+	var out Output
+	out.Broadcast([]string{"a", "b"}, "kind", func() {})
+	for _, send := range out.Sends {
+		if _, err := send.Encode(); err == nil {
+			t.Errorf("%s: no error", send.To)
+		}
+	}
+}
--- a/daemon/host/host.go
+++ b/daemon/host/host.go
@@ -160,7 +160,7 @@
 }
 
 func (s *Shard) send(send machine.Send) {
-	body, err := machine.Marshal(send.Body)
+	body, err := send.Encode()
 	if err != nil {
 		logline.Event("line_unsendable", "kind", send.Kind, "why", err.Error())
 		return
