--- a/core/keeper/keeper.go
+++ b/core/keeper/keeper.go
@@ -327,7 +327,7 @@
 // take decodes a line's body; a damaged one is logged and dropped.
 func take[B any](line machine.Line, out *machine.Output, do func(B)) {
 	var b B
-	if err := json.Unmarshal(line.Body, &b); err != nil {
+	if err := machine.Unmarshal(line.Body, &b); err != nil {
 		out.Log("line_damaged", "kind", line.Kind, "from", line.From, "why", err.Error())
 		return
 	}
@@ -449,11 +449,15 @@
 	commands, _ := k.tail.Since(k.sent)
 	k.token++
 	k.beatAt = now
+	var receivers []string
 	for _, seat := range k.witness.Known.Witnesses {
 		if seat.ID != k.seat.ID {
-			out.Send(seat.Address, wire.Replicate, wire.ReplicateBody{Boot: k.env.Boot, View: k.witness.Known, From: k.seat, Token: k.token, After: k.sent, Commands: slices.Clone(commands)})
+			receivers = append(receivers, seat.Address)
 		}
 	}
+	out.Broadcast(receivers, wire.Replicate, wire.ReplicateBody{
+		Boot: k.env.Boot, View: k.witness.Known, From: k.seat, Token: k.token, After: k.sent, Commands: slices.Clone(commands),
+	})
 	k.sent = position
 }
 
