Bound what a leader admits by how long its senders still wait

A command now carries the time left for its answer and, once the sender knows the ledger's time, the deadline in it, so that what a command spent in queues on its way counts. A leader drops one that is over before it does any work, recognises another copy of one that waits for its commit, and rejects at once with inbox-full one that has less time than the oldest waiting command has waited, reads too. A question for a proof is answered twice: at once that it has arrived, which proves nothing, and as before once the disks have answered, now with the ledger's time and position.

--- a/core/keeper/keeper.go
+++ b/core/keeper/keeper.go
@@ -45,6 +45,8 @@
 	dueEach    = 50 * time.Millisecond
 	gather     = 4 * time.Millisecond
 	catchUp    = 2 * time.Second
+	// retryAfter is the least time after which a rejected command may come back.
+	retryAfter = time.Second
 )
 
 const (
@@ -78,6 +80,7 @@
 	body     wire.CommandBackBody
 	sequence uint64
 	token    uint64
+	takenAt  time.Duration
 }
 
 type ack struct {
@@ -340,6 +343,7 @@
 	return k.serving
 }
 
+// command takes a command if its answer can be of use to the sender.
 func (k *Keeper) command(now time.Duration, from string, b wire.CommandBody, out *machine.Output) {
 	// A stopping leader takes no more: with a new command always under way, the next
 	// backup would never stand where the leader does, and nothing be handed over.
@@ -347,9 +351,12 @@
 		k.back(from, k.notPrimary(b.ID), out)
 		return
 	}
-	if len(k.answers) > inFlight {
+	if k.outOfTime(now, b) || b.Resent && k.awaitsCommit(from, b.ID) {
+		return
+	}
+	if why, full := k.full(now, b); full {
 		k.back(from, wire.CommandBackBody{ID: b.ID, Answer: ledger.Answer{
-			Code: code.InboxFull, Why: "too many writes are under way", RetryAfter: time.Second,
+			Code: code.InboxFull, Why: why, RetryAfter: max(retryAfter, k.waited(now)),
 		}}, out)
 		return
 	}
@@ -357,22 +364,75 @@
 		out.Send(from, wire.CommandBack, wire.CommandBackBody{ID: b.ID, Answer: ledger.Answer{Code: code.Malformed, Why: "only the primary itself takes a duty"}})
 		return
 	}
-	var answer ledger.Answer
-	if ledger.Reads(b.Command.Kind) {
-		answer = k.ledger.Read(b.Command)
-	} else {
-		answer = k.apply(now, b.Command)
-	}
-	body := wire.CommandBackBody{ID: b.ID, At: k.ledger.Position().Sequence, Answer: answer}
+	body := wire.CommandBackBody{ID: b.ID, Answer: k.carryOut(now, b.Command)}
+	body.At = k.ledger.Position().Sequence
 	if b.Command.Kind == ledger.KindProve {
+		k.receive(now, from, b.ID, out)
+		body.Answer.Time, body.Answer.Proven = k.ledgerTime(now), body.At
 		body.Keepers = k.Keepers()
 	}
-	k.answers = append(k.answers, pending{from, body, k.ledger.Position().Sequence, k.token + 1})
+	k.answers = append(k.answers, pending{from, body, body.At, k.token + 1, now})
 }
 
+// carryOut reads from the ledger or changes it.
+func (k *Keeper) carryOut(now time.Duration, cmd ledger.Command) ledger.Answer {
+	if ledger.Reads(cmd.Kind) {
+		return k.ledger.Read(cmd)
+	}
+	return k.apply(now, cmd)
+}
+
+// receive tells a sender at once that its question for a proof has arrived. The
+// proof itself waits for the disks. The code is one that proves nothing, for
+// senders that do not know the field.
+func (k *Keeper) receive(now time.Duration, from string, id uint64, out *machine.Output) {
+	if from == "" {
+		return
+	}
+	received := ledger.Answer{Code: code.NoAuthority, Why: "the question has arrived; its answer waits for the disks"}
+	out.Send(from, wire.CommandBack, wire.CommandBackBody{ID: id, Received: true, Answer: received})
+}
+
+// outOfTime says whether nobody waits for the command's answer any more: what it
+// spent in queues on its way is seen by the ledger's time.
+func (k *Keeper) outOfTime(now time.Duration, b wire.CommandBody) bool {
+	return b.Deadline > 0 && k.ledgerTime(now) >= b.Deadline
+}
+
+// awaitsCommit says whether an earlier copy of a command is among those that wait
+// for their commit; its answer serves both.
+func (k *Keeper) awaitsCommit(from string, id uint64) bool {
+	return slices.ContainsFunc(k.answers, func(a pending) bool { return a.to == from && a.body.ID == id })
+}
+
+// full says why a command is not admitted: too much waits for its commit, or it has
+// waited for longer than the command has time.
+func (k *Keeper) full(now time.Duration, b wire.CommandBody) (why string, full bool) {
+	if len(k.answers) > inFlight {
+		return "too many writes are under way", true
+	}
+	left := b.Left
+	if b.Deadline > 0 {
+		left = min(left, b.Deadline-k.ledgerTime(now))
+	}
+	return "what is under way takes longer than this request has time", b.Left > 0 && k.waited(now) >= left
+}
+
+// waited is how long the oldest command has waited for its commit. As commits are
+// in order, a new one is not expected to take less.
+func (k *Keeper) waited(now time.Duration) time.Duration {
+	if len(k.answers) == 0 {
+		return 0
+	}
+	return now - k.answers[0].takenAt
+}
+
+// ledgerTime is the ledger's time by this leader's clock.
+func (k *Keeper) ledgerTime(now time.Duration) time.Duration { return k.leadingAt + now - k.beganAt }
+
 func (k *Keeper) apply(now time.Duration, cmd ledger.Command) ledger.Answer {
 	cmd.Position = ledger.Position{Epoch: k.witness.Known.Epoch, Sequence: k.ledger.Position().Sequence + 1}
-	cmd.At = k.leadingAt + now - k.beganAt
+	cmd.At = k.ledgerTime(now)
 	if cmd.Kind == ledger.KindAccept && cmd.Accept.Repeat.Count > 0 {
 		cmd.Wall = k.wall
 	}
--- a/core/ledger/types.go
+++ b/core/ledger/types.go
@@ -368,6 +368,10 @@
 	Faults     []plan.Fault  `json:"faults,omitempty"`
 	Count      int           `json:"count,omitempty"`
 	Plan       *plan.Plan    `json:"plan,omitempty"`
+	// Time and Proven, in a proof, are the ledger's time and the sequence up to which
+	// the leader has committed everything.
+	Time   time.Duration `json:"time,omitempty"`
+	Proven uint64        `json:"proven,omitempty"`
 }
 
 func bounce(c code.Code, format string, args ...any) Answer {
--- a/core/wire/wire.go
+++ b/core/wire/wire.go
@@ -135,17 +135,27 @@
 	Records []machine.Record `json:"records"`
 }
 
+// CommandBody asks a keeper for a command. An answer is of use to the sender for
+// Left from the sending on; Deadline is the ledger's time at the end of that span,
+// as the sender reckons it, never too early. Zero stands for no bound. Resent says
+// that a copy of the command was sent before.
 type CommandBody struct {
-	ID      uint64         `json:"id"`
-	Read    bool           `json:"read,omitempty"`
-	Command ledger.Command `json:"command"`
+	ID       uint64         `json:"id"`
+	Read     bool           `json:"read,omitempty"`
+	Left     time.Duration  `json:"left,omitempty"`
+	Deadline time.Duration  `json:"deadline,omitempty"`
+	Resent   bool           `json:"resent,omitempty"`
+	Command  ledger.Command `json:"command"`
 }
 
+// CommandBackBody is a keeper's answer to a command. With Received set it is no
+// answer yet: a leader says at once that a question for its proof has arrived.
 type CommandBackBody struct {
-	ID      uint64        `json:"id"`
-	At      uint64        `json:"at,omitempty"`
-	Answer  ledger.Answer `json:"answer"`
-	Primary string        `json:"primary,omitempty"`
+	ID       uint64        `json:"id"`
+	At       uint64        `json:"at,omitempty"`
+	Received bool          `json:"received,omitempty"`
+	Answer   ledger.Answer `json:"answer"`
+	Primary  string        `json:"primary,omitempty"`
 	// Keepers are the addresses of the view's keepers, for those who follow nothing.
 	Keepers []string `json:"keepers,omitempty"`
 }
