Send an open command once per leader, and not while it is alive

Retries kept the leader overloaded once one fault had made it so.

- Commands go only to a keeper that has shown that it leads, by its word that the question for a proof has arrived.
A relay that looks for the leader sends questions for a proof, no commands.
- A command is known to be lost once the leader has answered what was sent after it, as it answers in order; only then, and after a span that doubles with jitter up to 800 ms, it is sent again to the same leader.
- To a new leader, open commands go spread over up to 200 ms, those with the least time left first; 256 at most are without an answer there.
- What would be late behind them is answered inbox-full at once; a command that was never sent waits 1.2 s for a leader, then no-authority.
- A keeper is left after 800 to 900 ms in which nothing at all came from it; the span doubles once all were tried.
Pauses have jitter from Env.First.

Ruled out: answers to later commands as proof that a command arrived (the connection may have been reset between); they show here that it is lost.

A silent leader is left, and the command answered, within a second as before.

--- /dev/null
+++ b/core/relay/load_test.go
@@ -0,0 +1,340 @@
+package relay
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"sorrelloom/core/code"
+	"sorrelloom/core/ledger"
+	"sorrelloom/core/machine"
+	"sorrelloom/core/wire"
+)
+
+// lineTakes is how long a line takes between the relay and a keeper.
+const lineTakes = 2 * ms
+
+// cluster is three keepers of which one leads or none. The leader answers commands
+// in their order, each after the span that answerTakes gives, or never.
+type cluster struct {
+	*testing.T
+	relay       *Relay
+	now         time.Duration
+	leader      string
+	frozen      map[string]bool
+	answerTakes func() time.Duration
+	agenda      map[time.Duration][]func()
+	// sends counts the commands that arrive, proofs the questions for a proof.
+	sends       int
+	proofs      int
+	copies      map[uint64]int
+	arrivals    []time.Duration
+	outstanding map[uint64]bool
+	most        int
+	answers     map[uint64]ledger.Answer
+	answeredAt  map[uint64]time.Duration
+	moves       int
+	lastDone    time.Duration
+}
+
+func newCluster(t *testing.T, seed uint64) *cluster {
+	c := &cluster{
+		T: t, relay: New(Env{Address: "door", Keepers: []string{"k0", "k1", "k2"}, First: seed}), leader: "k0",
+		frozen: map[string]bool{}, agenda: map[time.Duration][]func(){}, copies: map[uint64]int{}, outstanding: map[uint64]bool{},
+		answers: map[uint64]ledger.Answer{}, answeredAt: map[uint64]time.Duration{},
+		answerTakes: func() time.Duration { return 10 * ms },
+	}
+	c.step(machine.Input{})
+	c.pass(100 * ms)
+	return c
+}
+
+func (c *cluster) after(d time.Duration, do func()) {
+	at := (c.now + max(d, ms)).Truncate(ms)
+	c.agenda[at] = append(c.agenda[at], do)
+}
+
+func (c *cluster) step(in machine.Input) {
+	primary := c.relay.route.primary
+	out := c.relay.Step(c.now, in)
+	if primary != c.relay.route.primary {
+		c.moves++
+	}
+	for _, a := range out.Answers {
+		if _, twice := c.answers[a.Key]; twice {
+			c.Errorf("%d is answered twice", a.Key)
+		}
+		c.answers[a.Key], c.answeredAt[a.Key] = a.Body.(ledger.Answer), c.now
+	}
+	for _, s := range out.Sends {
+		b := s.Body.(wire.CommandBody)
+		c.after(lineTakes, func() { c.arrive(s.To, b) })
+	}
+}
+
+func (c *cluster) arrive(keeper string, b wire.CommandBody) {
+	prove := b.Command.Kind == ledger.KindProve
+	if prove {
+		c.proofs++
+	} else {
+		c.sends++
+		c.copies[b.ID]++
+		c.arrivals = append(c.arrivals, c.now)
+	}
+	if c.frozen[keeper] {
+		return
+	}
+	if keeper != c.leader {
+		c.reply(keeper, 0, wire.CommandBackBody{ID: b.ID, Primary: c.leader, Answer: ledger.Answer{Code: code.NotPrimary}})
+		return
+	}
+	if prove {
+		c.reply(keeper, 0, wire.CommandBackBody{ID: b.ID, Received: true, Answer: ledger.Answer{Code: code.NoAuthority}})
+	} else {
+		c.outstanding[b.ID] = true
+		c.most = max(c.most, len(c.outstanding))
+	}
+	c.lastDone = max(c.lastDone, c.now+c.answerTakes())
+	c.reply(keeper, c.lastDone-c.now, wire.CommandBackBody{ID: b.ID, Answer: ledger.Answer{Code: code.OK, Time: c.now}})
+}
+
+// reply answers unless the keeper has lost the lead or stands still by then.
+func (c *cluster) reply(keeper string, in time.Duration, b wire.CommandBackBody) {
+	lead := c.leader == keeper
+	c.after(in, func() {
+		if c.frozen[keeper] || lead && c.leader != keeper {
+			return
+		}
+		if !b.Received {
+			delete(c.outstanding, b.ID)
+		}
+		c.after(lineTakes, func() {
+			c.step(machine.Input{Line: machine.Line{Wire: 1, Kind: wire.CommandBack, From: keeper, Body: machine.MustJSON(b)}})
+		})
+	})
+}
+
+func (c *cluster) pass(d time.Duration) {
+	for end := c.now + d; c.now < end; {
+		c.now += ms
+		due := c.agenda[c.now]
+		delete(c.agenda, c.now)
+		for _, do := range due {
+			do()
+		}
+		if c.relay.Wakeup() <= c.now {
+			c.step(machine.Input{})
+		}
+	}
+}
+
+func (c *cluster) ask(key uint64, wait time.Duration) {
+	c.step(machine.Input{Ask: machine.Ask{Key: key, Kind: AskCommand, Value: ledger.Command{Kind: ledger.KindAccept}, Wait: wait}})
+}
+
+// TestRetriesDoNotGrow has 300 commands open while the leader changes three times
+// within 5 s, and no leader answers any of them. Each goes to each leader once.
+func TestRetriesDoNotGrow(t *testing.T) {
+	const commands, changes = 300, 3
+	for seed := uint64(1); seed <= 20; seed++ {
+		c := newCluster(t, seed)
+		c.answerTakes = func() time.Duration { return time.Minute }
+		for key := uint64(1); key <= commands; key++ {
+			c.ask(key, 8*time.Second)
+		}
+		for change := 1; change <= changes; change++ {
+			c.pass(500 * ms)
+			c.leader, c.lastDone = "", 0
+			clear(c.outstanding)
+			c.pass(1000 * ms)
+			c.leader = fmt.Sprintf("k%d", change%3)
+		}
+		c.pass(500 * ms)
+		if seed == 1 {
+			t.Logf("%d sends of %d commands, %d questions for a proof", c.sends, commands, c.proofs)
+		}
+		if most := window * (changes + 1); c.sends > most {
+			t.Errorf("seed %d: %d sends of %d commands, want at most %d", seed, c.sends, commands, most)
+		}
+		for id, n := range c.copies {
+			if n > changes+1 {
+				t.Errorf("seed %d: command %d was sent %d times", seed, id, n)
+			}
+		}
+		if c.most > window {
+			t.Errorf("seed %d: %d commands were at the leader", seed, c.most)
+		}
+		if c.proofs > 200 {
+			t.Errorf("seed %d: %d questions for a proof in %s", seed, c.proofs, c.now)
+		}
+	}
+}
+
+// TestABusyLeaderIsNotLeft answers everything three seconds late, but stands still
+// for no moment: nothing is sent twice and the relay stays.
+func TestABusyLeaderIsNotLeft(t *testing.T) {
+	c := newCluster(t, 1)
+	c.answerTakes = func() time.Duration { return 3 * time.Second }
+	moves := c.moves
+	for key := uint64(1); key <= 100; key++ {
+		c.ask(key, 5*time.Second)
+		c.pass(10 * ms)
+	}
+	c.pass(4 * time.Second)
+	if c.moves != moves || c.sends != 100 {
+		t.Errorf("%d moves and %d sends of 100 commands", c.moves-moves, c.sends)
+	}
+	for key := uint64(1); key <= 100; key++ {
+		if a := c.answers[key]; a.Code != code.OK {
+			t.Errorf("%d: %+v", key, a)
+		}
+	}
+}
+
+// TestASilentLeaderIsLeftWithinASecond: it stands still with commands open, and the
+// others know soon who leads instead.
+func TestASilentLeaderIsLeftWithinASecond(t *testing.T) {
+	for seed := uint64(1); seed <= 20; seed++ {
+		c := newCluster(t, seed)
+		c.pass(time.Duration(seed) * 37 * ms)
+		frozeAt := c.now
+		c.frozen[c.leader], c.leader = true, "k1"
+		c.ask(1, 5*time.Second)
+		for c.answers[1].Code != code.OK || c.answeredAt[1] == 0 {
+			if c.now-frozeAt > time.Second {
+				t.Fatalf("seed %d: no answer after %s", seed, c.now-frozeAt)
+			}
+			c.pass(ms)
+		}
+	}
+}
+
+// TestOpenCommandsAreSpread: after a change of leader they do not come as one burst,
+// and those with the least time left come first.
+func TestOpenCommandsAreSpread(t *testing.T) {
+	c := newCluster(t, 1)
+	c.leader = ""
+	chance := rand.New(rand.NewPCG(1, 1))
+	for key := uint64(1); key <= 200; key++ {
+		c.ask(key, time.Duration(3000+chance.IntN(2000))*ms)
+	}
+	c.pass(900 * ms)
+	first := len(c.arrivals)
+	c.leader = "k1"
+	c.pass(600 * ms)
+	arrivals := c.arrivals[first:]
+	if len(arrivals) < 200 {
+		t.Fatalf("%d arrive", len(arrivals))
+	}
+	perStep := map[time.Duration]int{}
+	for _, at := range arrivals[:200] {
+		perStep[at/(10*ms)]++
+	}
+	for at, n := range perStep {
+		if n > 40 {
+			t.Errorf("%d commands arrive within 10 ms at %s", n, at*10*ms)
+		}
+	}
+	if took := arrivals[199] - arrivals[0]; took > spreadMost+10*ms {
+		t.Errorf("spread over %s", took)
+	}
+}
+
+// TestWhatWouldBeLateIsAnsweredAtOnce: the leader answers slowly, and more is asked
+// than it can take. What it cannot serve is told so early, with when to come back,
+// and was never sent.
+func TestWhatWouldBeLateIsAnsweredAtOnce(t *testing.T) {
+	const wait = 2 * time.Second
+	c := newCluster(t, 1)
+	done := time.Duration(0)
+	c.answerTakes = func() time.Duration { // 200 a second
+		done = max(done, c.now) + 5*ms
+		return done - c.now
+	}
+	askedAt := map[uint64]time.Duration{}
+	var key uint64
+	for end := c.now + 6*time.Second; c.now < end; {
+		for range 8 { // 800 a second
+			key++
+			askedAt[key] = c.now
+			c.ask(key, wait)
+		}
+		c.pass(10 * ms)
+	}
+	c.pass(3 * time.Second)
+	served, refused, unclear := 0, 0, 0
+	for k := uint64(1); k <= key; k++ {
+		a, ok := c.answers[k]
+		switch held := c.answeredAt[k] - askedAt[k]; {
+		case !ok:
+			t.Fatalf("%d has no answer", k)
+		case a.Code == code.OK:
+			served++
+		case a.Code == code.NoAnswer:
+			unclear++
+		case a.Code != code.InboxFull || a.RetryAfter < retryAfter:
+			t.Errorf("%d: %+v", k, a)
+		default:
+			refused++
+			if held > wait/2 {
+				t.Errorf("%d was held for %s and then refused", k, held)
+			}
+		}
+	}
+	t.Logf("%d asked, %d served, %d refused, %d unclear", key, served, refused, unclear)
+	if served < 1000 {
+		t.Errorf("%d of %d served, while 200 a second can be", served, key)
+	}
+	if unclear > int(key)/20 {
+		t.Errorf("%d of %d without a clear answer", unclear, key)
+	}
+	if c.sends > served+unclear {
+		t.Errorf("%d sends for %d served", c.sends, served)
+	}
+}
+
+// TestAnAnswerOfAnEarlierLifeIsDropped: two runs of one process number their
+// commands apart, so that a late answer meets no other request.
+func TestAnAnswerOfAnEarlierLifeIsDropped(t *testing.T) {
+	p := begin(t, "k0")
+	p.back(5*ms, "k0", "prove", received)
+	p.ask(10*ms, 1, ledger.KindAccept, time.Second)
+	late := p.last[ledger.KindAccept]
+	next := &play{
+		T: t, relay: New(Env{Address: "door", Keepers: []string{"k0"}, First: 1 << 40}),
+		last: map[string]uint64{}, counts: map[string]int{}, answers: map[uint64]ledger.Answer{},
+	}
+	next.step(0, machine.Input{})
+	next.back(5*ms, "k0", "prove", received)
+	next.ask(10*ms, 1, ledger.KindRead, time.Second)
+	own := next.last[ledger.KindRead]
+	next.last[ledger.KindRead] = late
+	next.back(12*ms, "k0", ledger.KindRead, good)
+	if len(next.answers) > 0 {
+		t.Fatalf("the answer to %d of the earlier life answers %d", late, own)
+	}
+	next.last[ledger.KindRead] = own
+	next.back(14*ms, "k0", ledger.KindRead, good)
+	if len(next.answers) != 1 {
+		t.Error("its own answer is not taken")
+	}
+}
+
+// TestACommandCarriesItsTime: how long the caller still waits, and once a leader has
+// told the ledger's time, when that is over by it, never too early.
+func TestACommandCarriesItsTime(t *testing.T) {
+	p := begin(t, "k0")
+	p.back(5*ms, "k0", "prove", received)
+	p.ask(10*ms, 1, ledger.KindAccept, time.Second)
+	if b := p.bodies[0]; b.Left != time.Second || b.Deadline != 0 || b.Resent {
+		t.Errorf("before a proof: %+v", b)
+	}
+	proof := wire.CommandBackBody{Answer: ledger.Answer{Code: code.OK, Time: time.Hour}}
+	p.back(40*ms, "k0", "prove", proof)
+	p.ask(50*ms, 2, ledger.KindAccept, time.Second)
+	b := p.bodies[0]
+	if least, most := time.Hour+time.Second+10*ms, time.Hour+time.Second+60*ms; b.Left != time.Second || b.Deadline < least || b.Deadline > most {
+		t.Errorf("after a proof: left %s, deadline %s", b.Left, b.Deadline)
+	}
+}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -12,15 +13,11 @@
 )
 
 const (
-	proveEach   = 500 * time.Millisecond
-	resendAfter = 400 * time.Millisecond
-	quietFor    = 800 * time.Millisecond
-	bounceWait  = 60 * time.Millisecond
-	readyFor    = 1500 * time.Millisecond
-	lostAfter   = 4 * time.Second
-	retryAfter  = time.Second
-	// hopsAtOnce is how many hints are followed one after the other without a pause.
-	hopsAtOnce = 2
+	readyFor  = 1500 * time.Millisecond
+	lostAfter = 4 * time.Second
+	// leaderWait is how long a command that was never sent waits for a primary.
+	leaderWait = 1200 * time.Millisecond
+	retryAfter = time.Second
 	tableMax   = 10000
 )
 
@@ -32,43 +29,33 @@
 	First   uint64
 }
 
-type request struct {
-	id     uint64
-	key    uint64
-	body   wire.CommandBody
-	again  time.Duration
-	cutoff time.Duration
-	sent   int
-}
-
 // Relay carries commands to the primary that it believes in. It keeps nothing
 // of the ledger: what it says was said by a proven primary, or is that there
 // was no word of one.
 type Relay struct {
-	env     Env
-	keepers []string
-	primary string
-	// left is the keeper last left for its silence; hints to it count for nothing until then.
-	left      string
-	leftUntil time.Duration
-	turn      int
-	tried     int
-	hops      int
-	next      uint64
+	env    Env
+	route  route
+	proofs proofs
+	chance *rand.Rand
+	next   uint64
 	// table holds the open requests in the order of their numbers.
-	table    []request
+	table []request
+	// order numbers what is sent; the primary has answered what was sent as passed.
+	order    uint64
+	passed   uint64
+	pace     pace
 	begun    bool
-	signAt   time.Duration
-	proveAt  time.Duration
-	moveAt   time.Duration
 	provenAt time.Duration
 	proven   bool
 	wakeAt   time.Duration
 	stopping bool
 }
 
+// New gives a relay; its jitter is drawn from Env.First.
 func New(env Env) *Relay {
-	return &Relay{env: env, next: env.First, turn: int(env.First % uint64(max(1, len(env.Keepers))))}
+	r := &Relay{env: env, next: env.First, chance: rand.New(rand.NewPCG(env.First, jitterStream))}
+	r.route.turn = int(env.First % uint64(max(1, len(env.Keepers))))
+	return r
 }
 
 func (r *Relay) Wakeup() time.Duration { return r.wakeAt }
@@ -87,7 +74,7 @@
 func (r *Relay) Step(now time.Duration, in machine.Input) machine.Output {
 	var out machine.Output
 	if !r.begun {
-		r.begun, r.provenAt, r.proveAt = true, now, now
+		r.begun, r.provenAt, r.proofs.dueAt = true, now, now
 		r.rotate(now)
 	}
 	switch {
@@ -105,7 +92,11 @@
 	case in.Line.Kind != "":
 		out.Log("line_unknown", "kind", in.Line.Kind, "from", in.Line.From)
 	}
-	r.pass(now, &out)
+	r.follow(now, &out)
+	r.expire(now, &out)
+	r.transmit(now, &out)
+	r.prove(now, &out)
+	r.schedule(now)
 	out.Stopped = r.stopping && len(r.table) == 0
 	return out
 }
@@ -128,10 +119,12 @@
 		refuse(code.NoAuthority, "no keeper has been heard of for a while")
 	case ask.Wait <= 0:
 		refuse(code.NoAuthority, "no time is left to ask a keeper")
+	case r.queueTime() > ask.Wait:
+		refuse(code.InboxFull, "what waits for the primary takes longer than this request has time")
 	default:
 		r.next++
 		r.table = append(r.table, request{
-			id: r.next, key: ask.Key, body: wire.CommandBody{ID: r.next, Command: command}, again: now, cutoff: now + ask.Wait,
+			id: r.next, key: ask.Key, command: command, takenAt: now, cutoff: now + ask.Wait, dueAt: now,
 		})
 	}
 }
@@ -139,149 +132,87 @@
 // back takes a keeper's word. Any word from the keeper believed in is a sign of
 // life; an answer of a primary is proof, since it answers only once it is proven.
 func (r *Relay) back(now time.Duration, from string, b wire.CommandBackBody, out *machine.Output) {
-	if len(b.Keepers) > 0 && !slices.Equal(r.keepers, b.Keepers) {
-		r.keepers, r.tried = slices.Clone(b.Keepers), 0
-	}
-	if from == r.primary {
-		r.signAt = now
+	r.route.learn(b.Keepers)
+	if from == r.route.primary {
+		r.route.signAt, r.route.silent = now, 0
 	}
-	if b.Answer.Code == code.NotPrimary || b.Answer.Code == code.Stopping {
-		r.bounced(now, from, b.Primary, out)
+	switch {
+	case b.Received:
+		r.confirm(now, from)
+		return
+	case b.Answer.Code == code.NotPrimary || b.Answer.Code == code.Stopping:
+		r.bounced(now, from, b.Primary)
 		return
+	case !slices.Contains(noProof, b.Answer.Code):
+		r.proved(now, from)
 	}
-	if b.Answer.Code != code.NoAuthority && b.Answer.Code != code.Internal {
-		if from != r.primary && now-r.provenAt >= proveEach {
-			r.move(now, from)
-		}
-		r.proven, r.provenAt = true, now
-		r.proveAt = now + proveEach
-		r.tried, r.hops = 0, 0
+	if r.proofs.answered(b) && from == r.route.primary {
+		r.pass(r.proofs.last.order)
+		return
 	}
-	at, ok := slices.BinarySearchFunc(r.table, b.ID, func(q request, id uint64) int {
-		switch {
-		case q.id < id:
-			return -1
-		case q.id > id:
-			return 1
-		}
-		return 0
-	})
+	at, ok := r.find(b.ID)
 	if !ok {
 		return
 	}
 	q := r.table[at]
 	r.table = slices.Delete(r.table, at, at+1)
-	if q.sent > 1 && !ledger.Reads(q.body.Command.Kind) && slices.Contains(unclear, b.Answer.Code) {
+	if from == r.route.primary && q.sending && !slices.Contains(unclear, b.Answer.Code) {
+		r.pass(q.order)
+		r.pace.note(now - q.sentAt)
+	}
+	if q.sent > 1 && !ledger.Reads(q.command.Kind) && slices.Contains(unclear, b.Answer.Code) {
 		// An earlier copy may have been taken, so this is no clear no.
 		b.Answer = unsure()
 	}
 	out.Answer(q.key, b.Answer)
 }
 
-// unclear are the answers that say nothing of an earlier copy of the command.
+// noProof are the answers that a keeper gives without having proved that it leads.
+var noProof = []code.Code{code.NoAuthority, code.Internal}
+
+// unclear are the answers that say nothing of an earlier copy of the command. They
+// are given out of the order in which commands arrive.
 var unclear = []code.Code{code.InboxFull, code.NoAuthority, code.Internal}
 
 func unsure() ledger.Answer {
-	return ledger.Answer{Code: code.NoAnswer, Why: "no keeper answered in time; the request may still take effect", RetryAfter: retryAfter}
-}
-
-// bounced follows a keeper's hint, at once unless hints go round in a circle.
-func (r *Relay) bounced(now time.Duration, from, hint string, out *machine.Output) {
-	if from != r.primary || r.moveAt > 0 {
-		return
+	return ledger.Answer{
+		Code: code.NoAnswer, Why: "no keeper answered in time; the request may still take effect", RetryAfter: retryAfter,
 	}
-	if hint == "" || hint == from || hint == r.left && now < r.leftUntil {
-		r.moveAt = now + bounceWait
-		return
-	}
-	if r.hops++; r.hops > hopsAtOnce {
-		r.hops, r.moveAt = 0, now+bounceWait
-		return
-	}
-	r.move(now, hint)
 }
 
-// move believes in another keeper; all that is open is sent to it at once.
-func (r *Relay) move(now time.Duration, to string) {
-	r.primary, r.signAt, r.moveAt = to, now, 0
-	r.proveAt = now
-	for i := range r.table {
-		r.table[i].again = now
+// proved takes an answer that only a primary gives.
+func (r *Relay) proved(now time.Duration, from string) {
+	if from != r.route.primary && now-r.provenAt >= proveMost {
+		r.move(now, from)
 	}
+	r.confirm(now, from)
+	r.proven, r.provenAt = true, now
+	r.proofs.postpone(now + r.jitter(proveLeast, proveMost))
+	r.route.tried, r.route.hops = 0, 0
 }
 
-// rotate goes on to the next keeper: of those of the view, and once all of them
-// were tried, of those to begin from as well.
-func (r *Relay) rotate(now time.Duration) {
-	list := r.keepers
-	if r.tried >= len(list) {
-		for _, k := range r.env.Keepers {
-			if !slices.Contains(list, k) {
-				list = append(list[:len(list):len(list)], k)
-			}
-		}
-	}
-	r.moveAt = 0
-	r.tried++
-	for range list {
-		r.turn++
-		if to := list[r.turn%len(list)]; to != r.primary && (to != r.left || now >= r.leftUntil) {
-			r.move(now, to)
-			return
-		}
-	}
-	r.signAt = now
-	r.proveAt = max(r.proveAt, now+bounceWait)
-}
+// pass notes that the primary has answered what was sent with an order number.
+func (r *Relay) pass(order uint64) { r.passed = max(r.passed, order) }
 
-// pass runs over the table: it answers what is over, and sends what is due.
-func (r *Relay) pass(now time.Duration, out *machine.Output) {
-	switch {
-	case r.primary == "":
-		r.rotate(now)
-	case r.moveAt > 0 && now >= r.moveAt:
-		r.rotate(now)
-	case now-r.signAt >= quietFor:
-		out.Log("keeper_silent", "address", r.primary, "open", len(r.table))
-		r.left, r.leftUntil = r.primary, now+quietFor
-		r.rotate(now)
+// schedule says when the relay is to be stepped next.
+func (r *Relay) schedule(now time.Duration) {
+	r.wakeAt = r.route.dueAt()
+	if r.route.primary != "" {
+		r.wakeAt = min(r.wakeAt, r.proofs.dueAt)
 	}
-	lost := r.lost(now)
-	keep := r.table[:0]
+	full := r.sending() >= window
 	for _, q := range r.table {
-		if lost || now >= q.cutoff {
-			a := ledger.Answer{Code: code.NoAuthority, Why: "no keeper could be asked", RetryAfter: retryAfter}
-			if q.sent > 0 {
-				a = unsure()
-			}
-			out.Answer(q.key, a)
-			continue
+		r.wakeAt = min(r.wakeAt, r.expiry(q), r.provenAt+lostAfter+time.Millisecond)
+		if r.route.confirmed && !full && !q.sending {
+			r.wakeAt = min(r.wakeAt, max(q.dueAt, now+time.Millisecond))
 		}
-		if now >= q.again && r.primary != "" && r.moveAt == 0 {
-			out.Send(r.primary, wire.Command, q.body)
-			q.sent++
-			q.again = now + resendAfter
-		}
-		keep = append(keep, q)
-	}
-	clear(r.table[len(keep):])
-	r.table = keep
-	if now >= r.proveAt && r.primary != "" {
-		r.next++
-		out.Send(r.primary, wire.Command, wire.CommandBody{ID: r.next, Command: ledger.Command{Kind: ledger.KindProve}})
-		r.proveAt = now + proveEach
-	}
-	r.wakeAt = min(r.proveAt, r.signAt+quietFor)
-	if r.moveAt > 0 {
-		r.wakeAt = min(r.wakeAt, r.moveAt)
-	}
-	if len(r.table) > 0 {
-		r.wakeAt = min(r.wakeAt, r.provenAt+lostAfter+time.Millisecond)
-	}
-	for _, q := range r.table {
-		r.wakeAt = min(r.wakeAt, q.cutoff)
-		if r.moveAt == 0 && r.primary != "" {
-			r.wakeAt = min(r.wakeAt, q.again)
+		if r.route.confirmed && q.sending && q.order < r.passed {
+			r.wakeAt = min(r.wakeAt, q.dueAt)
 		}
 	}
 }
+
+// jitter gives a span between two others.
+func (r *Relay) jitter(least, most time.Duration) time.Duration {
+	return least + time.Duration(r.chance.Int64N(int64(most-least)+1))
+}
