Let no order of the operator be undone or refused by a copy of itself

Three suspects in the operator's path, each proved by a test and mended:

- An order to empty a zone had a token of its own in each call and no bound on its age, so a copy held back by a cut was carried out after a later order to the contrary had been acknowledged.
- The answer to a configuration was compared by a digest of the plan, which the receiving process makes with its own settings.
One whose settings differ made another plan of the same call, and the repeat of an acknowledged change was refused with 409.
The digest is now that of the call as it was sent.
- The answer was remembered for ten minutes.
Sent again after that and with another version in force, an acknowledged configuration was refused with 412.
The last 4,096 taken by the platform's operators are now remembered whatever their age; refusals and writes with an age bound as before.

Refusals that hold for a moment only (429 and 5xx: no plan yet, too many writes) are not remembered any more. Ruled out: to forget refusals by 4xx. A call that was told no must not be carried out by a copy of it that comes later; the table of repeated writes holds this.

--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -50,9 +50,12 @@
 	jobs     map[string]Job
 	workers  map[string]Worker
 	emptied  map[string]bool
+	// orders gives the sequence of the last order to each site.
+	orders   map[string]uint64
 	duties   map[string]Duty
 	daemons  map[string]Daemon
 	requests memory[Request]
+	plans    memory[Request]
 	past     memory[Past]
 	horizon  time.Duration
 
@@ -123,7 +126,8 @@
 	l.rules = l.plan.Compile()
 	l.jobs, l.workers, l.emptied = map[string]Job{}, map[string]Worker{}, map[string]bool{}
 	l.duties, l.daemons = map[string]Duty{}, map[string]Daemon{}
-	l.requests.byKey, l.past.byKey = map[string]Request{}, map[string]Past{}
+	l.requests.byKey, l.plans.byKey, l.past.byKey = map[string]Request{}, map[string]Request{}, map[string]Past{}
+	l.orders = map[string]uint64{}
 	l.dirty, l.cloned = map[[2]string]bool{}, map[string]bool{}
 	l.index()
 	return l
@@ -135,6 +139,7 @@
 	l.waiting, l.active, l.timed = map[need]int{}, map[string]bool{}, map[ref]bool{}
 	l.over = nil
 	l.requests.sort(func(r Request) time.Duration { return r.At })
+	l.plans.sort(func(r Request) time.Duration { return r.At })
 	l.past.sort(func(p Past) time.Duration { return p.EndedAt })
 	for id, job := range l.jobs {
 		if !ended(job) {
@@ -259,7 +264,7 @@
 	case KindPlan:
 		return l.once(cmd, func() Answer { return l.change(cmd.Plan) })
 	case KindSite:
-		return l.once(cmd, func() Answer { return l.site(cmd.Name, cmd.On) })
+		return l.once(cmd, func() Answer { return l.site(cmd) })
 	case KindDrain:
 		return l.once(cmd, func() Answer { return l.drain(cmd.Name, cmd.On) })
 	case KindGone:
@@ -525,7 +530,9 @@
 	return len(old.Services) > 0
 }
 
-func (l *Ledger) site(name string, on bool) Answer {
+// site empties a site or takes that back, unless a later order says otherwise.
+func (l *Ledger) site(cmd Command) Answer {
+	name, on := cmd.Name, cmd.On
 	if known := l.sites(); !slices.Contains(known, name) {
 		if l.plan.Sequence == 0 {
 			a := bounce(code.NoPlan, "there is no plan yet, and nobody has been heard of in site %q", name)
@@ -534,6 +541,16 @@
 		}
 		return unknown("site", name, known)
 	}
+	if cmd.MaxAge > 0 && l.at-cmd.Asked > cmd.MaxAge {
+		return bounce(code.TooLate, "asked %s ago; an order older than %s is not carried out", l.at-cmd.Asked, cmd.MaxAge)
+	}
+	if cmd.MaxAge > 0 && l.orders[name] > cmd.Proven {
+		if l.emptied[name] != on {
+			return bounce(code.TooLate, "a later order was carried out for site %q", name)
+		}
+		return Answer{Code: code.Same}
+	}
+	l.orders[name] = l.position.Sequence
 	l.emptied[name] = on
 	if !on {
 		delete(l.emptied, name)
@@ -724,6 +741,8 @@
 	Next     uint64        `json:"next"`
 	Horizon  time.Duration `json:"horizon,omitempty"`
 	Decision uint64        `json:"decision,omitempty"`
+	// Orders gives the sequence of the last order to each site.
+	Orders map[string]uint64 `json:"orders,omitempty"`
 }
 
 // TakeDirty gives the records that changed since it was last called.
@@ -782,7 +801,7 @@
 		v, ok := l.daemons[key]
 		put(v, ok)
 	case "request":
-		v, ok := l.requests.byKey[key]
+		v, ok := l.request(key)
 		put(v, ok)
 	case "past":
 		v, ok := l.past.byKey[key]
@@ -791,7 +810,7 @@
 		if key == "plan" {
 			put(l.plan, true)
 		} else {
-			put(meta{l.position, l.at, l.next, l.horizon, l.decision}, true)
+			put(meta{l.position, l.at, l.next, l.horizon, l.decision, l.orders}, true)
 		}
 	}
 	return r
@@ -823,7 +842,7 @@
 	for bucket, keys := range map[string][]string{
 		"job": slices.Sorted(maps.Keys(l.jobs)), "worker": slices.Sorted(maps.Keys(l.workers)), "site": slices.Sorted(maps.Keys(l.emptied)), "task": l.tasks(),
 		"duty": slices.Sorted(maps.Keys(l.duties)), "daemon": slices.Sorted(maps.Keys(l.daemons)),
-		"request": slices.Sorted(maps.Keys(l.requests.byKey)), "past": slices.Sorted(maps.Keys(l.past.byKey)),
+		"request": l.tokens(), "past": slices.Sorted(maps.Keys(l.past.byKey)),
 	} {
 		for _, key := range keys {
 			out = append(out, l.record(bucket, key))
@@ -858,7 +877,7 @@
 		case "daemon":
 			err = loadInto(l.daemons, r)
 		case "request":
-			err = loadInto(l.requests.byKey, r)
+			err = l.loadRequest(r)
 		case "past":
 			err = loadInto(l.past.byKey, r)
 		case "meta":
@@ -868,6 +887,7 @@
 				var m meta
 				err = json.Unmarshal(r.Value, &m)
 				l.position, l.at, l.next, l.horizon, l.decision = m.Position, m.At, m.Next, m.Horizon, m.Decision
+				maps.Copy(l.orders, m.Orders)
 			}
 		default:
 			err = fmt.Errorf("unknown bucket")
--- a/core/ledger/memory.go
+++ b/core/ledger/memory.go
@@ -6,11 +6,13 @@
 
 import (
 	"cmp"
+	"encoding/json"
 	"maps"
 	"slices"
 	"time"
 
 	"sorrelloom/core/code"
+	"sorrelloom/core/machine"
 )
 
 const (
@@ -22,12 +24,17 @@
 	AskedUnknown time.Duration = -1
 	// RequestsMax is how many are remembered; past it, new ones must wait.
 	RequestsMax = 20000
+	// PlansMax is how many plans that were taken are remembered by their tokens,
+	// however long ago that was, where a repeat is not bounced for its age.
+	PlansMax = 4096
 )
 
-// Request is an operator's write as it was answered.
+// Request is an operator's write as it was answered. Plan marks those that are
+// remembered by number, not by age.
 type Request struct {
 	At     time.Duration `json:"at"`
 	Digest string        `json:"digest"`
+	Plan   bool          `json:"plan,omitempty"`
 	Answer Answer        `json:"answer"`
 }
 
@@ -79,8 +86,11 @@
 	if cmd.Token == "" {
 		return do()
 	}
-	sum := digest([]any{cmd.Kind, cmd.Name, cmd.On, cmd.Plan, cmd.Hello})
-	if known, ok := l.requests.byKey[cmd.Token]; ok {
+	sum := cmd.Digest
+	if sum == "" {
+		sum = digest([]any{cmd.Kind, cmd.Name, cmd.On, cmd.Plan, cmd.Hello})
+	}
+	if known, ok := l.request(cmd.Token); ok {
 		switch {
 		case known.Digest != sum:
 			return bounce(code.OtherRequest, "the key %s was used for another request", cmd.Token)
@@ -98,11 +108,65 @@
 		return a
 	}
 	a := do()
-	l.requests.put(cmd.Token, Request{l.at, sum, a})
-	l.touch("request", cmd.Token)
+	l.remember(cmd, sum, a)
 	return a
 }
 
+// remember keeps how a write was answered. A refusal that holds for a moment only
+// is not kept: asked again, the write is looked at anew.
+func (l *Ledger) remember(cmd Command, sum string, a Answer) {
+	if passing(a.Code) {
+		return
+	}
+	r := Request{At: l.at, Digest: sum, Answer: a}
+	if r.Plan = cmd.Kind == KindPlan && cmd.Asked == AskedUnknown && a.Code.Good(); r.Plan {
+		l.plans.put(cmd.Token, r)
+	} else {
+		l.requests.put(cmd.Token, r)
+	}
+	l.touch("request", cmd.Token)
+}
+
+// passing says whether a refusal holds for a moment only.
+func passing(c code.Code) bool {
+	status := c.Status()
+	return status == tooManyRequests || status >= serverError
+}
+
+const (
+	tooManyRequests = 429
+	serverError     = 500
+)
+
+// request gives a remembered write.
+func (l *Ledger) request(token string) (Request, bool) {
+	if r, ok := l.requests.byKey[token]; ok {
+		return r, true
+	}
+	r, ok := l.plans.byKey[token]
+	return r, ok
+}
+
+// tokens are those of all remembered writes, in order.
+func (l *Ledger) tokens() []string {
+	all := slices.Collect(maps.Keys(l.requests.byKey))
+	return slices.Sorted(slices.Values(slices.AppendSeq(all, maps.Keys(l.plans.byKey))))
+}
+
+// loadRequest takes a remembered write from its record.
+func (l *Ledger) loadRequest(record machine.Record) error {
+	var r Request
+	if err := json.Unmarshal(record.Value, &r); err != nil {
+		return err
+	}
+	if r.Plan {
+		l.plans.byKey[record.Key] = r
+	} else {
+		l.requests.byKey[record.Key] = r
+	}
+	return nil
+}
+
 // Past gives what is left of a job whose record is gone.
 func (l *Ledger) Past(id string) (Job, bool) {
 	p, ok := l.past.byKey[id]
@@ -118,17 +182,18 @@
 	return bounce(code.UnknownJob, "job %s is not known; it was never accepted", id)
 }
 
-// forgotten says which keys of both memories are due.
-func (l *Ledger) forgotten(now time.Duration) (requests, past []string) {
+// forgotten says which keys of the memories are due.
+func (l *Ledger) forgotten(now time.Duration) (requests, plans, past []string) {
 	limits := l.plan.Limits
+	plans = l.plans.old(PlansMax, func(Request) bool { return false })
 	requests = l.requests.old(RequestsMax, func(r Request) bool { return now > r.At+RequestsFor })
 	past = l.past.old(limits.RememberMax, func(p Past) bool { return now > p.EndedAt+limits.Remember.Duration })
-	return requests, past
+	return requests, plans, past
 }
 
 func (l *Ledger) forgetOld(now time.Duration) {
-	requests, past := l.forgotten(now)
-	for _, token := range requests {
+	requests, plans, past := l.forgotten(now)
+	for _, token := range slices.Concat(requests, plans) {
 		l.touch("request", token)
 	}
 	for _, id := range past {
@@ -136,5 +201,6 @@
 		l.touch("past", id)
 	}
 	l.requests.drop(len(requests))
+	l.plans.drop(len(plans))
 	l.past.drop(len(past))
 }
--- a/core/ledger/read.go
+++ b/core/ledger/read.go
@@ -31,7 +31,7 @@
 		p := l.plan
 		return Answer{Code: code.OK, Plan: &p, Sequence: p.Sequence}
 	case KindReadRequest:
-		if known, ok := l.requests.byKey[cmd.Name]; ok {
+		if known, ok := l.request(cmd.Name); ok {
 			return known.Answer
 		}
 		return bounce(code.UnknownName, "no write with the key %s", cmd.Name)
--- a/core/ledger/turns.go
+++ b/core/ledger/turns.go
@@ -669,7 +669,7 @@
 			out = append(out, due{"", func() { delete(l.workers, id); l.touch("worker", id) }})
 		}
 	}
-	if requests, past := l.forgotten(now); len(requests)+len(past) > 0 {
+	if requests, plans, past := l.forgotten(now); len(requests)+len(plans)+len(past) > 0 {
 		out = append(out, due{"", func() { l.forgetOld(now) }})
 	}
 	for _, id := range slices.Sorted(maps.Keys(l.daemons)) {
--- a/core/ledger/types.go
+++ b/core/ledger/types.go
@@ -319,6 +319,13 @@
 	On    bool          `json:"on,omitempty"`
 	Token string        `json:"token,omitempty"`
 	Asked time.Duration `json:"asked,omitempty"`
+	// Digest, where set, is that of the call as it was sent; repeats are known by it.
+	Digest string `json:"digest,omitempty"`
+	// MaxAge, where set, is how long after Asked an order may still be carried out.
+	// Proven is then the sequence that a leader had proved to the sender after the call
+	// came: an order to the contrary that was carried out after it is the later one.
+	MaxAge time.Duration `json:"maxAge,omitempty"`
+	Proven uint64        `json:"proven,omitempty"`
 	// Wall is the primary's time of day, by which due times are placed.
 	Wall time.Time `json:"wall,omitzero"`
 	// Host and Path choose an entry; Brief asks for an answer without tasks.
