--- a/tool/sim/beside.go
+++ b/tool/sim/beside.go
@@ -28,7 +28,6 @@
 type ward struct {
 	run     run
 	took    time.Duration
-	until   time.Duration
 	percent int
 	fails   bool
 	gang    *ring
@@ -77,7 +76,6 @@
 	total   ledger.Room
 	lives   int
 	now     *beside
-	cut     bool
 }
 
 func (b *beside) name() string { return b.hand.env.ID }
--- a/tool/sim/sim_test.go
+++ b/tool/sim/sim_test.go
@@ -460,14 +460,14 @@
 		if len(r.Broken) > 0 {
 			t.Errorf("%v", r.Broken)
 		}
-		var lastMs time.Duration
+		var last time.Duration
 		for _, c := range owners[k] {
-			lastMs = max(lastMs, r.First[c.spec.ID]-c.sentAt)
+			last = max(last, r.First[c.spec.ID]-c.sentAt)
 		}
-		if len(owners[k]) != 20 || lastMs <= 0 || lastMs > 2*time.Second {
-			t.Errorf("%d owners, the last began after %s", len(owners[k]), lastMs)
+		if len(owners[k]) != 20 || last <= 0 || last > 2*time.Second {
+			t.Errorf("%d owners, the last began after %s", len(owners[k]), last)
 		}
-		t.Logf("20 owners' tasks began within %s; %d stopped runs", lastMs, r.Stopped)
+		t.Logf("20 owners' tasks began within %s; %d stopped runs", last, r.Stopped)
 	}
 }
 
