--- a/core/center/center.go
+++ b/core/center/center.go
@@ -67,9 +67,9 @@
 	return out
 }
 
-// New rebuilds a center from its keeper's data file.
-func New(env Env, records []machine.Record) (*Center, error) {
-	k, err := keeper.New(keeper.Env{Address: env.Address, Site: env.Site, Founders: env.Founders, FreshID: env.FreshID, Boot: env.Boot, Copies: env.Copies, Dispatches: true}, records)
+// New rebuilds a center from what its keeper has stored.
+func New(env Env, stored machine.Stored) (*Center, error) {
+	k, err := keeper.New(keeper.Env{Address: env.Address, Site: env.Site, Founders: env.Founders, FreshID: env.FreshID, Boot: env.Boot, Copies: env.Copies, Dispatches: true}, stored)
 	if err != nil {
 		return nil, err
 	}
--- a/core/center/center_test.go
+++ b/core/center/center_test.go
@@ -4,7 +4,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"slices"
 	"testing"
 	"time"
 
@@ -15,7 +14,7 @@
 
 type node struct {
 	center *Center
-	disk   map[[2]string]json.RawMessage
+	disk   machine.Disk
 	boot   time.Duration
 	up     bool
 }
@@ -35,7 +34,7 @@
 func newNet(t *testing.T) *net {
 	n := &net{t: t, nodes: map[string]*node{}, addr: []string{"a:1", "b:1", "c:1"}, replies: map[uint64]wire.BeatBackBody{}, answers: map[uint64]wire.CommandBackBody{}}
 	for _, at := range n.addr {
-		n.nodes[at] = &node{disk: map[[2]string]json.RawMessage{}}
+		n.nodes[at] = &node{}
 		n.start(at)
 	}
 	return n
@@ -44,17 +43,7 @@
 func (n *net) start(at string) {
 	n.boots++
 	d := n.nodes[at]
-	var records []machine.Record
-	for key, value := range d.disk {
-		records = append(records, machine.Record{Bucket: key[0], Key: key[1], Value: value})
-	}
-	slices.SortFunc(records, func(a, b machine.Record) int {
-		if a.Bucket != b.Bucket {
-			return map[bool]int{true: -1, false: 1}[a.Bucket < b.Bucket]
-		}
-		return map[bool]int{true: -1, false: 1}[a.Key < b.Key]
-	})
-	c, err := New(Env{Address: at, Site: at, Founders: n.addr, FreshID: fmt.Sprintf("%s-%d", at, n.boots), Boot: n.boots}, records)
+	c, err := New(Env{Address: at, Site: at, Founders: n.addr, FreshID: fmt.Sprintf("%s-%d", at, n.boots), Boot: n.boots}, d.disk.Stored())
 	if err != nil {
 		n.t.Fatal(err)
 	}
@@ -78,19 +67,7 @@
 			if d.center != c || !d.up {
 				return
 			}
-			for _, bucket := range w.Wipe {
-				for key := range d.disk {
-					if key[0] == bucket {
-						delete(d.disk, key)
-					}
-				}
-			}
-			for _, r := range w.Records {
-				key := [2]string{r.Bucket, r.Key}
-				if delete(d.disk, key); len(r.Value) > 0 {
-					d.disk[key] = r.Value
-				}
-			}
+			d.disk.Apply(w)
 			n.step(at, machine.Input{Wrote: w.Done})
 		})
 	}
--- a/core/center/proxy_test.go
+++ b/core/center/proxy_test.go
@@ -1,7 +1,6 @@
 package center
 
 import (
-	"encoding/json"
 	"slices"
 	"testing"
 	"time"
@@ -61,7 +60,7 @@
 	p := NewProxy(wire.Seat{ID: "p", Address: "a:1", Site: "a"}, n.addr)
 	keepers := []string{"b:1", "c:1", "d:1"}
 	for _, at := range keepers {
-		n.nodes[at] = &node{disk: map[[2]string]json.RawMessage{}}
+		n.nodes[at] = &node{}
 		n.start(at)
 	}
 	n.addr = keepers
--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -203,18 +203,23 @@
 		}
 		c.Ledger, c.tail = l, ledger.TailFrom(l.Position())
 	}
-	for _, cmd := range b.Commands {
+	for _, encoded := range b.Commands {
+		cmd, err := ledger.Decode(encoded)
+		if err != nil {
+			out.Log("news_damaged", "from", from, "why", err.Error())
+			return
+		}
 		switch {
 		case cmd.Sequence <= c.Ledger.Position().Sequence:
 		case cmd.Sequence == c.Ledger.Position().Sequence+1:
-			c.Ledger.Apply(cmd)
+			c.Ledger.Apply(cmd.Command)
 			c.tail.Add(cmd)
 		default:
 			c.ask(now, out)
 			return
 		}
 	}
-	c.Ledger.ForgetDirty()
+	c.Ledger.ForgetEntries()
 	if b.At == c.Ledger.Position() {
 		c.heardAt, c.loaded = max(c.heardAt, now-b.Age), true
 		if !b.Relayed {
@@ -275,7 +280,7 @@
 	}
 	body := wire.NewsBody{Relayed: true, Age: now - c.heardAt, Primary: c.primary, Epoch: c.Ledger.Position().Epoch, After: s.at, At: c.Ledger.Position()}
 	if commands, ok := c.tail.Since(s.at); ok {
-		body.Commands = slices.Clone(commands)
+		body.Commands = commands
 	} else {
 		body.Records = c.Ledger.Records()
 	}
--- a/core/keeper/keeper.go
+++ b/core/keeper/keeper.go
@@ -54,9 +54,6 @@
 	keyStands   = "stands"
 )
 
-// Buckets are all that a keeper's data file holds.
-var Buckets = append([]string{bucketSelf}, ledger.Buckets...)
-
 type peer struct {
 	heardAt  time.Duration
 	at       ledger.Position
@@ -133,32 +130,40 @@
 	peers     map[string]peer
 	answers   []pending
 	acks      []ack
-	records   []machine.Record
-	wipe      bool
-	sends     []machine.Send
-	writing   map[uint64]after
-	nextWrite uint64
-	wroteAt   time.Duration
-	followers map[string]follower
-	copies    map[string]wire.NewsBody
-	told      uint64
-	entries   []ledger.Entry
-	found     map[string]finding
-	nodes     []wire.Node
-	flushedAt time.Duration
-	own       []wire.CommandBackBody
-	wall      time.Time
-	stopping  bool
-	wakeAt    time.Duration
-}
-
-// New rebuilds a keeper from its data file. Without an identity on the disk it
-// is a new keeper, whatever stood at its address before.
-func New(env Env, records []machine.Record) (*Keeper, error) {
-	k := &Keeper{env: env, peers: map[string]peer{}, writing: map[uint64]after{}, followers: map[string]follower{}, copies: map[string]wire.NewsBody{}, found: map[string]finding{}}
+	// records, commands and replaced are for the next batch: the keeper's own
+	// records, what was applied, and whether that is of another history.
+	records  []machine.Record
+	commands []json.RawMessage
+	replaced bool
+	// snapshotDue says that the log on the disk has grown long.
+	snapshotDue bool
+	sends       []machine.Send
+	writing     map[uint64]after
+	nextWrite   uint64
+	wroteAt     time.Duration
+	followers   map[string]follower
+	copies      map[string]wire.NewsBody
+	told        uint64
+	entries     []ledger.Entry
+	found       map[string]finding
+	nodes       []wire.Node
+	flushedAt   time.Duration
+	own         []wire.CommandBackBody
+	wall        time.Time
+	stopping    bool
+	wakeAt      time.Duration
+}
+
+// New rebuilds a keeper from its disk. Without an identity there it is a new
+// keeper, whatever stood at its address before.
+func New(env Env, stored machine.Stored) (*Keeper, error) {
+	k := &Keeper{
+		env: env, peers: map[string]peer{}, writing: map[uint64]after{}, followers: map[string]follower{},
+		copies: map[string]wire.NewsBody{}, found: map[string]finding{},
+	}
 	k.seat = wire.Seat{Address: env.Address, Site: env.Site}
 	var rest []machine.Record
-	for _, r := range records {
+	for _, r := range stored.Records {
 		var err error
 		switch {
 		case r.Bucket != bucketSelf:
@@ -175,16 +180,12 @@
 			return nil, fmt.Errorf("record %s/%s: %w", r.Bucket, r.Key, err)
 		}
 	}
-	l, err := ledger.Load(rest)
-	if err != nil {
+	if err := k.recover(rest, stored); err != nil {
 		return nil, err
 	}
-	k.ledger = l
-	k.reset()
-	k.synced = k.ledger.Position().Sequence
 	if k.seat.ID == "" {
-		if len(rest) > 0 || k.witness.Known.Epoch > 0 {
-			return nil, fmt.Errorf("the data file has records but no identity")
+		if len(rest) > 0 || len(stored.Commands) > 0 || k.witness.Known.Epoch > 0 {
+			return nil, fmt.Errorf("the data folder has records but no identity")
 		}
 		k.seat.ID = env.FreshID
 		k.put(keyIdentity, k.seat.ID)
@@ -213,7 +214,7 @@
 	return nil
 }
 
-// reset forgets the tail: a copy begins where the ledger stands.
+// reset forgets the tail: it begins where the ledger stands.
 func (k *Keeper) reset() {
 	k.tail, k.sent = ledger.TailFrom(k.ledger.Position()), k.ledger.Position()
 }
@@ -276,6 +277,7 @@
 	if !in.Wall.IsZero() {
 		k.wall = in.Wall
 	}
+	k.snapshotDue = k.snapshotDue || in.SnapshotDue
 	switch {
 	case in.Wrote > 0:
 		k.wrote(now, in.Wrote, &out)
@@ -376,8 +378,14 @@
 	if cmd.Kind == ledger.KindAccept && cmd.Accept.Repeat.Count > 0 {
 		cmd.Wall = k.wall
 	}
+	return k.applyLogged(ledger.Encode(cmd))
+}
+
+// applyLogged applies a command, keeps it for the replicas and has it logged.
+func (k *Keeper) applyLogged(cmd ledger.Logged) ledger.Answer {
 	k.tail.Add(cmd)
-	return k.ledger.Apply(cmd)
+	k.commands = append(k.commands, cmd.Encoded)
+	return k.ledger.Apply(cmd.Command)
 }
 
 func (k *Keeper) notPrimary(id uint64) wire.CommandBackBody {
@@ -412,24 +420,25 @@
 	if k.entries = append(k.entries, k.ledger.TakeEntries()...); !k.serving && len(k.entries) > 2*entryMax {
 		k.entries = slices.Clone(k.entries[len(k.entries)-entryMax:])
 	}
-	k.records = append(k.records, k.ledger.TakeDirty()...)
-	if len(k.records) == 0 && len(k.sends) == 0 {
-		k.settle(out)
-		return
-	}
-	if len(k.records) == 0 {
+	if len(k.records) == 0 && len(k.commands) == 0 && !k.replaced {
 		out.Sends = append(out.Sends, k.sends...)
 		k.sends = nil
 		k.settle(out)
 		return
 	}
+	k.write(now, out)
+}
+
+// write issues the next batch, with a snapshot if one is due.
+func (k *Keeper) write(now time.Duration, out *machine.Output) {
 	k.nextWrite++
-	w := machine.Write{Done: k.nextWrite, Records: k.records}
-	if k.wipe {
-		w.Wipe = ledger.Buckets
+	w := machine.Write{Done: k.nextWrite, Records: k.records, Commands: k.commands}
+	if k.snapshotDue || k.replaced {
+		w.Snapshot, w.Replace = k.ledger.Capture().Records(), k.replaced
 	}
 	k.writing[k.nextWrite] = after{k.sends, k.ledger.Position().Sequence, k.stands}
-	k.records, k.sends, k.wipe, k.wroteAt = nil, nil, false, now
+	k.records, k.commands, k.sends, k.wroteAt = nil, nil, nil, now
+	k.snapshotDue, k.replaced = false, false
 	out.Writes = append(out.Writes, w)
 }
 
@@ -444,7 +453,7 @@
 	k.beatAt = now
 	for _, seat := range k.witness.Known.Witnesses {
 		if seat.ID != k.seat.ID {
-			out.Send(seat.Address, wire.Replicate, wire.ReplicateBody{Boot: k.env.Boot, View: k.witness.Known, From: k.seat, Token: k.token, After: k.sent, Commands: slices.Clone(commands)})
+			out.Send(seat.Address, wire.Replicate, wire.ReplicateBody{Boot: k.env.Boot, View: k.witness.Known, From: k.seat, Token: k.token, After: k.sent, Commands: commands})
 		}
 	}
 	k.sent = position
@@ -548,12 +557,7 @@
 	body := wire.NewsBody{Epoch: k.witness.Known.Epoch, After: f.at, At: f.at}
 	commands, ok := k.tail.Since(f.at)
 	if ok {
-		for _, c := range commands {
-			if c.Sequence <= k.committed {
-				body.Commands = append(body.Commands, c)
-				body.At = c.Position
-			}
-		}
+		body.Commands, body.At = k.committedOf(f.at, commands)
 	} else {
 		whole, waits := k.copies[address]
 		if !waits {
@@ -570,6 +574,17 @@
 	out.Send(address, wire.News, body)
 }
 
+// committedOf gives those of the commands after a position that are committed, and
+// where they end.
+func (k *Keeper) committedOf(at ledger.Position, commands []json.RawMessage) ([]json.RawMessage, ledger.Position) {
+	count := min(len(commands), int(k.committed-min(k.committed, at.Sequence)))
+	if count == 0 {
+		return nil, at
+	}
+	end, _ := k.tail.At(at.Sequence + uint64(count))
+	return commands[:count:count], end
+}
+
 func (k *Keeper) follow(now time.Duration, from string, b wire.FollowBody, out *machine.Output) {
 	if !k.proven(now) {
 		body := wire.NewsBody{Bounced: true, At: b.At, After: b.At}
--- a/core/keeper/keeper_test.go
+++ b/core/keeper/keeper_test.go
@@ -5,11 +5,9 @@
 package keeper
 
 import (
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"sort"
 	"strings"
 	"testing"
 	"time"
@@ -28,11 +26,15 @@
 	k       *Keeper
 	life    int
 	boot    time.Duration
-	disk    map[[2]string]json.RawMessage
+	disk    *machine.Disk
 	cut     bool
 	slow    time.Duration
 }
 
+// newDisk is an empty disk with room for so little log that days of a few seconds
+// have several snapshots.
+func newDisk() *machine.Disk { return &machine.Disk{SnapshotEach: 4096} }
+
 // trio is a cluster of three founders and whoever is added later.
 type trio struct {
 	t        *testing.T
@@ -71,7 +73,7 @@
 }
 
 func (c *trio) add(address string) *host {
-	h := &host{address: address, disk: map[[2]string]json.RawMessage{}}
+	h := &host{address: address, disk: newDisk()}
 	c.hosts = append(c.hosts, h)
 	c.start(h)
 	return h
@@ -92,18 +94,11 @@
 	}
 	h.life++
 	h.boot = c.now
-	var records []machine.Record
-	for key, value := range h.disk {
-		records = append(records, machine.Record{Bucket: key[0], Key: key[1], Value: value})
-	}
-	sort.Slice(records, func(i, j int) bool {
-		return records[i].Bucket+"/"+records[i].Key < records[j].Bucket+"/"+records[j].Key
-	})
 	env := Env{Address: h.address, Site: c.site(h.address), Copies: c.copies, FreshID: fmt.Sprintf("%s-%d", h.address, h.life), Boot: uint64(h.life)<<16 + uint64(h.address[0])}
 	if slices.Contains(c.founders, h.address) || len(c.proxies) > 0 {
 		env.Founders = c.founders
 	}
-	k, err := New(env, records)
+	k, err := New(env, h.disk.Stored())
 	if err != nil {
 		c.t.Fatalf("%s refuses its own disk: %v", h.address, err)
 	}
@@ -131,7 +126,7 @@
 func (c *trio) wipe(h *host) {
 	c.kill(h)
 	c.say("wipe %s", h.address)
-	h.disk = map[[2]string]json.RawMessage{}
+	h.disk = newDisk()
 }
 
 func (c *trio) say(format string, args ...any) {
@@ -189,21 +184,8 @@
 			if h.life != life {
 				return
 			}
-			for _, bucket := range w.Wipe {
-				for key := range h.disk {
-					if key[0] == bucket {
-						delete(h.disk, key)
-					}
-				}
-			}
-			for _, r := range w.Records {
-				if len(r.Value) == 0 {
-					delete(h.disk, [2]string{r.Bucket, r.Key})
-				} else {
-					h.disk[[2]string{r.Bucket, r.Key}] = r.Value
-				}
-			}
-			c.step(h, machine.Input{Wrote: w.Done})
+			h.disk.Apply(w)
+			c.step(h, machine.Input{Wrote: w.Done, SnapshotDue: h.disk.SnapshotDue()})
 		})
 	}
 	if out.Stopped {
--- a/core/keeper/view.go
+++ b/core/keeper/view.go
@@ -6,6 +6,7 @@
 package keeper
 
 import (
+	"encoding/json"
 	"hash/fnv"
 	"slices"
 	"sort"
@@ -481,22 +482,39 @@
 	if k.bouncedView(now, from, b.View, b.From, b.Boot, b.Token, out) {
 		return
 	}
+	commands, err := decodeAll(b.Commands)
+	if err != nil {
+		out.Log("line_damaged", "kind", wire.Replicate, "from", from, "why", err.Error())
+		return
+	}
 	position := k.ledger.Position()
-	if i := slices.IndexFunc(b.Commands, func(c ledger.Command) bool { return c.Position == position }); i >= 0 {
-		b.After, b.Commands = position, b.Commands[i+1:]
+	known := func(c ledger.Logged) bool { return c.Position == position }
+	if i := slices.IndexFunc(commands, known); i >= 0 {
+		b.After, commands = position, commands[i+1:]
 	}
 	if b.After != position {
 		body := wire.ReplicateAckBody{Boot: b.Boot, Epoch: b.View.Epoch, From: k.seat, Token: b.Token, At: position, Known: k.witness.Known}
 		out.Send(from, wire.ReplicateAck, body)
 		return
 	}
-	for _, cmd := range b.Commands {
-		k.tail.Add(cmd)
-		k.ledger.Apply(cmd)
+	for _, cmd := range commands {
+		k.applyLogged(cmd)
 	}
 	k.willAck(from, b.Boot, b.View.Epoch, b.Token)
 }
 
+func decodeAll(encoded []json.RawMessage) ([]ledger.Logged, error) {
+	out := make([]ledger.Logged, 0, len(encoded))
+	for _, e := range encoded {
+		cmd, err := ledger.Decode(e)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, cmd)
+	}
+	return out, nil
+}
+
 func (k *Keeper) willAck(to string, boot, epoch, token uint64) {
 	at := k.ledger.Position()
 	k.acks = append(k.acks, ack{to, wire.ReplicateAckBody{Boot: boot, Epoch: epoch, From: k.seat, Token: token, At: at, Good: true, Stands: k.stands == epoch, Known: k.witness.Known}, at.Sequence})
@@ -530,14 +548,7 @@
 	}
 	k.ledger, k.entries = l, nil
 	k.reset()
-	var own []machine.Record
-	for _, r := range k.records {
-		if r.Bucket == bucketSelf {
-			own = append(own, r)
-		}
-	}
-	k.records = append(own, b.Records...)
-	k.wipe, k.acks, k.synced = true, nil, 0
+	k.commands, k.replaced, k.acks, k.synced = nil, true, nil, 0
 	for id, w := range k.writing {
 		k.writing[id] = after{w.sends, 0, w.stands}
 	}
@@ -574,7 +585,7 @@
 	p.resentAt, p.asked, p.copiedAt, p.copyToken = now, k.token, now, k.token
 	k.peers[b.From.ID] = p
 	if commands, ok := k.tail.Since(b.At); ok {
-		out.Send(from, wire.Replicate, wire.ReplicateBody{Boot: k.env.Boot, View: k.witness.Known, From: k.seat, Token: k.token, After: b.At, Commands: slices.Clone(commands)})
+		out.Send(from, wire.Replicate, wire.ReplicateBody{Boot: k.env.Boot, View: k.witness.Known, From: k.seat, Token: k.token, After: b.At, Commands: commands})
 	} else {
 		out.Send(from, wire.Copy, wire.CopyBody{Boot: k.env.Boot, View: k.witness.Known, From: k.seat, Token: k.token, At: k.ledger.Position(), Records: k.ledger.Records()})
 	}
--- /dev/null
+++ b/core/ledger/encoding.go
@@ -0,0 +1,25 @@
+package ledger
+
+import (
+	"encoding/json"
+
+	"sorrelloom/core/machine"
+)
+
+// Logged is a command beside its encoding. A command is encoded once, by the
+// primary that stamps it; the log on each disk, the replicas and the followers
+// share these bytes, which must not be changed.
+type Logged struct {
+	Command
+	Encoded json.RawMessage
+}
+
+// Encode is the only place that encodes a command.
+func Encode(cmd Command) Logged { return Logged{cmd, machine.MustJSON(cmd)} }
+
+// Decode reads what Encode wrote. The encoding shares the data.
+func Decode(encoded json.RawMessage) (Logged, error) {
+	logged := Logged{Encoded: encoded}
+	err := json.Unmarshal(encoded, &logged.Command)
+	return logged, err
+}
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -13,7 +13,6 @@
 	"reflect"
 	"slices"
 	"sort"
-	"strconv"
 	"strings"
 	"time"
 
@@ -63,7 +62,6 @@
 	active  map[string]bool
 	over    []string
 	timed   map[ref]bool
-	dirty   map[[2]string]bool
 	cloned  map[string]bool
 	changes []Changed
 	lookups lookups
@@ -124,7 +122,7 @@
 	l.jobs, l.workers, l.emptied = map[string]Job{}, map[string]Worker{}, map[string]bool{}
 	l.duties, l.daemons = map[string]Duty{}, map[string]Daemon{}
 	l.requests.byKey, l.past.byKey = map[string]Request{}, map[string]Past{}
-	l.dirty, l.cloned = map[[2]string]bool{}, map[string]bool{}
+	l.cloned = map[string]bool{}
 	l.index()
 	return l
 }
@@ -214,14 +212,9 @@
 	job.Tasks[at.task] = t
 	l.jobs[at.job] = job
 	l.count(job, at.task, 1)
-	l.touch("task", taskKey(at))
 	l.changes = append(l.changes, Changed{Job: at.job, Task: at.task})
 }
 
-func taskKey(at ref) string { return at.job + "/" + strconv.Itoa(at.task) }
-
-func (l *Ledger) touch(bucket, key string) { l.dirty[[2]string{bucket, key}] = true }
-
 func (l *Ledger) Position() Position { return l.position }
 func (l *Ledger) At() time.Duration  { return l.at }
 func (l *Ledger) Plan() plan.Plan    { return l.plan }
@@ -244,7 +237,6 @@
 		l.enter()
 	}()
 	l.at = max(l.at, cmd.At)
-	l.touch("meta", "position")
 	switch cmd.Kind {
 	case KindAccept:
 		return l.accept(cmd)
@@ -338,13 +330,9 @@
 	}
 	l.next += uint64(len(spec.Tasks))
 	l.jobs[spec.ID], l.active[spec.ID] = job, true
-	l.touch("job", spec.ID)
 	l.decide(Decision{Kind: "accept", Job: spec.ID, Digest: job.Digest})
 	for i := range job.Tasks {
 		l.count(job, i, 1)
-		if job.Tasks[i].DueAt > 0 {
-			l.touch("task", taskKey(ref{spec.ID, i}))
-		}
 	}
 	l.release(spec.ID)
 	return l.brief(cmd, code.OK, l.jobs[spec.ID])
@@ -428,7 +416,6 @@
 			l.over = append(l.over, id)
 		}
 		l.jobs[id] = job
-		l.touch("job", id)
 		l.changes = append(l.changes, Changed{Job: id, Task: -1})
 	}
 }
@@ -441,7 +428,6 @@
 	}
 	job.Ending, job.Why = ending, why
 	l.jobs[id] = job
-	l.touch("job", id)
 	for i, t := range job.Tasks {
 		if t.Closed() {
 			continue
@@ -505,7 +491,6 @@
 	// Where tasks may go does not hang on the entries, nor on what classes come and go.
 	same := reflect.DeepEqual(l.plan.Policies, next.Policies) && l.plan.Limits == next.Limits && kept(l.plan, next)
 	l.plan, l.rules = next, next.Compile()
-	l.touch("meta", "plan")
 	l.decide(Decision{Kind: "plan", Plan: next.Sequence, Digest: digest(next)})
 	if !same {
 		l.changes = append(l.changes, Changed{All: true})
@@ -538,7 +523,6 @@
 	if !on {
 		delete(l.emptied, name)
 	}
-	l.touch("site", name)
 	l.decide(Decision{Kind: map[bool]string{true: "empty", false: "refill"}[on], Name: name})
 	for _, id := range slices.Sorted(maps.Keys(l.workers)) {
 		if w := l.workers[id]; on && w.Site == name {
@@ -582,7 +566,6 @@
 	w.Drained = on
 	l.decide(Decision{Kind: map[bool]string{true: "drain", false: "undrain"}[on], Worker: name})
 	l.workers[name] = w
-	l.touch("worker", name)
 	l.changes = append(l.changes, Changed{Worker: name})
 	return Answer{Code: code.OK}
 }
@@ -602,7 +585,6 @@
 	w.Gone = true
 	l.decide(Decision{Kind: "gone", Worker: name})
 	l.workers[name] = w
-	l.touch("worker", name)
 	l.changes = append(l.changes, Changed{Worker: name})
 	return Answer{Code: code.OK}
 }
@@ -641,12 +623,10 @@
 	} else {
 		l.daemons[h.Daemon] = Daemon{ID: h.Daemon, Site: h.Site, SeenAt: l.at}
 	}
-	l.touch("daemon", h.Daemon)
 	for _, name := range slices.Sorted(maps.Keys(l.duties)) {
 		if d := l.duties[name]; d.Holder == h.Daemon && !h.Leaving {
 			d.SeenAt = l.at
 			l.duties[name] = d
-			l.touch("duty", name)
 		}
 	}
 	if h.Want == "" {
@@ -674,7 +654,6 @@
 		l.changes = append(l.changes, Changed{All: true})
 	}
 	l.duties[h.Want] = d
-	l.touch("duty", h.Want)
 	return Answer{Code: code.OK}
 }
 
@@ -692,7 +671,6 @@
 	}
 	l.decide(Decision{Kind: "duty", Name: name, Worker: to})
 	l.duties[name] = Duty{Name: name, Holder: to, Epoch: d.Epoch + 1, SeenAt: l.at}
-	l.touch("duty", name)
 	l.changes = append(l.changes, Changed{All: true})
 	return Answer{Code: code.OK}
 }
@@ -701,10 +679,8 @@
 // leads the ledger is fenced by its epoch already.
 func (l *Ledger) take(name string, h Hello) Answer {
 	l.daemons[h.Daemon] = Daemon{ID: h.Daemon, Site: h.Site, SeenAt: l.at}
-	l.touch("daemon", h.Daemon)
 	l.decide(Decision{Kind: "duty", Name: name, Worker: h.Daemon})
 	l.duties[name] = Duty{Name: name, Holder: h.Daemon, Epoch: l.duties[name].Epoch + 1, SeenAt: l.at}
-	l.touch("duty", name)
 	return Answer{Code: code.OK}
 }
 
@@ -726,112 +702,11 @@
 	Decision uint64        `json:"decision,omitempty"`
 }
 
-// TakeDirty gives the records that changed since it was last called.
-func (l *Ledger) TakeDirty() []machine.Record {
-	keys := make([][2]string, 0, len(l.dirty))
-	for k := range l.dirty {
-		keys = append(keys, k)
-	}
-	sort.Slice(keys, func(i, j int) bool { return keys[i][0]+"/"+keys[i][1] < keys[j][0]+"/"+keys[j][1] })
-	out := make([]machine.Record, 0, len(keys))
-	for _, k := range keys {
-		out = append(out, l.record(k[0], k[1]))
-	}
-	l.dirty = map[[2]string]bool{}
-	return out
-}
-
-// ForgetDirty is for a copy that nobody writes to a disk.
-func (l *Ledger) ForgetDirty() {
-	clear(l.dirty)
-	l.entries = nil
-}
-
-var Buckets = []string{"meta", "job", "task", "worker", "site", "duty", "daemon", "request", "past"}
-
-func (l *Ledger) record(bucket, key string) machine.Record {
-	r := machine.Record{Bucket: bucket, Key: key}
-	put := func(v any, ok bool) {
-		if ok {
-			r.Value = machine.MustJSON(v)
-		}
-	}
-	switch bucket {
-	case "job":
-		v, ok := l.jobs[key]
-		v.Tasks = nil
-		if len(v.Spec.Steps) > 0 {
-			v.Spec.Tasks = nil
-		}
-		put(v, ok)
-	case "task":
-		at := refOf(key)
-		if job, ok := l.jobs[at.job]; ok && at.task < len(job.Tasks) {
-			put(job.Tasks[at.task], true)
-		}
-	case "worker":
-		v, ok := l.workers[key]
-		put(v, ok)
-	case "site":
-		v, ok := l.emptied[key]
-		put(v, ok)
-	case "duty":
-		v, ok := l.duties[key]
-		put(v, ok)
-	case "daemon":
-		v, ok := l.daemons[key]
-		put(v, ok)
-	case "request":
-		v, ok := l.requests.byKey[key]
-		put(v, ok)
-	case "past":
-		v, ok := l.past.byKey[key]
-		put(v, ok)
-	case "meta":
-		if key == "plan" {
-			put(l.plan, true)
-		} else {
-			put(meta{l.position, l.at, l.next, l.horizon, l.decision}, true)
-		}
-	}
-	return r
-}
+// ForgetEntries is for a copy whose decisions nobody audits.
+func (l *Ledger) ForgetEntries() { l.entries = nil }
 
-func refOf(key string) ref {
-	job, number, _ := strings.Cut(key, "/")
-	i, err := strconv.Atoi(number)
-	if err != nil {
-		return ref{}
-	}
-	return ref{job, i}
-}
-
-// tasks are the keys of the tasks that are no longer as they began.
-func (l *Ledger) tasks() []string {
-	var out []string
-	for _, id := range slices.Sorted(maps.Keys(l.jobs)) {
-		for i := range l.jobs[id].Tasks {
-			out = append(out, taskKey(ref{id, i}))
-		}
-	}
-	return out
-}
-
-// Records is the whole ledger, for a copy.
-func (l *Ledger) Records() []machine.Record {
-	out := []machine.Record{l.record("meta", "position"), l.record("meta", "plan")}
-	for bucket, keys := range map[string][]string{
-		"job": slices.Sorted(maps.Keys(l.jobs)), "worker": slices.Sorted(maps.Keys(l.workers)), "site": slices.Sorted(maps.Keys(l.emptied)), "task": l.tasks(),
-		"duty": slices.Sorted(maps.Keys(l.duties)), "daemon": slices.Sorted(maps.Keys(l.daemons)),
-		"request": slices.Sorted(maps.Keys(l.requests.byKey)), "past": slices.Sorted(maps.Keys(l.past.byKey)),
-	} {
-		for _, key := range keys {
-			out = append(out, l.record(bucket, key))
-		}
-	}
-	sort.SliceStable(out, func(i, j int) bool { return out[i].Bucket < out[j].Bucket })
-	return out
-}
+// Records is the whole ledger, encoded.
+func (l *Ledger) Records() []machine.Record { return slices.Collect(l.Capture().Records()) }
 
 // Load rebuilds a ledger from its records.
 func Load(records []machine.Record) (*Ledger, error) {
--- a/core/ledger/memory.go
+++ b/core/ledger/memory.go
@@ -99,7 +99,6 @@
 	}
 	a := do()
 	l.requests.put(cmd.Token, Request{l.at, sum, a})
-	l.touch("request", cmd.Token)
 	return a
 }
 
@@ -128,12 +127,8 @@
 
 func (l *Ledger) forgetOld(now time.Duration) {
 	requests, past := l.forgotten(now)
-	for _, token := range requests {
-		l.touch("request", token)
-	}
 	for _, id := range past {
 		l.horizon = max(l.horizon, l.past.byKey[id].EndedAt)
-		l.touch("past", id)
 	}
 	l.requests.drop(len(requests))
 	l.past.drop(len(past))
--- a/core/ledger/tail.go
+++ b/core/ledger/tail.go
@@ -1,38 +1,73 @@
-// The tail of a ledger: the last commands applied, so that a copy that is a
-// little behind can catch up without being copied whole.
+// The tail of a ledger: the last commands applied, encoded, so that a copy that
+// is a little behind can catch up without being copied whole.
 package ledger
 
-import "slices"
+import (
+	"encoding/json"
+	"slices"
+)
 
-// TailMax is how many commands a tail keeps at least, once it has them.
-const TailMax = 8192
+// A tail keeps at least TailMax commands or TailBytes of them, whichever are
+// fewer, and at most twice as many.
+const (
+	TailMax   = 8192
+	TailBytes = 16 << 20
+)
 
 // Tail begins after a base position; its commands follow without a gap.
 type Tail struct {
-	base     Position
-	commands []Command
+	base      Position
+	positions []Position
+	encoded   []json.RawMessage
+	bytes     int
 }
 
 // TailFrom is an empty tail at a position.
 func TailFrom(base Position) Tail { return Tail{base: base} }
 
-func (t *Tail) Add(cmd Command) {
-	t.commands = append(t.commands, cmd)
-	if len(t.commands) >= 2*TailMax {
-		t.base = t.commands[TailMax-1].Position
-		t.commands = slices.Clone(t.commands[TailMax:])
+// Add takes the next command.
+func (t *Tail) Add(cmd Logged) {
+	t.positions = append(t.positions, cmd.Position)
+	t.encoded = append(t.encoded, cmd.Encoded)
+	t.bytes += len(cmd.Encoded)
+	if len(t.positions) >= 2*TailMax || t.bytes >= 2*TailBytes {
+		t.trim()
 	}
 }
 
-// Since gives the commands after a position, if the tail reaches back to it
-// and the position stands in this history.
-func (t *Tail) Since(at Position) ([]Command, bool) {
+// trim drops the oldest commands until the rest is within both bounds.
+func (t *Tail) trim() {
+	drop := 0
+	for len(t.positions)-drop > TailMax || t.bytes > TailBytes {
+		t.base = t.positions[drop]
+		t.bytes -= len(t.encoded[drop])
+		drop++
+	}
+	t.positions = slices.Clone(t.positions[drop:])
+	t.encoded = slices.Clone(t.encoded[drop:])
+}
+
+// Since gives the encoded commands after a position, if the tail reaches back to
+// it and the position stands in this history.
+func (t *Tail) Since(at Position) ([]json.RawMessage, bool) {
 	if at == t.base {
-		return t.commands, true
+		return t.encoded[:len(t.encoded):len(t.encoded)], true
 	}
 	i := int64(at.Sequence) - int64(t.base.Sequence) - 1
-	if i < 0 || i >= int64(len(t.commands)) || t.commands[i].Position != at {
+	if i < 0 || i >= int64(len(t.positions)) || t.positions[i] != at {
 		return nil, false
 	}
-	return t.commands[i+1:], true
+	return t.encoded[i+1 : len(t.encoded) : len(t.encoded)], true
+}
+
+// At gives the position of a sequence in this history, if the tail reaches back to it.
+func (t *Tail) At(sequence uint64) (Position, bool) {
+	if sequence == t.base.Sequence {
+		return t.base, true
+	}
+	i := int64(sequence) - int64(t.base.Sequence) - 1
+	if i < 0 || i >= int64(len(t.positions)) {
+		return Position{}, false
+	}
+	return t.positions[i], true
 }
--- a/core/ledger/turns.go
+++ b/core/ledger/turns.go
@@ -125,7 +125,6 @@
 		}
 	}
 	l.workers[b.Worker] = w
-	l.touch("worker", b.Worker)
 	l.changes = append(l.changes, Changed{Worker: b.Worker})
 	for _, id := range slices.Sorted(maps.Keys(touched)) {
 		l.release(id)
@@ -145,7 +144,6 @@
 			l.release(at.job)
 		}
 		delete(l.workers, id)
-		l.touch("worker", id)
 		l.decide(Decision{Kind: "gone", Worker: id})
 		l.changes = append(l.changes, Changed{Worker: id})
 	}
@@ -666,7 +664,7 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(l.workers)) {
 		if w := l.workers[id]; now > w.CutoffAt+limits.Margin.Duration+limits.Keep.Duration && len(l.turns[id]) == 0 {
-			out = append(out, due{"", func() { delete(l.workers, id); l.touch("worker", id) }})
+			out = append(out, due{"", func() { delete(l.workers, id) }})
 		}
 	}
 	if requests, past := l.forgotten(now); len(requests)+len(past) > 0 {
@@ -674,7 +672,7 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(l.daemons)) {
 		if now > l.daemons[id].SeenAt+limits.Keep.Duration {
-			out = append(out, due{"", func() { delete(l.daemons, id); l.touch("daemon", id) }})
+			out = append(out, due{"", func() { delete(l.daemons, id) }})
 		}
 	}
 	return out
@@ -703,13 +701,10 @@
 	job := l.jobs[id]
 	for i := range job.Tasks {
 		l.count(job, i, -1)
-		l.touch("task", taskKey(ref{id, i}))
 	}
 	delete(l.jobs, id)
 	l.over = slices.DeleteFunc(l.over, func(other string) bool { return other == id })
 	l.past.put(id, Past{job.Digest, job.Spec.Service, job.Spec.Class, job.State, job.EndedAt})
-	l.touch("past", id)
-	l.touch("job", id)
 	l.changes = append(l.changes, Changed{Job: id, Task: -1})
 }
 
--- a/core/ledgertest/ledgertest.go
+++ b/core/ledgertest/ledgertest.go
@@ -3,12 +3,17 @@
 package ledgertest
 
 import (
+	"reflect"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"sorrelloom/core/code"
 	"sorrelloom/core/ledger"
+	"sorrelloom/core/machine"
 )
 
 const Plan = `{"services":{
@@ -36,11 +41,35 @@
 	return w
 }
 
-// Do applies a command one millisecond later.
+// Do applies a command one millisecond later. A capture of the ledger before it must
+// stay as it was, and a copy that takes the encoded command must become the same.
 func (w *World) Do(cmd ledger.Command) ledger.Answer {
+	w.T.Helper()
 	w.At += time.Millisecond
 	cmd.At, cmd.Position = w.At, ledger.Position{Epoch: 1, Sequence: w.Ledger.Position().Sequence + 1}
-	return w.Ledger.Apply(cmd)
+	capture, before := w.Ledger.Capture(), w.Ledger.Records()
+	answer := w.Ledger.Apply(cmd)
+	if after := slices.Collect(capture.Records()); !reflect.DeepEqual(before, after) {
+		w.T.Errorf("%s changed a capture: %s", cmd.Kind, cmp.Diff(before, after))
+	}
+	w.replay(before, cmd)
+	return answer
+}
+
+func (w *World) replay(before []machine.Record, cmd ledger.Command) {
+	w.T.Helper()
+	copied, err := ledger.Load(before)
+	if err != nil {
+		w.T.Fatal(err)
+	}
+	logged, err := ledger.Decode(ledger.Encode(cmd).Encoded)
+	if err != nil {
+		w.T.Fatal(err)
+	}
+	copied.Apply(logged.Command)
+	if want, got := w.Ledger.Records(), copied.Records(); !reflect.DeepEqual(want, got) {
+		w.T.Errorf("%s has another outcome when it is replayed: %s", cmd.Kind, cmp.Diff(want, got))
+	}
 }
 
 func (w *World) Must(cmd ledger.Command) ledger.Answer {
--- a/core/machine/machine.go
+++ b/core/machine/machine.go
@@ -81,21 +81,13 @@
 	Body any
 }
 
-// Record is one key of the data file; an empty Value deletes it.
+// Record is one value on a keeper's disk.
 type Record struct {
 	Bucket string          `json:"bucket"`
 	Key    string          `json:"key"`
 	Value  json.RawMessage `json:"value,omitempty"`
 }
 
-// Write is one synced batch. Wipe names buckets to empty first. Done comes back
-// as Input.Wrote once the batch is on the disk.
-type Write struct {
-	Done    uint64
-	Wipe    []string
-	Records []Record
-}
-
 // Ask is a request from outside: its key is handed back with the answer. Value
 // is a request that is decoded already.
 type Ask struct {
@@ -118,13 +110,15 @@
 }
 
 // Input is one thing that happened. Wall is the time of day, for those few
-// decisions that callers bind to it; it may jump.
+// decisions that callers bind to it; it may jump. SnapshotDue comes with Wrote: the
+// log has grown long, and the next batch is to bring a snapshot.
 type Input struct {
-	Line  Line
-	Wrote uint64
-	Ask   Ask
-	Stop  bool
-	Wall  time.Time
+	Line        Line
+	Wrote       uint64
+	SnapshotDue bool
+	Ask         Ask
+	Stop        bool
+	Wall        time.Time
 }
 
 type Event struct {
--- a/core/wire/wire.go
+++ b/core/wire/wire.go
@@ -4,6 +4,7 @@
 package wire
 
 import (
+	"encoding/json"
 	"time"
 
 	"sorrelloom/core/ledger"
@@ -100,17 +101,17 @@
 	Good     bool   `json:"good"`
 }
 
-// ReplicateBody carries commands from the primary. Token is echoed, so that an
+// ReplicateBody carries encoded commands from the primary. Token is echoed, so that an
 // empty body serves as a check that the backup still follows this epoch.
 // Boot names the process, so that an ack never reaches the next run of the same
 // keeper as its own.
 type ReplicateBody struct {
-	Boot     uint64           `json:"boot"`
-	View     View             `json:"view"`
-	From     Seat             `json:"from"`
-	Token    uint64           `json:"token"`
-	After    ledger.Position  `json:"after"`
-	Commands []ledger.Command `json:"commands,omitempty"`
+	Boot     uint64            `json:"boot"`
+	View     View              `json:"view"`
+	From     Seat              `json:"from"`
+	Token    uint64            `json:"token"`
+	After    ledger.Position   `json:"after"`
+	Commands []json.RawMessage `json:"commands,omitempty"`
 }
 
 type ReplicateAckBody struct {
@@ -154,19 +155,19 @@
 	At ledger.Position `json:"at"`
 }
 
-// NewsBody carries committed commands, or a whole copy when Records is set. A
+// NewsBody carries committed commands, encoded, or a whole copy when Records is set. A
 // site's home daemon passes it on with Relayed set and the age of the last word
 // that it had from a proven primary.
 type NewsBody struct {
-	Relayed  bool             `json:"relayed,omitempty"`
-	Age      time.Duration    `json:"age,omitempty"`
-	Epoch    uint64           `json:"epoch"`
-	After    ledger.Position  `json:"after"`
-	At       ledger.Position  `json:"at"`
-	Commands []ledger.Command `json:"commands,omitempty"`
-	Records  []machine.Record `json:"records,omitempty"`
-	Bounced  bool             `json:"bounced,omitempty"`
-	Primary  string           `json:"primary,omitempty"`
+	Relayed  bool              `json:"relayed,omitempty"`
+	Age      time.Duration     `json:"age,omitempty"`
+	Epoch    uint64            `json:"epoch"`
+	After    ledger.Position   `json:"after"`
+	At       ledger.Position   `json:"at"`
+	Commands []json.RawMessage `json:"commands,omitempty"`
+	Records  []machine.Record  `json:"records,omitempty"`
+	Bounced  bool              `json:"bounced,omitempty"`
+	Primary  string            `json:"primary,omitempty"`
 }
 
 type BeatBody struct {
--- a/daemon/cmd/front/main.go
+++ b/daemon/cmd/front/main.go
@@ -13,10 +13,10 @@
 )
 
 func main() {
-	os.Exit(run.Main("front", false, nil, build))
+	os.Exit(run.Main("front", false, build))
 }
 
-func build(e env.Env, _ []machine.Record) (run.Built, error) {
+func build(e env.Env, _ machine.Stored) (run.Built, error) {
 	f := front.New(front.Env{Address: e.Address, Site: e.Site, First: run.Chance()})
 	page := func(h *host.Host, s *host.Shard) web.Page {
 		return web.Page{
--- a/daemon/cmd/keeper/main.go
+++ b/daemon/cmd/keeper/main.go
@@ -13,11 +13,11 @@
 )
 
 func main() {
-	os.Exit(run.Main("keeper", true, keeper.Buckets, build))
+	os.Exit(run.Main("keeper", true, build))
 }
 
-func build(e env.Env, records []machine.Record) (run.Built, error) {
-	k, err := keeper.New(keeper.Env{Address: e.Address, Site: e.Site, Founders: e.Founders, FreshID: run.ChanceID(), Boot: run.Chance()}, records)
+func build(e env.Env, stored machine.Stored) (run.Built, error) {
+	k, err := keeper.New(keeper.Env{Address: e.Address, Site: e.Site, Founders: e.Founders, FreshID: run.ChanceID(), Boot: run.Chance()}, stored)
 	if err != nil {
 		return run.Built{}, err
 	}
--- a/daemon/cmd/scheduler/main.go
+++ b/daemon/cmd/scheduler/main.go
@@ -14,7 +14,7 @@
 )
 
 func main() {
-	os.Exit(run.Main("scheduler", false, nil, build))
+	os.Exit(run.Main("scheduler", false, build))
 }
 
 type status struct {
@@ -24,7 +24,7 @@
 	Counters dispatch.Counters `json:"counters"`
 }
 
-func build(e env.Env, _ []machine.Record) (run.Built, error) {
+func build(e env.Env, _ machine.Stored) (run.Built, error) {
 	sched := scheduler.New(scheduler.Env{Address: e.Address, Site: e.Site, First: run.Chance()})
 	page := func(h *host.Host, s *host.Shard) web.Page {
 		counter := func(name, help string, f func(dispatch.Counters) uint64) web.Gauge {
--- a/daemon/host/host.go
+++ b/daemon/host/host.go
@@ -184,7 +184,7 @@
 			s.host.fatal(err)
 			return
 		}
-		s.Step(machine.Input{Wrote: w.Done})
+		s.Step(machine.Input{Wrote: w.Done, SnapshotDue: s.host.store.SnapshotDue()})
 	}
 }
 
--- a/daemon/run/run.go
+++ b/daemon/run/run.go
@@ -52,7 +52,7 @@
 }
 
 // Main runs one daemon to its end and gives the exit code.
-func Main(role string, keeper bool, buckets []string, build func(env.Env, []machine.Record) (Built, error)) int {
+func Main(role string, keeper bool, build func(env.Env, machine.Stored) (Built, error)) int {
 	e, err := env.Parse(role, keeper, os.Args[1:])
 	if errors.Is(err, env.ErrShown) {
 		return 0
@@ -64,14 +64,14 @@
 	logline.Init(role + "@" + e.Address)
 	defer logline.Flush()
 	var data *store.Store
-	var records []machine.Record
+	var stored machine.Stored
 	if keeper {
-		if data, records, err = store.Open(e.Data, buckets); err != nil {
+		if data, stored, err = store.Open(e.Data); err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			return 3
 		}
 	}
-	built, err := build(e, records)
+	built, err := build(e, stored)
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "data folder %s: %v\n", e.Data, err)
 		return 3
--- /dev/null
+++ b/daemon/store/faults_test.go
@@ -0,0 +1,246 @@
+package store
+
+import (
+	"fmt"
+	"io"
+	"io/fs"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+)
+
+// errPower is what every call gives once power is lost.
+var errPower = fmt.Errorf("power is lost")
+
+// inode is a file's content: what was synced, and what a reader sees now.
+type inode struct{ synced, now []byte }
+
+// nameChange is one change of a name that no folder sync has made last yet.
+type nameChange struct {
+	apply func(names map[string]*inode)
+}
+
+// faultyFiles is a file system in memory that loses power after a number of calls. It
+// then has many possible disks: each name that was changed since the last sync of the
+// folder was changed on the disk or was not, and of each file all, none or a part of
+// what was written since its last sync is there.
+type faultyFiles struct {
+	names   map[string]*inode // as a reader sees them
+	durable map[string]*inode // as the last sync of the folder left them
+	changes []nameChange
+	calls   int
+	limit   int // power is lost at this call; 0 is never
+	// room is how many bytes still fit; a negative number is any.
+	room int64
+	// broken, where set, is the error of each sync of a file.
+	broken error
+}
+
+func newFiles() *faultyFiles {
+	return &faultyFiles{names: map[string]*inode{}, durable: map[string]*inode{}, room: -1}
+}
+
+func (f *faultyFiles) call() error {
+	f.calls++
+	if f.limit > 0 && f.calls >= f.limit {
+		return errPower
+	}
+	return nil
+}
+
+func (f *faultyFiles) change(apply func(map[string]*inode)) {
+	apply(f.names)
+	f.changes = append(f.changes, nameChange{apply})
+}
+
+func (f *faultyFiles) MakeFolder(string) error        { return nil }
+func (f *faultyFiles) Lock(string) (io.Closer, error) { return io.NopCloser(nil), nil }
+
+func (f *faultyFiles) List(string) ([]string, error) {
+	var out []string
+	for path := range f.names {
+		out = append(out, filepath.Base(path))
+	}
+	slices.Sort(out)
+	return out, nil
+}
+
+func (f *faultyFiles) Read(path string) ([]byte, error) {
+	node, ok := f.names[path]
+	if !ok {
+		return nil, fs.ErrNotExist
+	}
+	return slices.Clone(node.now), nil
+}
+
+func (f *faultyFiles) Create(path string) (file, error) {
+	if err := f.call(); err != nil {
+		return nil, err
+	}
+	if node, ok := f.names[path]; ok {
+		node.now = nil
+		return &faultyFile{f, node}, nil
+	}
+	node := &inode{}
+	f.change(func(names map[string]*inode) { names[path] = node })
+	return &faultyFile{f, node}, nil
+}
+
+func (f *faultyFiles) Open(path string) (file, error) {
+	node, ok := f.names[path]
+	if !ok {
+		return nil, fs.ErrNotExist
+	}
+	return &faultyFile{f, node}, nil
+}
+
+func (f *faultyFiles) Rename(from, to string) error {
+	if err := f.call(); err != nil {
+		return err
+	}
+	node := f.names[from]
+	f.change(func(names map[string]*inode) {
+		// The name it comes from may never have reached the disk by itself.
+		delete(names, from)
+		names[to] = node
+	})
+	return nil
+}
+
+func (f *faultyFiles) Remove(path string) error {
+	if err := f.call(); err != nil {
+		return err
+	}
+	if _, ok := f.names[path]; !ok {
+		return fs.ErrNotExist
+	}
+	f.change(func(names map[string]*inode) { delete(names, path) })
+	return nil
+}
+
+func (f *faultyFiles) SyncFolder(string) error {
+	if err := f.call(); err != nil {
+		return err
+	}
+	f.durable, f.changes = make(map[string]*inode, len(f.names)), nil
+	for path, node := range f.names {
+		f.durable[path] = node
+	}
+	return nil
+}
+
+type faultyFile struct {
+	files *faultyFiles
+	node  *inode
+}
+
+func (f *faultyFile) WriteAt(data []byte, at int64) (int, error) {
+	if err := f.files.call(); err != nil {
+		// A call that power was lost in has been done in part.
+		f.put(data[:len(data)/2], at)
+		return 0, err
+	}
+	if f.files.room >= 0 && int64(len(data)) > f.files.room {
+		n := int(f.files.room)
+		f.put(data[:n], at)
+		f.files.room = 0
+		return n, syscall.ENOSPC
+	}
+	if f.files.room >= 0 {
+		f.files.room -= int64(len(data))
+	}
+	f.put(data, at)
+	return len(data), nil
+}
+
+func (f *faultyFile) put(data []byte, at int64) {
+	now := slices.Clone(f.node.now)
+	if missing := int(at) + len(data) - len(now); missing > 0 {
+		now = append(now, make([]byte, missing)...)
+	}
+	copy(now[at:], data)
+	f.node.now = now
+}
+
+func (f *faultyFile) Truncate(size int64) error {
+	if err := f.files.call(); err != nil {
+		return err
+	}
+	if f.files.room >= 0 {
+		f.files.room += int64(len(f.node.now)) - size
+	}
+	f.node.now = slices.Clone(f.node.now[:size])
+	return nil
+}
+
+func (f *faultyFile) Sync() error {
+	if err := f.files.call(); err != nil {
+		return err
+	}
+	if f.files.broken != nil {
+		return f.files.broken
+	}
+	f.node.synced = f.node.now
+	return nil
+}
+
+func (f *faultyFile) Close() error { return nil }
+
+// contents are what a file may hold after power was lost.
+func (n *inode) contents() [][]byte {
+	out := [][]byte{n.synced}
+	if string(n.now) == string(n.synced) {
+		return out
+	}
+	out = append(out, n.now)
+	if len(n.now) > len(n.synced) {
+		half := len(n.synced) + (len(n.now)-len(n.synced))/2
+		out = append(out, n.now[:half])
+		// The length reached the disk, the first half of what was written did not.
+		holes := slices.Clone(n.now)
+		clear(holes[len(n.synced):half])
+		out = append(out, holes)
+	}
+	return out
+}
+
+// disks calls visit with every disk that may be there after power was lost now.
+func (f *faultyFiles) disks(visit func(name string, disk *faultyFiles)) {
+	for set := range 1 << len(f.changes) {
+		names := make(map[string]*inode, len(f.durable))
+		for path, node := range f.durable {
+			names[path] = node
+		}
+		for i, c := range f.changes {
+			if set&(1<<i) != 0 {
+				c.apply(names)
+			}
+		}
+		paths := make([]string, 0, len(names))
+		for path := range names {
+			paths = append(paths, path)
+		}
+		slices.Sort(paths)
+		chooseContents(paths, names, nil, func(contents [][]byte) {
+			disk := newFiles()
+			var told strings.Builder
+			for i, path := range paths {
+				node := &inode{contents[i], contents[i]}
+				disk.names[path], disk.durable[path] = node, node
+				fmt.Fprintf(&told, " %s:%d", path, len(contents[i]))
+			}
+			visit(fmt.Sprintf("names %b,%s", set, told.String()), disk)
+		})
+	}
+}
+
+func chooseContents(paths []string, names map[string]*inode, chosen [][]byte, visit func([][]byte)) {
+	if len(chosen) == len(paths) {
+		visit(chosen)
+		return
+	}
+	for _, content := range names[paths[len(chosen)]].contents() {
+		chooseContents(paths, names, append(slices.Clone(chosen), content), visit)
+	}
+}
--- /dev/null
+++ b/daemon/store/item.go
@@ -0,0 +1,56 @@
+package store
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+
+	"sorrelloom/core/machine"
+)
+
+// itemKind says what an item of a frame is.
+type itemKind byte
+
+const (
+	// itemOwn is a record of the keeper itself; the newest of a key stands.
+	itemOwn itemKind = 'o'
+	// itemLedger is a record of the ledger, in snapshots only.
+	itemLedger itemKind = 'l'
+	// itemCommand is a command of the ledger, in segments only.
+	itemCommand itemKind = 'c'
+)
+
+type item struct {
+	kind itemKind
+	data []byte
+}
+
+func recordItem(kind itemKind, r machine.Record) item { return item{kind, machine.MustJSON(r)} }
+
+func appendItem(out []byte, i item) []byte {
+	out = append(out, byte(i.kind))
+	out = binary.AppendUvarint(out, uint64(len(i.data)))
+	return append(out, i.data...)
+}
+
+// readItems takes the payload of a frame apart. The items share its data.
+func readItems(payload []byte) ([]item, error) {
+	var out []item
+	for len(payload) > 0 {
+		kind := itemKind(payload[0])
+		length, n := binary.Uvarint(payload[1:])
+		if n <= 0 || length > uint64(len(payload)-1-n) {
+			return nil, fmt.Errorf("an item is longer than its frame")
+		}
+		rest := payload[1+n:]
+		out = append(out, item{kind, rest[:length:length]})
+		payload = rest[length:]
+	}
+	return out, nil
+}
+
+func (i item) record() (machine.Record, error) {
+	var r machine.Record
+	err := json.Unmarshal(i.data, &r)
+	return r, err
+}
--- a/daemon/store/store_test.go
+++ b/daemon/store/store_test.go
@@ -2,10 +2,15 @@
 
 import (
 	"encoding/json"
+	"errors"
+	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/joomcode/errorx"
@@ -15,147 +20,290 @@
 )
 
 func record(bucket, key, value string) machine.Record {
-	r := machine.Record{Bucket: bucket, Key: key}
-	if value != "" {
-		r.Value = json.RawMessage(value)
-	}
-	return r
+	return machine.Record{Bucket: bucket, Key: key, Value: json.RawMessage(value)}
 }
 
-func mustOpen(t *testing.T, folder string) (*Store, []machine.Record) {
+func mustOpen(t *testing.T, folder string) (*Store, machine.Stored) {
 	t.Helper()
-	s, records, err := Open(folder, keeper.Buckets)
+	s, stored, err := Open(folder)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return s, records
+	return s, stored
+}
+
+func mustWrite(t *testing.T, s *Store, writes ...machine.Write) {
+	t.Helper()
+	for _, w := range writes {
+		if err := s.Write(w); err != nil {
+			t.Fatal(err)
+		}
+		s.background.Wait()
+	}
 }
 
 func TestABatchIsWholeAndLasts(t *testing.T) {
 	folder := t.TempDir()
-	s, records := mustOpen(t, folder)
-	if len(records) != 0 {
-		t.Fatalf("a new file has %v", records)
+	s, stored := mustOpen(t, folder)
+	if told(stored) != "+" {
+		t.Fatalf("a new folder has %v", stored)
 	}
-	writes := []machine.Write{
-		{Done: 1, Records: []machine.Record{record("job", "a", `1`), record("job", "b", `2`)}},
-		{Done: 2, Records: []machine.Record{record("job", "a", ""), record("worker", "w", `3`)}},
-		{Done: 3, Wipe: []string{"job"}, Records: []machine.Record{record("job", "c", `4`)}},
-	}
-	for _, w := range writes {
-		if err := s.Write(w); err != nil {
+	writes := script()
+	for i, w := range writes {
+		mustWrite(t, s, w)
+		if err := s.Close(); err != nil {
 			t.Fatal(err)
 		}
+		s, stored = mustOpen(t, folder)
+		if want := model(writes[:i+1]); !want[told(stored)] {
+			t.Errorf("after batch %d: found %s, want one of %v", w.Done, told(stored), want)
+		}
 	}
 	if err := s.Close(); err != nil {
 		t.Fatal(err)
 	}
-	s, records = mustOpen(t, folder)
-	defer s.Close()
-	want := []machine.Record{record("job", "c", `4`), record("worker", "w", `3`)}
-	if diff := cmp.Diff(want, records); diff != "" {
-		t.Error(diff)
+	if err := s.Write(writes[1]); err == nil {
+		t.Error("a closed store took a batch")
 	}
 }
 
-// TestPowerLostAtAnyWrite cuts the file back to what it was before the last
-// synced batch, and to the bytes of half of it: the first must open as it was,
-// the second must open as before or after the batch, never in between.
-func TestPowerLostAtAnyWrite(t *testing.T) {
+func TestTwoProcessesDoNotShareAFolder(t *testing.T) {
 	folder := t.TempDir()
-	path := filepath.Join(folder, fileName)
 	s, _ := mustOpen(t, folder)
-	if err := s.Write(machine.Write{Records: []machine.Record{record("job", "a", `1`), record("worker", "a", `1`)}}); err != nil {
-		t.Fatal(err)
+	if _, _, err := Open(folder); !errorx.IsOfType(err, Unusable) {
+		t.Errorf("a second process opened the folder: %v", err)
 	}
-	before, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
+	s.Close()
+	s, _ = mustOpen(t, folder)
+	s.Close()
+}
+
+// TestHistoryLeadsUpToTheSnapshot wants the commands before the snapshot back, too.
+func TestHistoryLeadsUpToTheSnapshot(t *testing.T) {
+	folder := t.TempDir()
+	s, _ := mustOpen(t, folder)
+	mustWrite(t, s, machine.Write{Commands: commands(1, 2, 3), Snapshot: ledgerOf(`3`)}, machine.Write{Commands: commands(4)})
+	s.Close()
+	s, stored := mustOpen(t, folder)
+	defer s.Close()
+	if diff := cmp.Diff(commands(1, 2, 3), stored.History); diff != "" {
+		t.Error(diff)
 	}
-	if err := s.Write(machine.Write{Records: []machine.Record{record("job", "a", `2`), record("worker", "a", `2`)}}); err != nil {
-		t.Fatal(err)
+	if diff := cmp.Diff(commands(4), stored.Commands); diff != "" {
+		t.Error(diff)
 	}
-	after, err := os.ReadFile(path)
+}
+
+// TestTheFolderStaysSmall writes many times the log's length and counts what is there.
+func TestTheFolderStaysSmall(t *testing.T) {
+	files := newFiles()
+	s, _, err := open(files, "d")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s.Close()
-	const page = 4096
-	var changed []int
-	for at := 0; at < len(after); at += page {
-		if at >= len(before) || string(before[at:at+page]) != string(after[at:at+page]) {
-			changed = append(changed, at)
-		}
-	}
-	if len(changed) < 2 {
-		t.Fatalf("only %d pages changed", len(changed))
-	}
-	// The data pages reach the disk before the meta page does: any set of them
-	// may be there while the meta page is still the old one.
-	meta := changed[0]
-	for set := range 1 << (len(changed) - 1) {
-		torn := append([]byte(nil), before...)
-		for i, at := range changed[1:] {
-			if set&(1<<i) != 0 {
-				if at+page > len(torn) {
-					torn = append(torn, make([]byte, at+page-len(torn))...)
-				}
-				copy(torn[at:at+page], after[at:at+page])
+	s.logMin, s.pause = 1000, func(time.Duration) bool { return true }
+	var most, taken int
+	for n := range 5000 {
+		w := machine.Write{Commands: commands(n)}
+		if s.SnapshotDue() {
+			w.Snapshot = ledgerOf(fmt.Sprint(n))
+			taken++
+		}
+		mustWrite(t, s, w)
+		size := 0
+		for _, node := range files.names {
+			size += len(node.now)
+		}
+		most = max(most, size)
+	}
+	if most > 4000 || taken < 50 {
+		t.Errorf("%d bytes, %d snapshots", most, taken)
+	}
+	if names, _ := files.List("d"); len(names) != 3 {
+		t.Errorf("left are %v", names)
+	}
+}
+
+// TestAFullDiskIsWaitedFor gives room back after a while: the batch lasts, and nothing
+// of the tries before is found.
+func TestAFullDiskIsWaitedFor(t *testing.T) {
+	for room := range int64(120) {
+		files := newFiles()
+		s, _, err := open(files, "d")
+		if err != nil {
+			t.Fatal(err)
+		}
+		files.room = room
+		var waits []time.Duration
+		s.pause = func(d time.Duration) bool {
+			if end := len(files.names[s.path(segmentName(s.number))].now); int64(end) != s.end {
+				t.Errorf("room for %d bytes: while waiting the log ends at byte %d, not %d", room, end, s.end)
+			}
+			if waits = append(waits, d); len(waits) == 8 {
+				files.room = 1 << 20
 			}
+			return true
 		}
-		if meta >= 2*page {
-			t.Fatalf("the first changed page is no meta page: %d", meta)
+		writes := script()
+		mustWrite(t, s, writes...)
+		if len(waits) < 8 || waits[0] != roomWaitMin || slices.Max(waits) > roomWaitMax {
+			t.Errorf("room for %d bytes: waited %v", room, waits)
 		}
-		if err := os.WriteFile(path, torn, 0o600); err != nil {
+		files.disks(func(name string, disk *faultyFiles) {
+			_, stored, err := open(disk, "d")
+			if want := model(writes); err != nil || !want[told(stored)] {
+				t.Errorf("room for %d bytes, %s: found %s, %v, want one of %v", room, name, told(stored), err, want)
+			}
+		})
+	}
+}
+
+// TestNoRoomForASnapshot fills the disk in the middle of a snapshot: the log goes on.
+func TestNoRoomForASnapshot(t *testing.T) {
+	for room := int64(0); room < 200; room += 3 {
+		files := newFiles()
+		s, _, err := open(files, "d")
+		if err != nil {
 			t.Fatal(err)
 		}
-		s, records := mustOpen(t, folder)
-		for _, r := range records {
-			if string(r.Value) != `1` {
-				t.Errorf("set %b: %s/%s is %s", set, r.Bucket, r.Key, r.Value)
+		s.pause = func(time.Duration) bool { return true }
+		mustWrite(t, s, machine.Write{Commands: commands(1)})
+		if err := s.rotateWithRoom(files, room); err != nil {
+			t.Fatal(err)
+		}
+		files.room = -1
+		mustWrite(t, s, machine.Write{Commands: commands(2)})
+		// Power is lost in the middle of the next batch.
+		files.limit = files.calls + 1
+		if s.Write(machine.Write{Commands: commands(3)}) == nil {
+			t.Error("a batch lasted without power")
+		}
+		files.disks(func(name string, disk *faultyFiles) {
+			_, stored, err := open(disk, "d")
+			want := map[string]bool{"+ 1 2": true, "job/a=1 + 2": true, "+ 1 2 3": true, "job/a=1 + 2 3": true}
+			if err != nil || !want[told(stored)] {
+				t.Errorf("room for %d bytes, %s: found %s, %v", room, name, told(stored), err)
 			}
+		})
+	}
+}
+
+func (s *Store) rotateWithRoom(files *faultyFiles, room int64) error {
+	files.room = room
+	defer s.background.Wait()
+	return s.Write(machine.Write{Snapshot: ledgerOf(`1`)})
+}
+
+func TestAFailedSyncEndsTheStore(t *testing.T) {
+	for _, broken := range []error{syscall.EIO, syscall.ENOSPC} {
+		files := newFiles()
+		s, _, err := open(files, "d")
+		if err != nil {
+			t.Fatal(err)
 		}
-		if len(records) != 2 {
-			t.Errorf("set %b: %d records", set, len(records))
+		s.pause = func(time.Duration) bool { t.Fatal("a failed sync was tried again"); return false }
+		files.broken = broken
+		if err := s.Write(machine.Write{Commands: commands(1)}); !errorx.IsOfType(err, Unusable) {
+			t.Errorf("%v: %v", broken, err)
 		}
-		s.Close()
 	}
 }
 
 func TestADamagedFileIsRefusedByName(t *testing.T) {
-	for name, spoil := range map[string]func([]byte) []byte{
-		"no bbolt file":   func([]byte) []byte { return []byte(strings.Repeat("not a database ", 1000)) },
-		"both metas gone": func(b []byte) []byte { return append(make([]byte, 8192), b[8192:]...) },
-		"cut short":       func(b []byte) []byte { return b[:6000] },
-	} {
+	whole := func(t *testing.T) string {
 		folder := t.TempDir()
-		path := filepath.Join(folder, fileName)
 		s, _ := mustOpen(t, folder)
-		if err := s.Write(machine.Write{Records: []machine.Record{record("job", "a", `{"x":1}`)}}); err != nil {
-			t.Fatal(err)
+		mustWrite(t, s, script()[:6]...)
+		s.Close()
+		return folder
+	}
+	flip := func(at int) func([]byte) []byte {
+		return func(b []byte) []byte {
+			b[(at+len(b))%len(b)] ^= 0x10
+			return b
 		}
+	}
+	snapshot, segment := snapshotName(3), segmentName(3)
+	for _, row := range []struct {
+		name, file string
+		spoil      func([]byte) []byte
+	}{
+		{"no snapshot", snapshot, func([]byte) []byte { return []byte(strings.Repeat("not a snapshot ", 1000)) }},
+		{"an empty snapshot", snapshot, func([]byte) []byte { return nil }},
+		{"a snapshot cut short", snapshot, func(b []byte) []byte { return b[:len(b)-1] }},
+		{"a snapshot with more behind it", snapshot, func(b []byte) []byte { return append(b, 1) }},
+		{"a bit in a snapshot", snapshot, flip(40)},
+		{"a snapshot without its foot", snapshot, func(b []byte) []byte { return b[:len(b)-frameHead-1] }},
+		{"a segment's first bit", segment, flip(0)},
+		{"a bit in a batch that others follow", segment, flip(frameHead + 4)},
+		{"no segment", segment, nil},
+	} {
+		folder := whole(t)
+		path := filepath.Join(folder, row.file)
+		s, _ := mustOpen(t, folder)
+		mustWrite(t, s, machine.Write{Commands: commands(7)})
 		s.Close()
 		data, err := os.ReadFile(path)
 		if err != nil {
 			t.Fatal(err)
 		}
-		if err := os.WriteFile(path, spoil(data), 0o600); err != nil {
+		if row.spoil == nil {
+			err = os.Remove(path)
+		} else {
+			err = os.WriteFile(path, row.spoil(data), 0o600)
+		}
+		if err != nil {
 			t.Fatal(err)
 		}
-		if _, _, err := Open(folder, keeper.Buckets); !errorx.IsOfType(err, Damaged) || !strings.Contains(err.Error(), path) {
-			t.Errorf("%s: %v", name, err)
+		if _, _, err := Open(folder); !errorx.IsOfType(err, Damaged) || !strings.Contains(err.Error(), path) {
+			t.Errorf("%s: %v", row.name, err)
 		}
 	}
 }
 
+// TestAFolderThatPromisedIsNeverEmpty takes the snapshot away.
+func TestAFolderThatPromisedIsNeverEmpty(t *testing.T) {
+	folder := t.TempDir()
+	s, _ := mustOpen(t, folder)
+	mustWrite(t, s, script()[:2]...)
+	s.Close()
+	if err := os.Remove(filepath.Join(folder, snapshotName(1))); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := Open(folder); !errorx.IsOfType(err, Damaged) {
+		t.Errorf("taken for empty: %v", err)
+	}
+}
+
+func TestAnEarlierReleasesFileIsNamed(t *testing.T) {
+	folder := t.TempDir()
+	path := filepath.Join(folder, earlierName)
+	if err := os.WriteFile(path, nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := Open(folder); !errorx.IsOfType(err, Unusable) || !strings.Contains(err.Error(), path) {
+		t.Errorf("got %v", err)
+	}
+}
+
 func TestAKeeperRefusesADamagedRecord(t *testing.T) {
-	for _, records := range [][]machine.Record{
-		{record("keeper", "identity", `"k"`), record("job", "a", `{"spec":`)},
-		{record("keeper", "identity", `7`)},
-		{record("job", "a", `{}`)},
+	identity := record("keeper", "identity", `"k"`)
+	for _, stored := range []machine.Stored{
+		{Records: []machine.Record{identity, record("job", "a", `{"spec":`)}},
+		{Records: []machine.Record{record("keeper", "identity", `7`)}},
+		{Records: []machine.Record{record("job", "a", `{}`)}},
+		{Commands: []json.RawMessage{[]byte(`{"sequence":1}`)}},
+		{Records: []machine.Record{identity}, Commands: []json.RawMessage{[]byte(`{"sequence":`)}},
+		{Records: []machine.Record{identity}, Commands: []json.RawMessage{[]byte(`{"sequence":2}`)}},
 	} {
-		if _, err := keeper.New(keeper.Env{Address: "1.1.1.1:1", FreshID: "f"}, records); err == nil {
-			t.Errorf("%v was taken", records)
+		if _, err := keeper.New(keeper.Env{Address: "1.1.1.1:1", FreshID: "f"}, stored); err == nil {
+			t.Errorf("%v was taken", stored)
 		}
 	}
 }
+
+func TestErrorsOfAFullDisk(t *testing.T) {
+	if !diskFull(&os.PathError{Err: syscall.ENOSPC}) || diskFull(syscall.EIO) || diskFull(errors.New("other")) {
+		t.Error("a full disk is not told from others")
+	}
+}
--- a/tool/scale/core.go
+++ b/tool/scale/core.go
@@ -15,7 +15,6 @@
 	"time"
 
 	"sorrelloom/core/center"
-	"sorrelloom/core/keeper"
 	"sorrelloom/core/member"
 	"sorrelloom/core/wire"
 	"sorrelloom/daemon/host"
@@ -37,12 +36,12 @@
 func RunCore(c Core) error {
 	logline.Init("core@" + c.Address)
 	defer logline.Flush()
-	data, records, err := store.Open(c.Data, keeper.Buckets)
+	data, stored, err := store.Open(c.Data)
 	if err != nil {
 		return err
 	}
 	founders := strings.Split(c.Founders, ",")
-	main, err := center.New(center.Env{Address: c.Address, Site: c.Site, Founders: founders, FreshID: run.ChanceID(), Boot: run.Chance()}, records)
+	main, err := center.New(center.Env{Address: c.Address, Site: c.Site, Founders: founders, FreshID: run.ChanceID(), Boot: run.Chance()}, stored)
 	if err != nil {
 		return err
 	}
--- a/tool/sim/sim.go
+++ b/tool/sim/sim.go
@@ -5,12 +5,10 @@
 
 import (
 	"container/heap"
-	"encoding/json"
 	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
 	"slices"
-	"sort"
 	"time"
 
 	"sorrelloom/core/agent"
@@ -62,7 +60,7 @@
 	boot                      time.Duration
 	main                      machine.Machine
 	member                    *member.Member
-	disk                      map[[2]string]json.RawMessage
+	disk                      machine.Disk
 	diskSlow                  float64
 	diskLies                  bool
 	lands                     bool
@@ -153,23 +151,12 @@
 
 // Add places a daemon and boots it.
 func (w *World) Add(role, name, site, address string, seeds, founders []string) *node {
-	n := &node{name: name, role: role, site: site, address: address, seeds: seeds, founders: founders, state: down, diskSlow: 1, disk: map[[2]string]json.RawMessage{}}
+	n := &node{name: name, role: role, site: site, address: address, seeds: seeds, founders: founders, state: down, diskSlow: 1, disk: emptyDisk()}
 	w.nodes[address] = n
 	w.Boot(n)
 	return n
 }
 
-func (w *World) records(n *node) []machine.Record {
-	var out []machine.Record
-	for key, value := range n.disk {
-		out = append(out, machine.Record{Bucket: key[0], Key: key[1], Value: value})
-	}
-	sort.Slice(out, func(i, j int) bool {
-		return out[i].Bucket < out[j].Bucket || out[i].Bucket == out[j].Bucket && out[i].Key < out[j].Key
-	})
-	return out
-}
-
 // Boot starts a daemon's process on what its disk holds.
 func (w *World) Boot(n *node) {
 	if n.state != down {
@@ -183,7 +170,7 @@
 	first := w.chance.Uint64() >> 1
 	switch n.role {
 	case "keeper":
-		k, err := keeper.New(keeper.Env{Address: n.address, Site: n.site, Founders: n.founders, FreshID: fmt.Sprintf("%s-%d-%x", n.name, n.life, first), Boot: first}, w.records(n))
+		k, err := keeper.New(keeper.Env{Address: n.address, Site: n.site, Founders: n.founders, FreshID: fmt.Sprintf("%s-%d-%x", n.name, n.life, first), Boot: first}, n.disk.Stored())
 		if err != nil {
 			panic(fmt.Sprintf("%s refuses its own disk: %v", n.name, err))
 		}
@@ -193,7 +180,7 @@
 	case "front":
 		n.main = front.New(front.Env{Address: n.address, Site: n.site, First: first})
 	case "center":
-		c, err := center.New(center.Env{Address: n.address, Site: n.site, Founders: n.founders, FreshID: fmt.Sprintf("%s-%d-%x", n.name, n.life, first), Boot: first}, w.records(n))
+		c, err := center.New(center.Env{Address: n.address, Site: n.site, Founders: n.founders, FreshID: fmt.Sprintf("%s-%d-%x", n.name, n.life, first), Boot: first}, n.disk.Stored())
 		if err != nil {
 			panic(fmt.Sprintf("%s refuses its own disk: %v", n.name, err))
 		}
@@ -387,41 +374,28 @@
 	})
 }
 
+// snapshotEach is small, so that short days have snapshots.
+const snapshotEach = 64 << 10
+
+func emptyDisk() machine.Disk { return machine.Disk{SnapshotEach: snapshotEach} }
+
 func (w *World) write(n *node, b machine.Write) {
 	life := n.life
 	took := time.Duration(float64(time.Millisecond+time.Duration(w.chance.Int64N(int64(2*time.Millisecond)))) * n.diskSlow)
 	w.After(took, func() {
 		if n.life == life && n.state == down && n.lands {
-			n.apply(b)
+			n.disk.Apply(b)
 		}
 		if n.life != life || n.state == down {
 			return
 		}
 		if !n.diskLies {
-			n.apply(b)
+			n.disk.Apply(b)
 		}
-		w.into(n, life, func() { w.step(n, machine.Input{Wrote: b.Done}, false) })
+		w.into(n, life, func() { w.step(n, machine.Input{Wrote: b.Done, SnapshotDue: n.disk.SnapshotDue()}, false) })
 	})
 }
 
-func (n *node) apply(b machine.Write) {
-	for _, bucket := range b.Wipe {
-		for key := range n.disk {
-			if key[0] == bucket {
-				delete(n.disk, key)
-			}
-		}
-	}
-	for _, r := range b.Records {
-		key := [2]string{r.Bucket, r.Key}
-		if len(r.Value) == 0 {
-			delete(n.disk, key)
-		} else {
-			n.disk[key] = r.Value
-		}
-	}
-}
-
 // Kill ends a process; writes that were not synced are gone, as with power.
 func (w *World) Kill(n *node) {
 	if n.state != down {
@@ -445,7 +419,7 @@
 func (w *World) Wipe(n *node) {
 	w.Kill(n)
 	w.say("wipe %s", n.name)
-	n.disk = map[[2]string]json.RawMessage{}
+	n.disk = emptyDisk()
 }
 
 // Freeze stops a process between deciding and sending: what it decides in the
--- a/tool/sim/sim_test.go
+++ b/tool/sim/sim_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	frontd "sorrelloom/core/front"
+	"sorrelloom/core/ledger"
 	"sorrelloom/core/machine"
 	"sorrelloom/core/wire"
 	"sorrelloom/tool/deploy"
@@ -184,7 +185,11 @@
 				}
 				ack := wire.ReplicateAckBody{Boot: b.Boot, Epoch: b.View.Epoch, Token: b.Token, At: b.After, Good: true, Known: b.View}
 				if len(b.Commands) > 0 {
-					ack.At = b.Commands[len(b.Commands)-1].Position
+					last, err := ledger.Decode(b.Commands[len(b.Commands)-1])
+					if err != nil {
+						t.Fatal(err)
+					}
+					ack.At = last.Position
 				}
 				for _, seat := range b.View.Witnesses {
 					if seat.Address == send.To {
