--- a/core/keeper/admission_test.go
+++ b/core/keeper/admission_test.go
@@ -27,7 +27,7 @@
 // send hands a command to the leader and gives what it answers at once.
 func (d *desk) send(at time.Duration, b wire.CommandBody) []wire.CommandBackBody {
 	d.Helper()
-	line := machine.Line{Wire: machine.WireSequence, Kind: wire.Command, From: "door", Body: machine.MustJSON(b)}
+	line := machine.Line{Wire: machine.WireSequence, Kind: wire.Command, From: "door", Body: machine.MustMarshal(b)}
 	var out machine.Output
 	d.leader.line(d.start+at, line, &out)
 	var backs []wire.CommandBackBody
--- a/core/ledger/memory.go
+++ b/core/ledger/memory.go
@@ -124,7 +124,6 @@
 	} else {
 		l.requests.put(cmd.Token, r)
 	}
-	l.touch("request", cmd.Token)
 }
 
 // passing says whether a refusal holds for a moment only.
@@ -147,10 +146,11 @@
 	return r, ok
 }
 
-// tokens are those of all remembered writes, in order.
-func (l *Ledger) tokens() []string {
-	all := slices.Collect(maps.Keys(l.requests.byKey))
-	return slices.Sorted(slices.Values(slices.AppendSeq(all, maps.Keys(l.plans.byKey))))
+// remembered gives a copy of all remembered writes by their tokens.
+func (l *Ledger) remembered() map[string]Request {
+	all := maps.Clone(l.requests.byKey)
+	maps.Copy(all, l.plans.byKey)
+	return all
 }
 
 // loadRequest takes a remembered write from its record.
@@ -193,12 +193,8 @@
 
 func (l *Ledger) forgetOld(now time.Duration) {
 	requests, plans, past := l.forgotten(now)
-	for _, token := range slices.Concat(requests, plans) {
-		l.touch("request", token)
-	}
 	for _, id := range past {
 		l.horizon = max(l.horizon, l.past.byKey[id].EndedAt)
-		l.touch("past", id)
 	}
 	l.requests.drop(len(requests))
 	l.plans.drop(len(plans))
--- a/core/relay/load_test.go
+++ b/core/relay/load_test.go
@@ -110,7 +110,7 @@
 			delete(c.outstanding, b.ID)
 		}
 		c.after(lineTakes, func() {
-			c.step(machine.Input{Line: machine.Line{Wire: 1, Kind: wire.CommandBack, From: keeper, Body: machine.MustJSON(b)}})
+			c.step(machine.Input{Line: machine.Line{Wire: 1, Kind: wire.CommandBack, From: keeper, Body: machine.MustMarshal(b)}})
 		})
 	})
 }
--- a/core/wire/encoding_test.go
+++ b/core/wire/encoding_test.go
@@ -192,19 +192,19 @@
 }
 
 // commandsOf mixes what a busy leader replicates: jobs, grants and reports.
-func commandsOf(count int) []ledger.Command {
-	var commands []ledger.Command
+func commandsOf(count int) []json.RawMessage {
+	var commands []json.RawMessage
 	for i := range count {
 		switch command := accept(i); i % 3 {
 		case 0:
-			commands = append(commands, command)
+			commands = append(commands, ledger.Encode(command).Encoded)
 		case 1:
 			command.Kind, command.Accept = ledger.KindGrant, ledger.JobSpec{}
 			command.Grant = ledger.Grant{Duty: "site-a", Epoch: 3, Picks: []ledger.Pick{{Job: "job-000001", Task: "0.1.1", Worker: "worker-017"}}}
-			commands = append(commands, command)
+			commands = append(commands, ledger.Encode(command).Encoded)
 		default:
 			command.Kind, command.Accept, command.Beat = ledger.KindBeat, ledger.JobSpec{}, beatOf(4)
-			commands = append(commands, command)
+			commands = append(commands, ledger.Encode(command).Encoded)
 		}
 	}
 	return commands
--- a/daemon/host/host.go
+++ b/daemon/host/host.go
@@ -183,7 +183,7 @@
 			s.host.fatal(err)
 			return
 		}
-		s.Step(machine.Input{Wrote: w.Done})
+		s.Step(machine.Input{Wrote: w.Done, SnapshotDue: s.host.store.SnapshotDue()})
 	}
 }
 
