Catch up in windows and chunks, and go back where histories diverged

A member whose position was not in the new primary's tail got the whole state in one line, 6 MB of JSON on a grown deployment, encoded anew for each member and each time it was late; the leader had no time left for heartbeats. Lines to a peer now begin where the last one ended, with at most 512 commands or 256 KB beyond its last ack; one that does not ack gets heartbeats. The state is pulled in chunks of 64 KB from one shared capture, two members at a time, with a digest.

Such a member now goes back to the last position in common, from captures of its own state; the tail is read from the log when a process starts.

A chunk and a line to go back name where the member stands, so a late or doubled one takes nothing away that was acked. A newcomer is admitted once it is behind by no more than a window, since its acks now come window by window.

Tests: TestACopyIsSentOnce is TestASnapshotIsSentOnce, with the same bounds, as the line it counts is gone.

--- a/core/keeper/keeper.go
+++ b/core/keeper/keeper.go
@@ -44,7 +44,8 @@
 	backoffMax = 3 * time.Second
 	dueEach    = 50 * time.Millisecond
 	gather     = 4 * time.Millisecond
-	catchUp    = 2 * time.Second
+	// catchUp is how long a line that begins anew is given to have its effect.
+	catchUp = 2 * time.Second
 )
 
 const (
@@ -54,20 +55,25 @@
 	keyStands   = "stands"
 )
 
+// peer is what a keeper knows of another one in this epoch.
 type peer struct {
-	heardAt  time.Duration
-	at       ledger.Position
-	synced   bool
-	token    uint64
-	asked    uint64 // the token of the last line that was for this peer alone
-	resentAt time.Duration
-	// copiedAt and copyToken are those of the last rest or copy sent to it.
-	copiedAt  time.Duration
-	copyToken uint64
-	stands    bool // it wants to lead itself: its acks commit nothing in this epoch
+	heardAt time.Duration
+	at      ledger.Position // what it acked last
+	synced  bool
+	token   uint64
+	stands  bool // it wants to lead itself: its acks commit nothing in this epoch
 	// mark is a sequence that was sent and not acked when this was last looked at.
 	mark   uint64
 	markAt time.Duration
+	// next is where the lines sent to it end, confirmed where it last said that it is.
+	next      ledger.Position
+	confirmed ledger.Position
+	lineAt    time.Duration // when the last line for it alone was sent
+	// resentAt and resentToken are of the last line that began anew where it said
+	// that it is.
+	resentAt    time.Duration
+	resentToken uint64
+	transfer    outgoing
 }
 
 type pending struct {
@@ -130,11 +136,17 @@
 	peers     map[string]peer
 	answers   []pending
 	acks      []ack
-	// records, commands and replaced are for the next batch: the keeper's own
-	// records, what was applied, and whether that is of another history.
+	// For the next batch: the keeper's own records, how many commands to drop from the
+	// log, those to append to it, and whether its snapshot takes the log's place.
 	records  []machine.Record
+	drop     int
 	commands []json.RawMessage
 	replaced bool
+	// snapshotAt is where the last snapshot on the disk stands.
+	snapshotAt  ledger.Position
+	checkpoints checkpoints
+	source      *source
+	incoming    *incoming
 	// snapshotDue says that the log on the disk has grown long.
 	snapshotDue bool
 	sends       []machine.Send
@@ -217,6 +229,7 @@
 // reset forgets the tail: it begins where the ledger stands.
 func (k *Keeper) reset() {
 	k.tail, k.sent = ledger.TailFrom(k.ledger.Position()), k.ledger.Position()
+	k.checkpoints = checkpoints{k.ledger.Capture()}
 }
 
 func (k *Keeper) put(key string, v any) {
@@ -300,8 +313,10 @@
 		take(line, out, func(b wire.CommandBody) { k.command(now, line.From, b, out) })
 	case wire.Replicate:
 		take(line, out, func(b wire.ReplicateBody) { k.replicate(now, line.From, b, out) })
-	case wire.Copy:
-		take(line, out, func(b wire.CopyBody) { k.copied(now, line.From, b, out) })
+	case wire.Snapshot:
+		take(line, out, func(b wire.SnapshotBody) { k.chunk(now, line.From, b, out) })
+	case wire.SnapshotAsk:
+		take(line, out, func(b wire.SnapshotAskBody) { k.asks(now, line.From, b, out) })
 	case wire.ReplicateAck:
 		take(line, out, func(b wire.ReplicateAckBody) { k.acked(now, line.From, b, out) })
 	case wire.Follow:
@@ -385,7 +400,9 @@
 func (k *Keeper) applyLogged(cmd ledger.Logged) ledger.Answer {
 	k.tail.Add(cmd)
 	k.commands = append(k.commands, cmd.Encoded)
-	return k.ledger.Apply(cmd.Command)
+	answer := k.ledger.Apply(cmd.Command)
+	k.checkpoints.add(k.ledger)
+	return answer
 }
 
 func (k *Keeper) notPrimary(id uint64) wire.CommandBackBody {
@@ -420,7 +437,7 @@
 	if k.entries = append(k.entries, k.ledger.TakeEntries()...); !k.serving && len(k.entries) > 2*entryMax {
 		k.entries = slices.Clone(k.entries[len(k.entries)-entryMax:])
 	}
-	if len(k.records) == 0 && len(k.commands) == 0 && !k.replaced {
+	if len(k.records) == 0 && len(k.commands) == 0 && k.drop == 0 && !k.replaced {
 		out.Sends = append(out.Sends, k.sends...)
 		k.sends = nil
 		k.settle(out)
@@ -432,33 +449,18 @@
 // write issues the next batch, with a snapshot if one is due.
 func (k *Keeper) write(now time.Duration, out *machine.Output) {
 	k.nextWrite++
-	w := machine.Write{Done: k.nextWrite, Records: k.records, Commands: k.commands}
+	w := machine.Write{Done: k.nextWrite, Records: k.records, Drop: k.drop, Commands: k.commands}
 	if k.snapshotDue || k.replaced {
-		w.Snapshot, w.Replace = k.ledger.Capture().Records(), k.replaced
+		capture := k.ledger.Capture()
+		w.Snapshot, w.Replace = capture.Records(), k.replaced
+		k.snapshotAt = capture.Position()
 	}
 	k.writing[k.nextWrite] = after{k.sends, k.ledger.Position().Sequence, k.stands}
-	k.records, k.commands, k.sends, k.wroteAt = nil, nil, nil, now
+	k.records, k.drop, k.commands, k.sends, k.wroteAt = nil, 0, nil, nil, now
 	k.snapshotDue, k.replaced = false, false
 	out.Writes = append(out.Writes, w)
 }
 
-func (k *Keeper) replicateNew(now time.Duration, out *machine.Output) {
-	position := k.ledger.Position()
-	waits := len(k.answers) > 0 && k.answers[len(k.answers)-1].token > k.token
-	if position == k.sent && !waits && now-k.beatAt < heartbeat {
-		return
-	}
-	commands, _ := k.tail.Since(k.sent)
-	k.token++
-	k.beatAt = now
-	for _, seat := range k.witness.Known.Witnesses {
-		if seat.ID != k.seat.ID {
-			out.Send(seat.Address, wire.Replicate, wire.ReplicateBody{Boot: k.env.Boot, View: k.witness.Known, From: k.seat, Token: k.token, After: k.sent, Commands: commands})
-		}
-	}
-	k.sent = position
-}
-
 func (k *Keeper) wrote(now time.Duration, done uint64, out *machine.Output) {
 	w, ok := k.writing[done]
 	if !ok {
--- a/core/keeper/keeper_test.go
+++ b/core/keeper/keeper_test.go
@@ -54,6 +54,8 @@
 	// late is by how much a line comes later; a negative one never comes.
 	late  func(from, to, kind string) time.Duration
 	sends map[string]int
+	// saw is told of every line that is sent, also of those that never come.
+	saw func(from, to string, line machine.Line)
 }
 
 func newTrio(t *testing.T) *trio {
@@ -167,6 +169,9 @@
 		line := machine.Line{Wire: machine.WireSequence, Kind: s.Kind, From: h.address, Body: machine.MustJSON(s.Body)}
 		c.logs["line "+s.Kind+" to "+s.To]++
 		c.sends[s.Kind]++
+		if c.saw != nil {
+			c.saw(h.address, s.To, line)
+		}
 		var late time.Duration
 		if c.late != nil {
 			if late = c.late(h.address, s.To, s.Kind); late < 0 {
@@ -557,10 +562,10 @@
 	})
 }
 
-// TestACopyIsSentOnce has an empty keeper behind a slow line: what it says of the
-// lines that were sent before the copy must not bring more copies, each larger than
-// what the line carries meanwhile.
-func TestACopyIsSentOnce(t *testing.T) {
+// TestASnapshotIsSentOnce has an empty keeper behind a slow line: what it says of the
+// lines that were sent before the snapshot must not bring more snapshots, each larger
+// than what the line carries meanwhile.
+func TestASnapshotIsSentOnce(t *testing.T) {
 	c := newTrio(t)
 	c.pass(3 * time.Second)
 	third := c.host("c")
@@ -569,13 +574,13 @@
 	}
 	c.wipe(third)
 	third.lag = 700 * time.Millisecond
-	kind := "line " + wire.Copy + " to " + third.address
+	kind := "line " + wire.Snapshot + " to " + third.address
 	c.primary().k.reset() // its tail no longer reaches back to an empty one
 	before := c.logs[kind]
 	c.start(third)
 	c.pass(6 * time.Second)
 	if sent := c.logs[kind] - before; sent < 1 || sent > 3 {
-		t.Errorf("%d copies in 6 s\n%s", sent, c.tell(30))
+		t.Errorf("%d snapshots in 6 s\n%s", sent, c.tell(30))
 	}
 	c.check()
 }
--- a/core/keeper/recover.go
+++ b/core/keeper/recover.go
@@ -17,36 +17,39 @@
 	}
 	k.ledger = l
 	k.reset()
-	if err := k.recoverHistory(stored.History); err != nil {
-		return err
-	}
+	k.snapshotAt = l.Position()
+	k.recoverHistory(stored.History)
 	for _, encoded := range stored.Commands {
-		cmd, err := k.nextOf(k.ledger.Position(), encoded)
+		cmd, err := nextOf(k.ledger.Position(), encoded)
 		if err != nil {
 			return err
 		}
 		k.tail.Add(cmd)
 		k.ledger.Apply(cmd.Command)
+		k.checkpoints.add(k.ledger)
 	}
+	// Whoever led then has audited them.
+	k.ledger.TakeEntries()
 	k.sent, k.synced = k.ledger.Position(), k.ledger.Position().Sequence
 	return nil
 }
 
-// recoverHistory begins the tail with the commands that lead up to the snapshot.
-func (k *Keeper) recoverHistory(history []json.RawMessage) error {
+// recoverHistory begins the tail with the commands that lead up to the snapshot. Those
+// of another history, or damaged ones, are left out: nothing rests on them.
+func (k *Keeper) recoverHistory(history []json.RawMessage) {
 	if len(history) == 0 {
-		return nil
+		return
 	}
 	first, err := ledger.Decode(history[0])
 	if err != nil {
-		return err
+		return
 	}
 	at := first.Position
 	tail := ledger.TailFrom(at)
 	for _, encoded := range history[1:] {
-		cmd, err := k.nextOf(at, encoded)
+		cmd, err := nextOf(at, encoded)
 		if err != nil {
-			return err
+			return
 		}
 		tail.Add(cmd)
 		at = cmd.Position
@@ -54,11 +57,10 @@
 	if at == k.ledger.Position() {
 		k.tail = tail
 	}
-	return nil
 }
 
 // nextOf decodes a logged command, which must come right after a position.
-func (k *Keeper) nextOf(at ledger.Position, encoded json.RawMessage) (ledger.Logged, error) {
+func nextOf(at ledger.Position, encoded json.RawMessage) (ledger.Logged, error) {
 	cmd, err := ledger.Decode(encoded)
 	if err != nil {
 		return cmd, fmt.Errorf("logged command after sequence %d: %w", at.Sequence, err)
--- a/core/keeper/view.go
+++ b/core/keeper/view.go
@@ -6,7 +6,6 @@
 package keeper
 
 import (
-	"encoding/json"
 	"hash/fnv"
 	"slices"
 	"sort"
@@ -28,6 +27,8 @@
 			delete(k.copies, address)
 		}
 	}
+	k.dropSource(now)
+	k.askAgain(now, out)
 	switch {
 	case k.witness.Known.Epoch == 0:
 		k.establish(now, out)
@@ -254,7 +255,7 @@
 }
 
 // admit gives the seat of another, or one more, to the first newcomer that answers,
-// once it has everything.
+// once it is behind by no more than what may be under way.
 func (k *Keeper) admit(now time.Duration, old wire.Seat, out *machine.Output) {
 	for _, seat := range k.newcomers(now, old) {
 		k.sync(now, seat, out)
@@ -262,7 +263,7 @@
 		if p.heardAt == 0 || now-p.heardAt > suspect {
 			continue
 		}
-		if p.synced {
+		if p.synced && k.tail.Within(p.at, k.ledger.Position(), windowEntries, windowBytes) {
 			v := k.view(k.seat, k.witness.Known.Backups)
 			v.Witnesses = slices.DeleteFunc(slices.Clone(v.Witnesses), func(s wire.Seat) bool { return s.ID == old.ID })
 			v.Witnesses = append(v.Witnesses, seat)
@@ -348,19 +349,6 @@
 	}
 }
 
-// sync brings a peer to where this keeper stands: a check, a tail or a copy.
-func (k *Keeper) sync(now time.Duration, to wire.Seat, out *machine.Output) {
-	p := k.peers[to.ID]
-	if to.ID == "" || now-p.resentAt < heartbeat {
-		return
-	}
-	k.token++
-	p.resentAt, p.asked = now, k.token
-	k.peers[to.ID] = p
-	position := k.ledger.Position()
-	out.Send(to.Address, wire.Replicate, wire.ReplicateBody{Boot: k.env.Boot, View: k.witness.Known, From: k.seat, Token: k.token, After: position})
-}
-
 // next makes sure that the new backups have everything, then asks the witnesses.
 func (k *Keeper) next(now time.Duration, v wire.View, out *machine.Output) {
 	ready := len(v.Backups) == k.width()
@@ -463,9 +451,9 @@
 	k.answers, k.acks, k.serving, k.committed, k.named = nil, nil, false, 0, nil
 	k.beganAt = now
 	for id, p := range k.peers {
-		p.synced, p.stands, p.token, p.asked, p.resentAt = false, false, 0, 0, 0
-		k.peers[id] = p
+		k.peers[id] = peer{heardAt: p.heardAt, at: p.at, mark: p.mark, markAt: p.markAt}
 	}
+	k.source, k.incoming = nil, nil
 	if !k.leads() {
 		k.announce(out)
 		k.followers, k.copies = map[string]follower{}, map[string]wire.NewsBody{}
@@ -477,49 +465,6 @@
 	out.Log("view_learned", "epoch", v.Epoch, "primary", v.Primary.Address, "backups", addresses(v.Backups), "witnesses", len(v.Witnesses))
 }
 
-// replicate follows a member of the known view, and acks once all is synced.
-func (k *Keeper) replicate(now time.Duration, from string, b wire.ReplicateBody, out *machine.Output) {
-	if k.bouncedView(now, from, b.View, b.From, b.Boot, b.Token, out) {
-		return
-	}
-	commands, err := decodeAll(b.Commands)
-	if err != nil {
-		out.Log("line_damaged", "kind", wire.Replicate, "from", from, "why", err.Error())
-		return
-	}
-	position := k.ledger.Position()
-	known := func(c ledger.Logged) bool { return c.Position == position }
-	if i := slices.IndexFunc(commands, known); i >= 0 {
-		b.After, commands = position, commands[i+1:]
-	}
-	if b.After != position {
-		body := wire.ReplicateAckBody{Boot: b.Boot, Epoch: b.View.Epoch, From: k.seat, Token: b.Token, At: position, Known: k.witness.Known}
-		out.Send(from, wire.ReplicateAck, body)
-		return
-	}
-	for _, cmd := range commands {
-		k.applyLogged(cmd)
-	}
-	k.willAck(from, b.Boot, b.View.Epoch, b.Token)
-}
-
-func decodeAll(encoded []json.RawMessage) ([]ledger.Logged, error) {
-	out := make([]ledger.Logged, 0, len(encoded))
-	for _, e := range encoded {
-		cmd, err := ledger.Decode(e)
-		if err != nil {
-			return nil, err
-		}
-		out = append(out, cmd)
-	}
-	return out, nil
-}
-
-func (k *Keeper) willAck(to string, boot, epoch, token uint64) {
-	at := k.ledger.Position()
-	k.acks = append(k.acks, ack{to, wire.ReplicateAckBody{Boot: boot, Epoch: epoch, From: k.seat, Token: token, At: at, Good: true, Stands: k.stands == epoch, Known: k.witness.Known}, at.Sequence})
-}
-
 // bouncedView refuses the lines of a leader whose epoch has passed, and those
 // of one that is neither primary nor backup of the known view.
 func (k *Keeper) bouncedView(now time.Duration, from string, v wire.View, sender wire.Seat, boot, token uint64, out *machine.Output) bool {
@@ -537,60 +482,6 @@
 	return false
 }
 
-func (k *Keeper) copied(now time.Duration, from string, b wire.CopyBody, out *machine.Output) {
-	if k.bouncedView(now, from, b.View, b.From, b.Boot, b.Token, out) {
-		return
-	}
-	l, err := ledger.Load(b.Records)
-	if err != nil || l.Position() != b.At {
-		out.Log("copy_damaged", "from", from)
-		return
-	}
-	k.ledger, k.entries = l, nil
-	k.reset()
-	k.commands, k.replaced, k.acks, k.synced = nil, true, nil, 0
-	for id, w := range k.writing {
-		k.writing[id] = after{w.sends, 0, w.stands}
-	}
-	out.Log("copied", "from", from, "epoch", b.At.Epoch, "sequence", b.At.Sequence, "records", len(b.Records))
-	k.willAck(from, b.Boot, b.View.Epoch, b.Token)
-}
-
-// acked hears how far a peer has come.
-func (k *Keeper) acked(now time.Duration, from string, b wire.ReplicateAckBody, out *machine.Output) {
-	k.learn(now, b.Known, out)
-	if b.Boot != k.env.Boot || b.Epoch != k.witness.Known.Epoch || !k.leads() && !k.backs() {
-		return
-	}
-	p := k.peers[b.From.ID]
-	p.heardAt = now
-	if b.Good {
-		p.synced, p.at, p.stands = true, b.At, p.stands || b.Stands
-		if !b.Stands {
-			p.token = max(p.token, b.Token)
-		}
-		k.peers[b.From.ID] = p
-		return
-	}
-	if p.synced && b.Token <= p.token {
-		return
-	}
-	p.synced = false
-	if p.resentAt > 0 && now-p.resentAt < heartbeat/2 && b.Token != p.asked || p.copyToken > 0 && b.Token < p.copyToken && now-p.copiedAt < catchUp {
-		// It answers what was sent before the rest or the copy that is on its way.
-		k.peers[b.From.ID] = p
-		return
-	}
-	k.token++
-	p.resentAt, p.asked, p.copiedAt, p.copyToken = now, k.token, now, k.token
-	k.peers[b.From.ID] = p
-	if commands, ok := k.tail.Since(b.At); ok {
-		out.Send(from, wire.Replicate, wire.ReplicateBody{Boot: k.env.Boot, View: k.witness.Known, From: k.seat, Token: k.token, After: b.At, Commands: commands})
-	} else {
-		out.Send(from, wire.Copy, wire.CopyBody{Boot: k.env.Boot, View: k.witness.Known, From: k.seat, Token: k.token, At: k.ledger.Position(), Records: k.ledger.Records()})
-	}
-}
-
 // seek asks founders and other keepers for the view.
 func (k *Keeper) seek(now time.Duration, out *machine.Output) {
 	if now-k.soughtAt < 2*heartbeat && k.soughtAt > 0 {
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -7,7 +7,6 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"fmt"
 	"maps"
 	"reflect"
@@ -707,70 +706,3 @@
 
 // Records is the whole ledger, encoded.
 func (l *Ledger) Records() []machine.Record { return slices.Collect(l.Capture().Records()) }
-
-// Load rebuilds a ledger from its records.
-func Load(records []machine.Record) (*Ledger, error) {
-	l := New()
-	var tasks []machine.Record
-	for _, r := range records {
-		var err error
-		switch r.Bucket {
-		case "job":
-			if err = loadInto(l.jobs, r); err == nil {
-				job := l.jobs[r.Key]
-				job.Spec.Tasks = placed(job.Spec)
-				job.Tasks = fresh(job)
-				l.jobs[r.Key] = job
-			}
-		case "task":
-			tasks = append(tasks, r)
-		case "worker":
-			err = loadInto(l.workers, r)
-		case "site":
-			err = loadInto(l.emptied, r)
-		case "duty":
-			err = loadInto(l.duties, r)
-		case "daemon":
-			err = loadInto(l.daemons, r)
-		case "request":
-			err = loadInto(l.requests.byKey, r)
-		case "past":
-			err = loadInto(l.past.byKey, r)
-		case "meta":
-			if r.Key == "plan" {
-				err = json.Unmarshal(r.Value, &l.plan)
-			} else {
-				var m meta
-				err = json.Unmarshal(r.Value, &m)
-				l.position, l.at, l.next, l.horizon, l.decision = m.Position, m.At, m.Next, m.Horizon, m.Decision
-			}
-		default:
-			err = fmt.Errorf("unknown bucket")
-		}
-		if err != nil {
-			return nil, fmt.Errorf("record %s/%s: %w", r.Bucket, r.Key, err)
-		}
-	}
-	for _, r := range tasks {
-		at := refOf(r.Key)
-		job, ok := l.jobs[at.job]
-		if !ok || at.task >= len(job.Tasks) {
-			return nil, fmt.Errorf("record task/%s: there is no such task", r.Key)
-		}
-		if err := json.Unmarshal(r.Value, &job.Tasks[at.task]); err != nil {
-			return nil, fmt.Errorf("record task/%s: %w", r.Key, err)
-		}
-	}
-	l.rules = l.plan.Compile()
-	l.index()
-	return l, nil
-}
-
-func loadInto[V any](into map[string]V, r machine.Record) error {
-	var v V
-	if err := json.Unmarshal(r.Value, &v); err != nil {
-		return err
-	}
-	into[r.Key] = v
-	return nil
-}
--- a/core/ledger/tail.go
+++ b/core/ledger/tail.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"slices"
+	"sort"
 )
 
 // A tail keeps at least TailMax commands or TailBytes of them, whichever are
@@ -47,17 +48,72 @@
 	t.encoded = slices.Clone(t.encoded[drop:])
 }
 
-// Since gives the encoded commands after a position, if the tail reaches back to
-// it and the position stands in this history.
-func (t *Tail) Since(at Position) ([]json.RawMessage, bool) {
+// Base is the position that the tail begins after.
+func (t *Tail) Base() Position { return t.base }
+
+// after gives the index of the first command after a position, if the position
+// stands in this history and the tail reaches back to it.
+func (t *Tail) after(at Position) (int, bool) {
 	if at == t.base {
-		return t.encoded[:len(t.encoded):len(t.encoded)], true
+		return 0, true
 	}
 	i := int64(at.Sequence) - int64(t.base.Sequence) - 1
 	if i < 0 || i >= int64(len(t.positions)) || t.positions[i] != at {
+		return 0, false
+	}
+	return int(i) + 1, true
+}
+
+// Holds says whether a position stands in this history, as far as the tail reaches.
+func (t *Tail) Holds(at Position) bool {
+	_, ok := t.after(at)
+	return ok
+}
+
+// Since gives the encoded commands after a position, if the tail reaches back to
+// it and the position stands in this history.
+func (t *Tail) Since(at Position) ([]json.RawMessage, bool) {
+	i, ok := t.after(at)
+	if !ok {
 		return nil, false
 	}
-	return t.encoded[i+1 : len(t.encoded) : len(t.encoded)], true
+	return t.encoded[i:len(t.encoded):len(t.encoded)], true
+}
+
+// Window gives the first commands after a position, up to another one, bounded in
+// number and bytes but at least one; and the position that they end at.
+func (t *Tail) Window(from, to Position, entries, bytes int) ([]json.RawMessage, Position, bool) {
+	start, ok := t.after(from)
+	limit, known := t.after(to)
+	if !ok || !known || limit < start {
+		return nil, from, false
+	}
+	end, size := start, 0
+	for end < limit && end-start < entries {
+		if size += len(t.encoded[end]); size > bytes && end > start {
+			break
+		}
+		end++
+	}
+	if end == start {
+		return nil, from, true
+	}
+	return t.encoded[start:end:end], t.positions[end-1], true
+}
+
+// Within says whether no more than so many commands and bytes lie between two
+// positions of this history.
+func (t *Tail) Within(from, to Position, entries, bytes int) bool {
+	start, ok := t.after(from)
+	end, known := t.after(to)
+	if !ok || !known || end-start > entries {
+		return false
+	}
+	size := 0
+	for i := start; i < end; i++ {
+		size += len(t.encoded[i])
+	}
+	return size <= bytes
 }
 
 // At gives the position of a sequence in this history, if the tail reaches back to it.
@@ -71,3 +127,29 @@
 	}
 	return t.positions[i], true
 }
+
+// NotAfter gives the last position of this history that another history, which has
+// come to a given position, can have in common with it.
+func (t *Tail) NotAfter(at Position) (Position, bool) {
+	n := sort.Search(len(t.positions), func(i int) bool {
+		return t.positions[i].Epoch > at.Epoch || t.positions[i].Sequence > at.Sequence
+	})
+	if n > 0 {
+		return t.positions[n-1], true
+	}
+	return t.base, t.base.Epoch <= at.Epoch && t.base.Sequence <= at.Sequence
+}
+
+// Cut drops all commands after a position and says how many they were.
+func (t *Tail) Cut(at Position) int {
+	i, ok := t.after(at)
+	if !ok {
+		return 0
+	}
+	dropped := len(t.positions) - i
+	for _, encoded := range t.encoded[i:] {
+		t.bytes -= len(encoded)
+	}
+	t.positions, t.encoded = slices.Clone(t.positions[:i]), slices.Clone(t.encoded[:i])
+	return dropped
+}
--- a/core/machine/disk.go
+++ b/core/machine/disk.go
@@ -24,6 +24,7 @@
 		d.own = slices.DeleteFunc(d.own, func(o Record) bool { return o.Bucket == r.Bucket && o.Key == r.Key })
 		d.own = append(d.own, r)
 	}
+	d.commands = d.commands[:len(d.commands)-w.Drop]
 	for _, c := range w.Commands {
 		d.commands = append(d.commands, c)
 		d.logged += len(c)
--- a/core/machine/write.go
+++ b/core/machine/write.go
@@ -6,11 +6,13 @@
 )
 
 // Write is one synced batch of a keeper: Records are its own, of which the newest
-// of a key stands; Commands are appended to its log. Done comes back as
+// of a key stands; Commands are appended to its log, after Drop commands at its end
+// were dropped, all of which came after the last snapshot. Done comes back as
 // Input.Wrote once the batch is on the disk.
 type Write struct {
 	Done     uint64
 	Records  []Record
+	Drop     int
 	Commands []json.RawMessage
 	// Snapshot, where set, is the ledger after these commands. What the log held
 	// so far is not needed any more once the snapshot is on the disk.
--- a/core/wire/wire.go
+++ b/core/wire/wire.go
@@ -24,7 +24,8 @@
 	Decided      = "decided"
 	Replicate    = "replicate"
 	ReplicateAck = "replicate-ack"
-	Copy         = "copy"
+	Snapshot     = "snapshot"
+	SnapshotAsk  = "snapshot-ask"
 	Command      = "command"
 	CommandBack  = "command-back"
 	Follow       = "follow"
@@ -112,6 +113,9 @@
 	Token    uint64            `json:"token"`
 	After    ledger.Position   `json:"after"`
 	Commands []json.RawMessage `json:"commands,omitempty"`
+	// Diverged is where the receiver stands, in another history than the sender's:
+	// it is to drop what it has after After.
+	Diverged ledger.Position `json:"diverged,omitzero"`
 }
 
 type ReplicateAckBody struct {
@@ -121,19 +125,38 @@
 	Token uint64          `json:"token"`
 	At    ledger.Position `json:"at"`
 	Good  bool            `json:"good"`
+	// Whole says that the sender cannot go back to where its history diverged.
+	Whole bool `json:"whole,omitempty"`
 	// Stands says that the sender wants to lead the next epoch itself, so that in
 	// this one nothing more is committed by its ack.
 	Stands bool `json:"stands,omitempty"`
 	Known  View `json:"known"`
 }
 
-type CopyBody struct {
-	Boot    uint64           `json:"boot"`
-	View    View             `json:"view"`
-	From    Seat             `json:"from"`
-	Token   uint64           `json:"token"`
-	At      ledger.Position  `json:"at"`
-	Records []machine.Record `json:"records"`
+// SnapshotBody is one chunk of the sender's ledger as it stood At a position. It is
+// for a replica that stands at For, which is not in the sender's tail: one that has
+// moved on since then must not go back.
+type SnapshotBody struct {
+	Boot    uint64          `json:"boot"`
+	View    View            `json:"view"`
+	From    Seat            `json:"from"`
+	Token   uint64          `json:"token"`
+	For     ledger.Position `json:"for"`
+	At      ledger.Position `json:"at"`
+	Index   int             `json:"index"`
+	Records json.RawMessage `json:"records"`
+	// Last is the last chunk's, and Digest that of all chunks and the position.
+	Last   bool   `json:"last,omitempty"`
+	Digest string `json:"digest,omitempty"`
+}
+
+// SnapshotAskBody asks for a chunk, which says that those before it are there.
+type SnapshotAskBody struct {
+	Boot  uint64          `json:"boot"`
+	Epoch uint64          `json:"epoch"`
+	From  Seat            `json:"from"`
+	At    ledger.Position `json:"at"`
+	Index int             `json:"index"`
 }
 
 type CommandBody struct {
--- a/daemon/store/item.go
+++ b/daemon/store/item.go
@@ -18,6 +18,8 @@
 	itemLedger itemKind = 'l'
 	// itemCommand is a command of the ledger, in segments only.
 	itemCommand itemKind = 'c'
+	// itemDrop takes back so many of the commands before it.
+	itemDrop itemKind = 'd'
 )
 
 type item struct {
@@ -33,6 +35,17 @@
 	return append(out, i.data...)
 }
 
+func dropItem(count int) item { return item{itemDrop, binary.AppendUvarint(nil, uint64(count))} }
+
+// drop takes the last commands away, as many as the item says.
+func (i item) drop(commands []json.RawMessage) ([]json.RawMessage, error) {
+	count, n := binary.Uvarint(i.data)
+	if n <= 0 || count > uint64(len(commands)) {
+		return nil, fmt.Errorf("it drops %d commands of %d", count, len(commands))
+	}
+	return commands[:len(commands)-int(count)], nil
+}
+
 // readItems takes the payload of a frame apart. The items share its data.
 func readItems(payload []byte) ([]item, error) {
 	var out []item
--- a/daemon/store/power_test.go
+++ b/daemon/store/power_test.go
@@ -43,7 +43,9 @@
 		{Done: 3, Commands: commands(3), Snapshot: ledgerOf(`3`)},
 		{Done: 4, Commands: commands(4), Records: []machine.Record{record("keeper", "stands", `1`)}},
 		{Done: 5, Commands: commands(5), Records: []machine.Record{record("keeper", "stands", `2`)}, Snapshot: ledgerOf(`5`)},
-		{Done: 6, Commands: commands(6)},
+		{Done: 6, Commands: commands(6, 66, 67)},
+		{Done: 6, Drop: 2, Commands: commands(7)},
+		{Done: 6, Drop: 1},
 		{Done: 7, Records: []machine.Record{record("keeper", "stands", `3`)}, Snapshot: ledgerOf(`90`), Replace: true},
 		{Done: 8, Commands: commands(91)},
 	}
@@ -75,7 +77,8 @@
 			continue
 		}
 		for i := range forms {
-			forms[i].commands = append(slices.Clone(forms[i].commands), w.Commands...)
+			kept := forms[i].commands[:len(forms[i].commands)-w.Drop]
+			forms[i].commands = append(slices.Clone(kept), w.Commands...)
 		}
 		if w.Snapshot != nil {
 			forms = append(forms, form{ledger: slices.Collect(w.Snapshot)})
--- a/daemon/store/recover.go
+++ b/daemon/store/recover.go
@@ -223,19 +223,30 @@
 // replay takes the keeper's own records and adds the commands to those before.
 func (s *Store) replay(number uint64, items []item, commands []json.RawMessage) ([]json.RawMessage, error) {
 	for _, i := range items {
-		if i.kind == itemCommand {
+		var err error
+		switch i.kind {
+		case itemCommand:
 			commands = append(commands, i.data)
-			continue
+		case itemDrop:
+			commands, err = i.drop(commands)
+		default:
+			err = s.takeOwn(i)
 		}
-		r, err := i.record()
 		if err != nil {
 			return nil, Damaged.Wrap(err, "data file %s", s.path(segmentName(number)))
 		}
-		s.own.put([]machine.Record{r})
 	}
 	return commands, nil
 }
 
+func (s *Store) takeOwn(i item) error {
+	r, err := i.record()
+	if err == nil {
+		s.own.put([]machine.Record{r})
+	}
+	return err
+}
+
 // history gives the commands of the segment before the snapshot, if it is whole;
 // nothing rests on them.
 func (s *Store) history(number uint64) (commands []json.RawMessage) {
@@ -249,8 +260,13 @@
 		return nil
 	}
 	for _, i := range items {
-		if i.kind == itemCommand {
+		switch i.kind {
+		case itemCommand:
 			commands = append(commands, i.data)
+		case itemDrop:
+			if commands, err = i.drop(commands); err != nil {
+				return nil
+			}
 		}
 	}
 	return commands
--- a/daemon/store/store.go
+++ b/daemon/store/store.go
@@ -118,7 +118,7 @@
 	if w.Replace {
 		return s.replace(w.Snapshot)
 	}
-	if len(w.Records)+len(w.Commands) > 0 {
+	if len(w.Records)+w.Drop+len(w.Commands) > 0 {
 		if err := s.append(encodeBatch(w)); err != nil {
 			return err
 		}
@@ -134,6 +134,9 @@
 	for _, r := range w.Records {
 		payload = appendItem(payload, recordItem(itemOwn, r))
 	}
+	if w.Drop > 0 {
+		payload = appendItem(payload, dropItem(w.Drop))
+	}
 	for _, c := range w.Commands {
 		payload = appendItem(payload, item{itemCommand, c})
 	}
