--- a/core/keeper/catchup_test.go
+++ b/core/keeper/catchup_test.go
@@ -147,6 +147,51 @@
 	c.check()
 }
 
+// TestAMemberIsBehindTheTail is cut for longer than the tail, and comes back while
+// changes go on: it takes the state, then the tail.
+func TestAMemberIsBehindTheTail(t *testing.T) {
+	c := newTrio(t)
+	c.grow(100)
+	third := c.host("c")
+	third.cut = true
+	c.changes(2*ledger.TailMax + 1000)
+	third.cut = false
+	w := watch(c)
+	from := c.now
+	c.changes(2000)
+	took, ok := c.level(third, 5*time.Second)
+	t.Logf("level %s after it came back, %d chunks, %d lines, %d bytes", c.now-from, w.lines[wire.Snapshot+" to c"],
+		w.lines[wire.Replicate+" to c"], w.bytes["c"])
+	if !ok || w.snapshots() == 0 || w.bytes["c"] > 1<<20 || w.largest > windowBytes+4096 {
+		t.Errorf("level after %s: %v, %d lines of snapshots, %d bytes, the largest line has %d\n%s",
+			took, ok, w.snapshots(), w.bytes["c"], w.largest, c.tell(30))
+	}
+	c.same(third)
+	c.check()
+}
+
+// TestAMemberThatWasAwayIsReplaced has a newcomer take the seat of one that is gone,
+// after thousands of changes.
+func TestAMemberThatWasAwayIsReplaced(t *testing.T) {
+	c := newTrio(t)
+	c.grow(100)
+	c.host("c").cut = true
+	c.changes(3000)
+	for _, h := range c.hosts {
+		h.k.reset() // the newcomer must take the state
+	}
+	w := watch(c)
+	n := c.add("n")
+	took, ok := c.seats(n, 10*time.Second)
+	chunks := w.lines[wire.Snapshot+" to n"]
+	t.Logf("seated after %s, %d chunks, %d bytes", took, chunks, w.bytes["n"])
+	if !ok || took > 3*time.Second || chunks < 3 || chunks > 8 || w.bytes["n"] > 1<<20 {
+		t.Errorf("seated after %s: %v, %d chunks, %d bytes\n%s", took, ok, chunks, w.bytes["n"], c.tell(30))
+	}
+	c.same(n)
+	c.check()
+}
+
 // TestAMemberThatCameBackLeads has one return behind by thousands, and takes the power
 // from the primary at different moments while it catches up.
 func TestAMemberThatCameBackLeads(t *testing.T) {
