--- a/core/wire/encoding_test.go
+++ b/core/wire/encoding_test.go
@@ -14,7 +14,7 @@
 
 // bodies are one of each type that travels between processes.
 var bodies = []any{
-	Gossip{}, FoundBody{}, RegisterBody{}, ReplicateBody{}, ReplicateAckBody{}, CopyBody{}, CommandBody{},
+	Gossip{}, FoundBody{}, RegisterBody{}, ReplicateBody{}, ReplicateAckBody{}, SnapshotBody{}, SnapshotAskBody{}, CommandBody{},
 	CommandBackBody{}, FollowBody{}, NewsBody{}, BeatBody{}, BeatBackBody{},
 }
 
@@ -67,8 +67,8 @@
 // TestASnapshotOfManyRecordsIsRead holds more records than the library's default limit.
 func TestASnapshotOfManyRecordsIsRead(t *testing.T) {
 	const records = 200_000
-	var got CopyBody
-	data := machine.MustMarshal(CopyBody{Records: make([]machine.Record, records)})
+	var got NewsBody
+	data := machine.MustMarshal(NewsBody{Records: make([]machine.Record, records)})
 	if err := machine.Unmarshal(data, &got); err != nil || len(got.Records) != records {
 		t.Errorf("read %d records, %v", len(got.Records), err)
 	}
