Take frames of members first, and drop what waited too long

Heartbeats, votes and acknowledgements shared one connection per peer, one lock per machine and one order with commands and reports, so that a leader with too little processor time lost its lead to a queue of work that its senders had long sent again. A large line held its connection, which a write timeout of 3 s for all of it then closed.

daemon/circuit is now daemon/transport. Readers only cut frames. One goroutine steps all machines of a host: frames of members first, then due wakeups, answers, finished writes and calls of the process, then requests. Commands and reports that waited over 0.4 s are dropped before they are decoded; a newer report of a worker takes the place of the one that waits (the body names the worker as the frame's key, since a front sends reports of many). Queues are bounded in frames and bytes, on the sending side in bytes and age; the oldest go first. A write has 3 s per 64 KB without any progress. Redials wait 0.1 to 2 s, growing and in part random, and none once the peer is heard from. Batches are flushed once.

The keeper counts on their order among Replicate frames: a copy that comes late would take back what a backup has acknowledged since.

Every 10 s in which frames were dropped, one line (frames_dropped) has the drops by kind and reason and what passed; it replaces one line_dropped per frame. circuit_lost and circuit_closed are connection_lost and connection_closed.

--- a/core/machine/line.go
+++ b/core/machine/line.go
@@ -12,6 +12,9 @@
 	Wire int
 	Kind string
 	From string
+	// Key, where set, says what the line is about: of those of one kind, sender and
+	// key that wait at their receiver, only the newest counts.
+	Key  string
 	Body []byte
 }
 
@@ -24,15 +27,18 @@
 var ErrNotALine = errors.New("not a line")
 
 // AppendHeader appends all of a line that stands before its body: the version in
-// one byte, then kind and sender, each after its length in one byte.
+// one byte, then kind, sender and key, each after its length in one byte.
 func (l Line) AppendHeader(out []byte) ([]byte, error) {
-	if l.Wire < 1 || l.Wire > math.MaxUint8 || l.Kind == "" || l.From == "" || len(l.Kind) > nameMax || len(l.From) > nameMax {
+	good := l.Wire >= 1 && l.Wire <= math.MaxUint8 && l.Kind != "" && l.From != ""
+	if !good || max(len(l.Kind), len(l.From), len(l.Key)) > nameMax {
 		return out, fmt.Errorf("%w: version %d, kind %q, sender %q", ErrNotALine, l.Wire, l.Kind, l.From)
 	}
 	out = append(out, byte(l.Wire), byte(len(l.Kind)))
 	out = append(out, l.Kind...)
 	out = append(out, byte(len(l.From)))
-	return append(out, l.From...), nil
+	out = append(out, l.From...)
+	out = append(out, byte(len(l.Key)))
+	return append(out, l.Key...), nil
 }
 
 // Decode reads a line: a header and after it the body, which shares the data.
@@ -43,19 +49,21 @@
 	line := Line{Wire: int(data[0])}
 	rest := data[1:]
 	var ok bool
-	if line.Kind, rest, ok = cutName(rest); !ok {
-		return Line{}, ErrNotALine
+	for _, name := range []*string{&line.Kind, &line.From, &line.Key} {
+		if *name, rest, ok = cutName(rest); !ok {
+			return Line{}, ErrNotALine
+		}
 	}
-	if line.From, rest, ok = cutName(rest); !ok {
+	if line.Kind == "" || line.From == "" {
 		return Line{}, ErrNotALine
 	}
 	line.Body = rest
 	return line, nil
 }
 
-// cutName takes a name off the front; an empty one is none.
+// cutName takes a name off the front.
 func cutName(data []byte) (name string, rest []byte, ok bool) {
-	if len(data) == 0 || data[0] == 0 || len(data) <= int(data[0]) {
+	if len(data) == 0 || len(data) <= int(data[0]) {
 		return "", nil, false
 	}
 	end := 1 + int(data[0])
--- a/core/machine/machine.go
+++ b/core/machine/machine.go
@@ -34,6 +34,18 @@
 	return s.shared.data, s.shared.err
 }
 
+// Keyed is a body that replaces an earlier one of its key, if that still waits at
+// the receiver.
+type Keyed interface{ Key() string }
+
+// Key gives the key of a keyed body.
+func (s Send) Key() string {
+	if keyed, ok := s.Body.(Keyed); ok {
+		return keyed.Key()
+	}
+	return ""
+}
+
 // Record is one key of the data file; an empty Value deletes it.
 type Record struct {
 	Bucket string          `json:"bucket"`
--- a/core/wire/wire.go
+++ b/core/wire/wire.go
@@ -175,6 +175,9 @@
 	Beat ledger.Beat   `json:"beat"`
 }
 
+// Key names the worker: a later report of it holds all that an earlier one does.
+func (b BeatBody) Key() string { return b.Beat.Worker }
+
 type BeatBackBody struct {
 	ID      uint64        `json:"id"`
 	Answer  ledger.Answer `json:"answer"`
--- a/daemon/host/host.go
+++ b/daemon/host/host.go
@@ -1,7 +1,7 @@
-// Package host drives state machines: it puts sockets, files and wakeups round
-// them and does what they return. Each machine is a shard under its own lock;
-// lines, finished writes, requests and wakeups step it from whichever goroutine
-// they come on. Time is monotonic, counted from the start of the process.
+// Package host drives state machines: it puts connections, files and wakeups round
+// them and does what they return. Each machine is a shard; one goroutine steps all
+// shards of a host, and takes what waits for them in the order of its urgency. Time
+// is monotonic, counted from the start of the process.
 package host
 
 import (
@@ -10,27 +10,38 @@
 	"time"
 
 	"sorrelloom/core/machine"
-	"sorrelloom/daemon/circuit"
 	"sorrelloom/daemon/logline"
 	"sorrelloom/daemon/pool"
 	"sorrelloom/daemon/store"
+	"sorrelloom/daemon/transport"
 )
 
 // Fatal is told of a write that failed.
 type Fatal func(err error)
 
+const (
+	// writesMax is how many batches may wait for the disk before a step waits for it.
+	writesMax = 64
+	// wakeupMin keeps a machine that always wants to be woken from being all that runs.
+	wakeupMin = time.Millisecond
+	// idleWait is how long the host sleeps when no machine wants to be woken.
+	idleWait = time.Hour
+)
+
 type Host struct {
-	address  string
-	listen   string
-	started  time.Time
-	circuits *circuit.Circuits
-	loop     chan machine.Line
-	store    *store.Store
-	fatal    Fatal
-	Audit    func(machine.Audit)
-	shards   []*Shard
-	stopped  chan struct{}
-	once     sync.Once
+	address   string
+	listen    string
+	started   time.Time
+	inbox     *transport.Inbox
+	counters  *transport.Counters
+	transport *transport.Transport
+	store     *store.Store
+	fatal     Fatal
+	Audit     func(machine.Audit)
+	shards    []*Shard
+	stopped   chan struct{}
+	once      sync.Once
+	closed    chan struct{}
 
 	mu      sync.Mutex
 	next    uint64
@@ -42,19 +53,25 @@
 	machine machine.Machine
 	kinds   map[string]bool
 	writes  chan machine.Write
-	mu      sync.Mutex
-	wakeup  *time.Timer
+	// wakeAt is when the machine wants its next step; only the stepping goroutine uses it.
+	wakeAt time.Duration
+	mu     sync.Mutex
 }
 
 // New makes a host without machines; Add brings them in, Run starts them.
 func New(address, listen string, s *store.Store, fatal Fatal) *Host {
-	return &Host{address: address, listen: listen, started: time.Now(), store: s, fatal: fatal, loop: make(chan machine.Line, 1024), stopped: make(chan struct{}), waiters: map[uint64]chan any{}}
+	h := &Host{
+		address: address, listen: listen, started: time.Now(), store: s, fatal: fatal, counters: transport.NewCounters(),
+		stopped: make(chan struct{}), closed: make(chan struct{}), waiters: map[uint64]chan any{},
+	}
+	h.inbox = transport.NewInbox(h.Now, h.counters)
+	return h
 }
 
 // Add brings a machine in. With kinds it takes these lines only; without, all
 // that no other takes.
 func (h *Host) Add(m machine.Machine, kinds ...string) *Shard {
-	s := &Shard{host: h, machine: m, kinds: map[string]bool{}, writes: make(chan machine.Write, 64)}
+	s := &Shard{host: h, machine: m, kinds: map[string]bool{}, writes: make(chan machine.Write, writesMax)}
 	for _, kind := range kinds {
 		s.kinds[kind] = true
 	}
@@ -62,41 +79,70 @@
 	return s
 }
 
-// Run opens the circuits and steps every machine for the first time.
+// Run listens, and steps every machine for the first time before it returns.
 func (h *Host) Run() error {
-	for _, s := range h.shards {
-		s.mu.Lock()
-		s.wakeup = time.AfterFunc(time.Hour, func() { pool.Go(func() { s.Step(machine.Input{}) }) })
-	}
-	c, err := circuit.Open(h.listen, h.deliver)
-	h.circuits = c
-	for _, s := range h.shards {
-		s.mu.Unlock()
-	}
+	t, err := transport.Open(h.listen, h.Now, h.inbox, h.counters)
 	if err != nil {
 		return err
 	}
+	h.transport = t
+	begun := make(chan struct{})
 	pool.Go(func() {
-		for line := range h.loop {
-			h.deliver(line)
+		for _, s := range h.shards {
+			s.step(machine.Input{})
 		}
+		close(begun)
+		h.loop()
 	})
-	for _, s := range h.shards {
-		if h.store != nil {
+	<-begun
+	if h.store != nil {
+		for _, s := range h.shards {
 			pool.Go(s.writeAll)
 		}
-		s.Step(machine.Input{})
 	}
 	return nil
 }
 
 func (h *Host) Now() time.Duration { return time.Since(h.started) }
 
+// loop steps the machines until the host is closed.
+func (h *Host) loop() {
+	for !isClosed(h.closed) {
+		if line, ok := h.inbox.TakeMember(); ok {
+			h.deliver(line)
+			continue
+		}
+		item, ok := h.inbox.Take(h.wake())
+		switch {
+		case !ok:
+		case item.Call != nil:
+			item.Call()
+		default:
+			h.deliver(item.Line)
+		}
+	}
+}
+
+// wake steps the machines whose wakeup is due, and says how long there is until the next.
+func (h *Host) wake() time.Duration {
+	now := h.Now()
+	next := now + idleWait
+	for _, s := range h.shards {
+		if s.wakeAt > 0 && now >= s.wakeAt {
+			s.step(machine.Input{})
+		}
+		if s.wakeAt > 0 {
+			next = min(next, s.wakeAt)
+		}
+	}
+	return next - now
+}
+
 func (h *Host) deliver(line machine.Line) {
 	var rest *Shard
 	for _, s := range h.shards {
 		if s.kinds[line.Kind] {
-			s.Step(machine.Input{Line: line})
+			s.step(machine.Input{Line: line})
 			return
 		}
 		if len(s.kinds) == 0 {
@@ -104,24 +150,39 @@
 		}
 	}
 	if rest != nil {
-		rest.Step(machine.Input{Line: line})
+		rest.step(machine.Input{Line: line})
 	}
 }
 
 // Stopped is closed once a machine has said that it is done.
 func (h *Host) Stopped() <-chan struct{} { return h.stopped }
 
+// Close ends the host. It may be called once.
 func (h *Host) Close() {
-	if h.circuits != nil {
-		h.circuits.Close()
+	close(h.closed)
+	h.inbox.Close()
+	if h.transport != nil {
+		h.transport.Close()
 	}
 	if h.store != nil {
 		h.store.Close()
 	}
 }
 
-// Step gives the machine one input and does what it returns.
+// Step gives the machine one input, and returns when what it returned is done.
 func (s *Shard) Step(in machine.Input) {
+	done := make(chan struct{})
+	if !s.host.inbox.Call(func() { s.step(in); close(done) }) {
+		return
+	}
+	select {
+	case <-done:
+	case <-s.host.closed:
+	}
+}
+
+// step gives the machine one input and does what it returns.
+func (s *Shard) step(in machine.Input) {
 	s.mu.Lock()
 	now := s.host.Now()
 	in.Wall = time.Now()
@@ -140,8 +201,8 @@
 			s.host.Audit(a)
 		}
 	}
-	if at := s.machine.Wakeup(); at > 0 && s.wakeup != nil {
-		s.wakeup.Reset(max(at-now, time.Millisecond))
+	if s.wakeAt = s.machine.Wakeup(); s.wakeAt > 0 {
+		s.wakeAt = max(s.wakeAt, now+wakeupMin)
 	}
 	s.mu.Unlock()
 	for _, a := range out.Answers {
@@ -165,25 +226,26 @@
 		logline.Event("line_unsendable", "kind", send.Kind, "why", err.Error())
 		return
 	}
-	line := machine.Line{Wire: machine.WireSequence, Kind: send.Kind, From: s.host.address, Body: body}
+	line := machine.Line{Wire: machine.WireSequence, Kind: send.Kind, From: s.host.address, Key: send.Key(), Body: body}
 	if send.To == "" || send.To == s.host.address {
-		select {
-		case s.host.loop <- line:
-		default:
-			logline.Event("line_dropped", "to", "self", "kind", send.Kind)
-		}
+		s.host.inbox.Put(line)
 		return
 	}
-	s.host.circuits.Send(send.To, line)
+	s.host.transport.Send(send.To, line)
 }
 
 func (s *Shard) writeAll() {
-	for w := range s.writes {
-		if err := s.host.store.Write(w); err != nil {
-			s.host.fatal(err)
+	for {
+		select {
+		case <-s.host.closed:
 			return
+		case w := <-s.writes:
+			if err := s.host.store.Write(w); err != nil {
+				s.host.fatal(err)
+				return
+			}
+			s.host.inbox.Call(func() { s.step(machine.Input{Wrote: w.Done}) })
 		}
-		s.Step(machine.Input{Wrote: w.Done})
 	}
 }
 
@@ -201,12 +263,16 @@
 		delete(h.waiters, ask.Key)
 		h.mu.Unlock()
 	}()
-	s.Step(machine.Input{Ask: ask})
+	if !h.inbox.Call(func() { s.step(machine.Input{Ask: ask}) }) {
+		return nil, false
+	}
 	select {
 	case v := <-wait:
 		return v, true
 	case <-ctx.Done():
 		return nil, false
+	case <-h.closed:
+		return nil, false
 	}
 }
 
@@ -214,7 +280,20 @@
 	h.mu.Lock()
 	wait, ok := h.waiters[a.Key]
 	h.mu.Unlock()
-	if ok {
-		wait <- a.Body
+	if !ok {
+		return
+	}
+	select {
+	case wait <- a.Body:
+	default: // it was answered before
+	}
+}
+
+func isClosed(channel chan struct{}) bool {
+	select {
+	case <-channel:
+		return true
+	default:
+		return false
 	}
 }
--- /dev/null
+++ b/daemon/transport/fifo.go
@@ -0,0 +1,34 @@
+package transport
+
+// fifo is a queue without a bound of its own. Its zero value is empty.
+type fifo[T any] struct {
+	items []T
+	head  int
+}
+
+func (f *fifo[T]) len() int { return len(f.items) - f.head }
+
+func (f *fifo[T]) push(item T) { f.items = append(f.items, item) }
+
+// first gives the oldest item of a queue that is not empty.
+func (f *fifo[T]) first() T { return f.items[f.head] }
+
+// pop takes the oldest item of a queue that is not empty.
+func (f *fifo[T]) pop() T {
+	var none T
+	item := f.items[f.head]
+	f.items[f.head] = none
+	f.head++
+	switch {
+	case f.head == len(f.items):
+		f.items, f.head = f.items[:0], 0
+	case f.head > len(f.items)/2 && f.head > compactAfter:
+		count := copy(f.items, f.items[f.head:])
+		clear(f.items[count:])
+		f.items, f.head = f.items[:count], 0
+	}
+	return item
+}
+
+// compactAfter is how many empty places at the front are left alone.
+const compactAfter = 64
--- a/daemon/circuit/frame.go
+++ b/daemon/transport/frame.go
@@ -1,4 +1,4 @@
-package circuit
+package transport
 
 import (
 	"bytes"
@@ -12,6 +12,8 @@
 // A frame is the length of a line in four bytes, and the line.
 const (
 	lengthBytes = 4
+	// lineOverhead is the version of a line and the lengths of its three names.
+	lineOverhead = 4
 	// FrameMax bounds what a length may say, before anything is allocated for it.
 	FrameMax = 256 << 20
 	// allocateAtOnce is how much is allocated on the word of a length alone; more is
@@ -21,7 +23,7 @@
 
 // FrameHeader is all of a line's frame that stands before the body.
 func FrameHeader(line machine.Line) ([]byte, error) {
-	header := make([]byte, lengthBytes, lengthBytes+len(line.Kind)+len(line.From)+3)
+	header := make([]byte, lengthBytes, lengthBytes+len(line.Kind)+len(line.From)+len(line.Key)+lineOverhead)
 	header, err := line.AppendHeader(header)
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/daemon/transport/frame_test.go
@@ -0,0 +1,68 @@
+package transport
+
+import (
+	"bytes"
+	"encoding/binary"
+	"io"
+	"reflect"
+	"runtime"
+	"testing"
+
+	"sorrelloom/core/machine"
+)
+
+func frameOf(t *testing.T, l machine.Line) []byte {
+	t.Helper()
+	var out bytes.Buffer
+	if err := WriteFrame(&out, l); err != nil {
+		t.Fatal(err)
+	}
+	return out.Bytes()
+}
+
+func TestFramesAreReadAsTheyWereWritten(t *testing.T) {
+	large := string(make([]byte, 3*allocateAtOnce))
+	lines := []machine.Line{line("a", "f", "k", "body"), line("b", "f", "", ""), line("c", "f", "", large)}
+	var stream bytes.Buffer
+	for _, l := range lines {
+		stream.Write(frameOf(t, l))
+	}
+	for _, want := range lines {
+		if got, err := ReadFrame(&stream); err != nil || !reflect.DeepEqual(got, want) {
+			t.Errorf("kind %s: got kind %s with %d bytes, %v", want.Kind, got.Kind, len(got.Body), err)
+		}
+	}
+	if _, err := ReadFrame(&stream); err != io.EOF {
+		t.Errorf("the end is %v", err)
+	}
+}
+
+func TestAFrameThatBreaksOffIsAnError(t *testing.T) {
+	whole := frameOf(t, line("kind", "from", "key", "body"))
+	for length := 1; length < len(whole); length++ {
+		if got, err := ReadFrame(bytes.NewReader(whole[:length])); err == nil || err == io.EOF {
+			t.Errorf("%d bytes are read as %+v, %v", length, got, err)
+		}
+	}
+}
+
+// TestALengthIsNotTrustedWithMemory has lengths that the stream does not keep.
+func TestALengthIsNotTrustedWithMemory(t *testing.T) {
+	for _, length := range []uint32{FrameMax, FrameMax + 1, 1<<32 - 1} {
+		stream := binary.BigEndian.AppendUint32(nil, length)
+		stream = append(stream, "some bytes"...)
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		_, err := ReadFrame(bytes.NewReader(stream))
+		runtime.ReadMemStats(&after)
+		if allocated := after.TotalAlloc - before.TotalAlloc; err == nil || allocated > 2*allocateAtOnce {
+			t.Errorf("length %d: %v after %d bytes were allocated", length, err, allocated)
+		}
+	}
+}
+
+func TestALineTooLargeForAFrameIsRefused(t *testing.T) {
+	if _, err := FrameHeader(machine.Line{Wire: 1, Kind: "a", From: "b", Body: make([]byte, FrameMax)}); err == nil {
+		t.Error("a frame above the bound was made")
+	}
+}
--- /dev/null
+++ b/daemon/transport/transport.go
@@ -0,0 +1,195 @@
+// Package transport carries lines between processes as frames over TCP. Each peer
+// has one outgoing connection per channel, dialled when there is something to say;
+// frames that wait too long, or for a peer that cannot be reached, are dropped, since
+// every sender repeats what matters. Received frames go into an inbox. A damaged
+// frame closes its connection and nothing else.
+package transport
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"sorrelloom/core/machine"
+	"sorrelloom/daemon/logline"
+	"sorrelloom/daemon/pool"
+)
+
+const (
+	readBuffer = 64 << 10
+	// acceptPause is the time until the next try after a failed accept.
+	acceptPause = 100 * time.Millisecond
+	// reportEach is how often dropped frames are logged.
+	reportEach = 10 * time.Second
+)
+
+// Transport is one process's end of all its connections.
+type Transport struct {
+	now      func() time.Duration
+	inbox    *Inbox
+	counters *Counters
+	listener net.Listener
+	closed   chan struct{}
+
+	mu       sync.Mutex
+	outgoing map[destination]*connection
+	incoming map[net.Conn]bool
+}
+
+type destination struct {
+	to      string
+	channel Channel
+}
+
+// Open listens on the address and puts every good frame into the inbox.
+func Open(address string, now func() time.Duration, inbox *Inbox, counters *Counters) (*Transport, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	t := &Transport{
+		now: now, inbox: inbox, counters: counters, listener: listener, closed: make(chan struct{}),
+		outgoing: map[destination]*connection{}, incoming: map[net.Conn]bool{},
+	}
+	pool.Go(t.accept)
+	pool.Go(t.report)
+	return t, nil
+}
+
+// Close ends all connections. It may be called once.
+func (t *Transport) Close() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	close(t.closed)
+	t.listener.Close()
+	for conn := range t.incoming {
+		conn.Close()
+	}
+}
+
+func (t *Transport) isClosed() bool {
+	select {
+	case <-t.closed:
+		return true
+	default:
+		return false
+	}
+}
+
+func (t *Transport) accept() {
+	for {
+		conn, err := t.listener.Accept()
+		switch {
+		case err == nil && t.keep(conn):
+			pool.Go(func() { t.read(conn) })
+		case t.isClosed():
+			return
+		default:
+			logline.Event("accept_failed", "why", err.Error())
+			time.Sleep(acceptPause)
+		}
+	}
+}
+
+// keep remembers a connection, or closes it if the transport is closed.
+func (t *Transport) keep(conn net.Conn) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.isClosed() {
+		conn.Close()
+		return false
+	}
+	t.incoming[conn] = true
+	return true
+}
+
+// read cuts frames out of a connection. It does nothing else, so that frames wait
+// in the inbox, where their age is known, and not in the socket.
+func (t *Transport) read(conn net.Conn) {
+	defer t.forget(conn)
+	reader := bufio.NewReaderSize(conn, readBuffer)
+	for known := false; ; {
+		line, err := ReadFrame(reader)
+		if err == io.EOF {
+			return
+		}
+		if err != nil {
+			logline.Event("connection_closed", "peer", conn.RemoteAddr().String(), "why", err.Error())
+			return
+		}
+		if !known {
+			known = true
+			t.heardFrom(line.From)
+		}
+		t.inbox.Put(line)
+	}
+}
+
+func (t *Transport) forget(conn net.Conn) {
+	conn.Close()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.incoming, conn)
+}
+
+// heardFrom has a peer dialled at once that could not be reached before.
+func (t *Transport) heardFrom(peer string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for channel := range channelCount {
+		if c, ok := t.outgoing[destination{peer, channel}]; ok {
+			notify(c.heard)
+		}
+	}
+}
+
+// Send queues a line for a peer. It never blocks; the body must not be changed.
+func (t *Transport) Send(to string, line machine.Line) {
+	header, err := FrameHeader(line)
+	if err != nil {
+		logline.Event("line_unsendable", "kind", line.Kind, "why", err.Error())
+		return
+	}
+	at := destination{to, TrafficOf(line.Kind).Channel}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.isClosed() {
+		return
+	}
+	c, ok := t.outgoing[at]
+	if !ok {
+		c = newConnection(to, t.now, t.counters, t.closed)
+		t.outgoing[at] = c
+		pool.Go(func() { c.run(func() bool { return t.retire(at, c) }) })
+	}
+	c.push(line, header)
+}
+
+// retire forgets a connection that has nothing to send.
+func (t *Transport) retire(at destination, c *connection) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !c.empty() {
+		return false
+	}
+	delete(t.outgoing, at)
+	return true
+}
+
+// report logs the counters every while in which frames were dropped.
+func (t *Transport) report() {
+	ticker := time.NewTicker(reportEach)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-t.closed:
+			return
+		case <-ticker.C:
+		}
+		if counts := t.counters.Take(); len(counts.Dropped) > 0 {
+			logline.Event("frames_dropped", counts.Fields()...)
+		}
+	}
+}
--- a/daemon/web/web.go
+++ b/daemon/web/web.go
@@ -27,7 +27,7 @@
 )
 
 // A body over bodyMax is bounced with its code; over hardMax hertz closes the
-// circuit before it is read whole.
+// connection before it is read whole.
 const (
 	bodyMax = 4 << 20
 	hardMax = 16 << 20
--- a/tool/fleet/relay.go
+++ b/tool/fleet/relay.go
@@ -1,6 +1,6 @@
 // Relays stand before each daemon of a fleet that is to be cut. A relay passes
 // on whole frames and drops those whose sender is cut from its daemon, so a cut
-// can be one-way, and neither side sees its circuit close.
+// can be one-way, and neither side sees its connection close.
 package fleet
 
 import (
@@ -9,8 +9,8 @@
 	"sync"
 	"time"
 
-	"sorrelloom/daemon/circuit"
 	"sorrelloom/daemon/pool"
+	"sorrelloom/daemon/transport"
 )
 
 type relays struct {
@@ -62,14 +62,14 @@
 	defer out.Close()
 	reader := bufio.NewReaderSize(in, 64<<10)
 	for {
-		line, err := circuit.ReadFrame(reader)
+		line, err := transport.ReadFrame(reader)
 		if err != nil {
 			return
 		}
 		if r.isCut(line.From, address) {
 			continue
 		}
-		if err := circuit.WriteFrame(out, line); err != nil {
+		if err := transport.WriteFrame(out, line); err != nil {
 			return
 		}
 	}
