Take callers' text as UTF-8 at the web edges

Since bodies are CBOR, the receiver refuses text that is not UTF-8, which the JSON encoder replaced. A path such as /q/%ff would have reached no keeper, and the call ended only with its cutoff, instead of being refused as an unknown name.

--- a/daemon/web/web.go
+++ b/daemon/web/web.go
@@ -9,6 +9,7 @@
 	"math"
 	"net"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -151,8 +152,12 @@
 	}
 }
 
+// valid is a caller's text as UTF-8, which all text between processes must be.
+func valid(text string) string { return strings.ToValidUTF8(text, "\uFFFD") }
+
 func read(c *app.RequestContext, route Route) (machine.Ask, error) {
-	ask := machine.Ask{Kind: route.Kind, Name: c.Param("name"), On: route.On, Token: string(c.GetHeader("Idempotency-Key")), To: c.Query("to")}
+	ask := machine.Ask{Kind: route.Kind, On: route.On, Name: valid(c.Param("name")), To: valid(c.Query("to"))}
+	ask.Token = valid(string(c.GetHeader("Idempotency-Key")))
 	if len(ask.Token) > 128 {
 		return ask, fmt.Errorf("Idempotency-Key: %d characters, 128 are taken", len(ask.Token))
 	}
