Send what still waits when a transport is closed

The connections of a transport that was closed ended at once, whatever they still had to send, so that the last words of a process that stops, such as those that hand its lead over, were often lost. Close now waits up to 0.25 s for them.

--- a/daemon/transport/connection.go
+++ b/daemon/transport/connection.go
@@ -140,6 +140,7 @@
 	for {
 		select {
 		case <-c.closed:
+			c.finish()
 			return
 		case <-idle.C:
 			if retire() {
@@ -164,6 +165,12 @@
 	}
 }
 
+// finish sends what still waits, and gives up at the first failure.
+func (c *connection) finish() {
+	for !c.empty() && (c.conn != nil || c.dial()) && c.send(c.batch()) {
+	}
+}
+
 func (c *connection) dial() bool {
 	conn, err := dialer.Dial("tcp", c.to)
 	if err != nil {
--- a/daemon/transport/transport.go
+++ b/daemon/transport/transport.go
@@ -21,6 +21,8 @@
 	readBuffer = 64 << 10
 	// acceptPause is the time until the next try after a failed accept.
 	acceptPause = 100 * time.Millisecond
+	// closeWait is how long Close waits for what is still to be sent.
+	closeWait = 250 * time.Millisecond
 	// reportEach is how often dropped frames are logged.
 	reportEach = 10 * time.Second
 )
@@ -36,6 +38,7 @@
 	mu       sync.Mutex
 	outgoing map[destination]*connection
 	incoming map[net.Conn]bool
+	senders  sync.WaitGroup
 }
 
 type destination struct {
@@ -58,15 +61,25 @@
 	return t, nil
 }
 
-// Close ends all connections. It may be called once.
+// Close sends what still waits for peers that take it at once, and ends all
+// connections. It may be called once.
 func (t *Transport) Close() {
 	t.mu.Lock()
-	defer t.mu.Unlock()
 	close(t.closed)
 	t.listener.Close()
 	for conn := range t.incoming {
 		conn.Close()
 	}
+	t.mu.Unlock()
+	sent := make(chan struct{})
+	pool.Go(func() {
+		t.senders.Wait()
+		close(sent)
+	})
+	select {
+	case <-sent:
+	case <-time.After(closeWait):
+	}
 }
 
 func (t *Transport) isClosed() bool {
@@ -162,7 +175,11 @@
 	if !ok {
 		c = newConnection(to, t.now, t.counters, t.closed)
 		t.outgoing[at] = c
-		pool.Go(func() { c.run(func() bool { return t.retire(at, c) }) })
+		t.senders.Add(1)
+		pool.Go(func() {
+			defer t.senders.Done()
+			c.run(func() bool { return t.retire(at, c) })
+		})
 	}
 	c.push(line, header)
 }
--- a/daemon/transport/transport_test.go
+++ b/daemon/transport/transport_test.go
@@ -320,6 +320,26 @@
 	}
 }
 
+// TestCloseSendsWhatWaits: the last words of a process that stops count, such as
+// those that hand its lead over.
+func TestCloseSendsWhatWaits(t *testing.T) {
+	other := open(t)
+	inbox, clock, counters := newTestInbox()
+	me, err := Open("127.0.0.1:0", clock.now, inbox, counters)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range 50 {
+		me.Send(other.address, line(wire.Replicate, "me", "", fmt.Sprint(i)))
+	}
+	me.Close()
+	for i := range 50 {
+		if got := other.take(t); string(got.Body) != fmt.Sprint(i) {
+			t.Fatalf("got %s, want %d", got.Body, i)
+		}
+	}
+}
+
 // TestAConnectionGivesUpOnASilentPeer reads back what the kernel was told.
 func TestAConnectionGivesUpOnASilentPeer(t *testing.T) {
 	e := open(t)
