Step a relay without copying its open commands

Cause: the table of open commands held each command by value, about a kilobyte, and every step copied all of them several times over. A door with 1,000 open calls spent its processor on that, most of all when overloaded.

The table now holds pointers, and what waits for room in the window is sorted only when there is room.

--- a/core/relay/load_test.go
+++ b/core/relay/load_test.go
@@ -338,3 +338,26 @@
 		t.Errorf("after a proof: left %s, deadline %s", b.Left, b.Deadline)
 	}
 }
+
+// BenchmarkAnswer is a call that is taken and answered while 1,000 others are open.
+func BenchmarkAnswer(b *testing.B) {
+	r := New(Env{Address: "door", Keepers: []string{"k0"}, First: 1})
+	now := time.Duration(0)
+	back := func(id uint64, body wire.CommandBackBody) {
+		body.ID = id
+		r.Step(now, machine.Input{Line: machine.Line{Wire: 1, Kind: wire.CommandBack, From: "k0", Body: machine.MustJSON(body)}})
+	}
+	ask := func(key uint64) {
+		command := ledger.Command{Kind: ledger.KindRead}
+		r.Step(now, machine.Input{Ask: machine.Ask{Key: key, Kind: AskCommand, Value: command, Wait: time.Hour}})
+	}
+	back(0, received)
+	for key := uint64(1); key <= 1000; key++ {
+		ask(key)
+	}
+	for b.Loop() {
+		now += time.Microsecond
+		ask(5000)
+		back(r.next, good)
+	}
+}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -39,7 +39,7 @@
 	chance *rand.Rand
 	next   uint64
 	// table holds the open requests in the order of their numbers.
-	table []request
+	table []*request
 	// order numbers what is sent; the primary has answered what was sent as passed.
 	order    uint64
 	passed   uint64
@@ -123,7 +123,7 @@
 		refuse(code.InboxFull, "what waits for the primary takes longer than this request has time")
 	default:
 		r.next++
-		r.table = append(r.table, request{
+		r.table = append(r.table, &request{
 			id: r.next, key: ask.Key, command: command, takenAt: now, cutoff: now + ask.Wait, dueAt: now,
 		})
 	}
@@ -204,14 +204,18 @@
 	if r.route.primary != "" {
 		r.wakeAt = min(r.wakeAt, r.proofs.dueAt)
 	}
+	if len(r.table) > 0 {
+		r.wakeAt = min(r.wakeAt, r.provenAt+lostAfter+time.Millisecond)
+	}
 	full := r.sending() >= window
 	for _, q := range r.table {
-		r.wakeAt = min(r.wakeAt, r.expiry(q), r.provenAt+lostAfter+time.Millisecond)
-		if r.route.confirmed && !full && !q.sending {
-			r.wakeAt = min(r.wakeAt, max(q.dueAt, now+time.Millisecond))
-		}
-		if r.route.confirmed && q.sending && q.order < r.passed {
+		r.wakeAt = min(r.wakeAt, r.expiry(q))
+		switch {
+		case !r.route.confirmed:
+		case q.sending && r.isLost(q):
 			r.wakeAt = min(r.wakeAt, q.dueAt)
+		case !q.sending && !full:
+			r.wakeAt = min(r.wakeAt, max(q.dueAt, now+time.Millisecond))
 		}
 	}
 }
--- a/core/relay/route.go
+++ b/core/relay/route.go
@@ -82,8 +82,8 @@
 	t.signAt, t.quiet = now, r.quietSpan()
 	r.proofs.reset(now)
 	r.passed = r.order
-	for i := range r.table {
-		r.table[i].sending = false
+	for _, q := range r.table {
+		q.sending = false
 	}
 }
 
--- a/core/relay/send.go
+++ b/core/relay/send.go
@@ -64,7 +64,7 @@
 }
 
 func (r *Relay) find(id uint64) (int, bool) {
-	return slices.BinarySearchFunc(r.table, id, func(q request, id uint64) int { return cmp.Compare(q.id, id) })
+	return slices.BinarySearchFunc(r.table, id, func(q *request, id uint64) int { return cmp.Compare(q.id, id) })
 }
 
 // sending counts the commands at the primary.
@@ -85,18 +85,18 @@
 	return r.pace.mean * time.Duration(1+len(r.table)/window)
 }
 
+// byTimeLeft orders requests so that the one with the least time left comes first.
+func byTimeLeft(a, b *request) int {
+	return cmp.Or(cmp.Compare(a.cutoff, b.cutoff), cmp.Compare(a.id, b.id))
+}
+
 // spread sets when each open command goes to a primary that was just confirmed.
 func (r *Relay) spread(now time.Duration) {
-	order := make([]int, len(r.table))
-	for i := range order {
-		order[i] = i
-	}
-	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(r.table[a].cutoff, r.table[b].cutoff) })
-	step := min(spreadEach, spreadMost/time.Duration(max(1, len(order))))
-	for place, i := range order {
-		r.table[i].dueAt = now + step*time.Duration(place)
+	step := min(spreadEach, spreadMost/time.Duration(max(1, len(r.table))))
+	for place, q := range slices.SortedFunc(slices.Values(r.table), byTimeLeft) {
+		q.dueAt = now + step*time.Duration(place)
 		if place > 0 {
-			r.table[i].dueAt += r.jitter(0, step)
+			q.dueAt += r.jitter(0, step)
 		}
 	}
 }
@@ -106,19 +106,16 @@
 	if !r.route.confirmed || r.route.moveAt > 0 {
 		return
 	}
-	var due []int
-	room := window
-	for i, q := range r.table {
-		if q.sending {
-			room--
-		}
-		if now >= q.dueAt && (!q.sending || r.isLost(q)) {
-			due = append(due, i)
+	room := window - r.sending()
+	var due []*request
+	for _, q := range r.table {
+		waits := !q.sending && room > 0
+		if now >= q.dueAt && (waits || q.sending && r.isLost(q)) {
+			due = append(due, q)
 		}
 	}
-	slices.SortStableFunc(due, func(a, b int) int { return cmp.Compare(r.table[a].cutoff, r.table[b].cutoff) })
-	for _, i := range due {
-		q := &r.table[i]
+	slices.SortFunc(due, byTimeLeft)
+	for _, q := range due {
 		if !q.sending {
 			if room <= 0 {
 				continue
@@ -131,7 +128,7 @@
 
 // isLost says whether the primary has answered what was sent after a command. It
 // answers in order, so the command or its answer did not arrive.
-func (r *Relay) isLost(q request) bool { return q.order < r.passed }
+func (r *Relay) isLost(q *request) bool { return q.order < r.passed }
 
 func (r *Relay) send(now time.Duration, q *request, out *machine.Output) {
 	r.order++
@@ -147,7 +144,7 @@
 }
 
 // expiry is when a request is answered although no keeper has answered it.
-func (r *Relay) expiry(q request) time.Duration {
+func (r *Relay) expiry(q *request) time.Duration {
 	if q.sent > 0 {
 		return q.cutoff
 	}
@@ -172,7 +169,7 @@
 	r.table = keep
 }
 
-func (r *Relay) expired(q request) ledger.Answer {
+func (r *Relay) expired(q *request) ledger.Answer {
 	switch {
 	case q.sent > 0:
 		return unsure()
