Slow a relay down while no keeper leads

Cause: with no leader, each relay asked a keeper for its proof every 40 to 80 ms, for as long as that lasted; some hundred doors make a load of that. The pause now doubles after every two in a row, up to 160 to 320 ms, and is short again once a keeper leads.

--- a/core/relay/load_test.go
+++ b/core/relay/load_test.go
@@ -210,6 +210,38 @@
 	}
 }
 
+// TestNobodyLeads for 10 s: keepers are asked at a pace that slows down, no command is
+// sent, and the one that leads in the end is found soon.
+func TestNobodyLeads(t *testing.T) {
+	for seed := uint64(1); seed <= 20; seed++ {
+		c := newCluster(t, seed)
+		c.leader = ""
+		before := c.proofs
+		for key := uint64(1); key <= 100; key++ {
+			c.ask(key, time.Second)
+			c.pass(100 * ms)
+		}
+		asked := c.proofs - before
+		if seed == 1 {
+			t.Logf("%d questions for a proof in 10 s", asked)
+		}
+		if asked > 80 {
+			t.Errorf("seed %d: %d questions for a proof", seed, asked)
+		}
+		sends := c.sends
+		c.leader = "k1"
+		from := c.now
+		for !c.relay.route.confirmed {
+			if c.pass(ms); c.now-from > 350*ms {
+				t.Fatalf("seed %d: no leader is found after %s", seed, c.now-from)
+			}
+		}
+		if sends > 20 { // those on their way before the loss was noticed
+			t.Errorf("seed %d: %d commands were sent", seed, sends)
+		}
+	}
+}
+
 // TestOpenCommandsAreSpread: after a change of leader they do not come as one burst,
 // and those with the least time left come first.
 func TestOpenCommandsAreSpread(t *testing.T) {
--- a/core/relay/route.go
+++ b/core/relay/route.go
@@ -13,9 +13,12 @@
 	quietFor   = 800 * time.Millisecond
 	quietMost  = 1600 * time.Millisecond
 	quietExtra = 100 * time.Millisecond
-	// bounceLeast and bounceMost bound the pause after a keeper that names no other.
-	bounceLeast = 40 * time.Millisecond
-	bounceMost  = 80 * time.Millisecond
+	// bounceLeast and bounceMost bound the pause after a keeper that names no other. It
+	// doubles after every bounceTries pauses in a row, bounceDoubles times.
+	bounceLeast   = 40 * time.Millisecond
+	bounceMost    = 80 * time.Millisecond
+	bounceTries   = 2
+	bounceDoubles = 2
 	// hopsAtOnce is how many hints are followed one after the other without a pause.
 	hopsAtOnce = 2
 	// jitterStream keeps a relay's jitter apart from whatever else is drawn from its seed.
@@ -39,6 +42,8 @@
 	// silent counts the keepers that were left for their silence since one was heard.
 	silent int
 	moveAt time.Duration
+	// pauses counts those after bounces since a keeper has shown that it leads.
+	pauses int
 }
 
 // learn takes the list of keepers that an answer names.
@@ -64,16 +69,24 @@
 	}
 	t.confirmed = false
 	if hint == "" || hint == from || hint == t.left && now < t.leftUntil {
-		t.moveAt = now + r.jitter(bounceLeast, bounceMost)
+		r.pause(now)
 		return
 	}
 	if t.hops++; t.hops > hopsAtOnce {
-		t.hops, t.moveAt = 0, now+r.jitter(bounceLeast, bounceMost)
+		t.hops = 0
+		r.pause(now)
 		return
 	}
 	r.move(now, hint)
 }
 
+// pause has the relay go on to another keeper in a while.
+func (r *Relay) pause(now time.Duration) {
+	double := min(r.route.pauses/bounceTries, bounceDoubles)
+	r.route.moveAt = now + r.jitter(bounceLeast<<double, bounceMost<<double)
+	r.route.pauses++
+}
+
 // move believes in another keeper. It is asked for a proof first; what is open
 // follows once it has shown that it leads.
 func (r *Relay) move(now time.Duration, to string) {
@@ -99,7 +112,7 @@
 	if from != r.route.primary || r.route.confirmed {
 		return
 	}
-	r.route.confirmed, r.route.moveAt = true, 0
+	r.route.confirmed, r.route.moveAt, r.route.pauses = true, 0, 0
 	r.spread(now)
 }
 
