--- a/core/keeper/admission_test.go
+++ b/core/keeper/admission_test.go
@@ -40,8 +40,8 @@
 }
 
 func plan(id uint64) wire.CommandBody {
-	body := []byte(`{"limits":{"keep":"12m"}}`)
-	return wire.CommandBody{ID: id, Command: ledger.Command{Kind: ledger.KindPlan, Plan: ledger.PlanChange{Forced: true, Patch: true, Body: body}}}
+	change := ledger.PlanChange{Forced: true, Patch: true, Body: []byte(`{"limits":{"keep":"12m"}}`)}
+	return wire.CommandBody{ID: id, Command: ledger.Command{Kind: ledger.KindPlan, Plan: change}}
 }
 
 // TestAdmission sends one command behind another that has waited for 300 ms.
@@ -96,8 +96,11 @@
 			if rejected := len(backs) > 0; rejected != row.rejected {
 				t.Fatalf("answered at once: %+v", backs)
 			}
-			if row.rejected && (backs[0].ID != 2 || backs[0].Answer.Code != code.InboxFull || backs[0].Answer.RetryAfter < retryAfter) {
-				t.Errorf("%+v", backs[0])
+			if !row.rejected {
+				return
+			}
+			if b := backs[0]; b.ID != 2 || b.Answer.Code != code.InboxFull || b.Answer.RetryAfter < retryAfter {
+				t.Errorf("%+v", b)
 			}
 		})
 	}
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -27,7 +27,10 @@
 }
 
 func begin(t *testing.T, keepers ...string) *play {
-	p := &play{T: t, relay: New(Env{Address: "door", Keepers: keepers, First: 2}), last: map[string]uint64{}, counts: map[string]int{}, answers: map[uint64]ledger.Answer{}}
+	p := &play{
+		T: t, relay: New(Env{Address: "door", Keepers: keepers, First: 2}),
+		last: map[string]uint64{}, counts: map[string]int{}, answers: map[uint64]ledger.Answer{},
+	}
 	p.step(0, machine.Input{})
 	return p
 }
