--- a/core/relay/load_test.go
+++ b/core/relay/load_test.go
@@ -41,7 +41,8 @@
 func newCluster(t *testing.T, seed uint64) *cluster {
 	c := &cluster{
 		T: t, relay: New(Env{Address: "door", Keepers: []string{"k0", "k1", "k2"}, First: seed}), leader: "k0",
-		frozen: map[string]bool{}, agenda: map[time.Duration][]func(){}, copies: map[uint64]int{}, outstanding: map[uint64]bool{},
+		frozen: map[string]bool{}, agenda: map[time.Duration][]func(){},
+		copies: map[uint64]int{}, outstanding: map[uint64]bool{},
 		answers: map[uint64]ledger.Answer{}, answeredAt: map[uint64]time.Duration{},
 		answerTakes: func() time.Duration { return 10 * ms },
 	}
@@ -110,7 +111,8 @@
 			delete(c.outstanding, b.ID)
 		}
 		c.after(lineTakes, func() {
-			c.step(machine.Input{Line: machine.Line{Wire: 1, Kind: wire.CommandBack, From: keeper, Body: machine.MustMarshal(b)}})
+			line := machine.Line{Wire: 1, Kind: wire.CommandBack, From: keeper, Body: machine.MustMarshal(b)}
+			c.step(machine.Input{Line: line})
 		})
 	})
 }
@@ -130,7 +132,8 @@
 }
 
 func (c *cluster) ask(key uint64, wait time.Duration) {
-	c.step(machine.Input{Ask: machine.Ask{Key: key, Kind: AskCommand, Value: ledger.Command{Kind: ledger.KindAccept}, Wait: wait}})
+	command := ledger.Command{Kind: ledger.KindAccept}
+	c.step(machine.Input{Ask: machine.Ask{Key: key, Kind: AskCommand, Value: command, Wait: wait}})
 }
 
 // TestRetriesDoNotGrow has 300 commands open while the leader changes three times
@@ -210,6 +213,38 @@
 	}
 }
 
+// TestNobodyLeads for 10 s: keepers are asked at a pace that slows down, no command is
+// sent, and the one that leads in the end is found soon.
+func TestNobodyLeads(t *testing.T) {
+	for seed := uint64(1); seed <= 20; seed++ {
+		c := newCluster(t, seed)
+		c.leader = ""
+		before := c.proofs
+		for key := uint64(1); key <= 100; key++ {
+			c.ask(key, time.Second)
+			c.pass(100 * ms)
+		}
+		asked := c.proofs - before
+		if seed == 1 {
+			t.Logf("%d questions for a proof in 10 s", asked)
+		}
+		if asked > 80 {
+			t.Errorf("seed %d: %d questions for a proof", seed, asked)
+		}
+		sends := c.sends
+		c.leader = "k1"
+		from := c.now
+		for !c.relay.route.confirmed {
+			if c.pass(ms); c.now-from > 350*ms {
+				t.Fatalf("seed %d: no leader is found after %s", seed, c.now-from)
+			}
+		}
+		if sends > 20 { // those on their way before the loss was noticed
+			t.Errorf("seed %d: %d commands were sent", seed, sends)
+		}
+	}
+}
+
 // TestOpenCommandsAreSpread: after a change of leader they do not come as one burst,
 // and those with the least time left come first.
 func TestOpenCommandsAreSpread(t *testing.T) {
@@ -334,7 +369,32 @@
 	p.back(40*ms, "k0", "prove", proof)
 	p.ask(50*ms, 2, ledger.KindAccept, time.Second)
 	b := p.bodies[0]
-	if least, most := time.Hour+time.Second+10*ms, time.Hour+time.Second+60*ms; b.Left != time.Second || b.Deadline < least || b.Deadline > most {
+	least, most := time.Hour+time.Second+10*ms, time.Hour+time.Second+60*ms
+	if b.Left != time.Second || b.Deadline < least || b.Deadline > most {
 		t.Errorf("after a proof: left %s, deadline %s", b.Left, b.Deadline)
 	}
 }
+
+// BenchmarkAnswer is a call that is taken and answered while 1,000 others are open.
+func BenchmarkAnswer(b *testing.B) {
+	r := New(Env{Address: "door", Keepers: []string{"k0"}, First: 1})
+	now := time.Duration(0)
+	back := func(id uint64, body wire.CommandBackBody) {
+		body.ID = id
+		line := machine.Line{Wire: 1, Kind: wire.CommandBack, From: "k0", Body: machine.MustJSON(body)}
+		r.Step(now, machine.Input{Line: line})
+	}
+	ask := func(key uint64) {
+		command := ledger.Command{Kind: ledger.KindRead}
+		r.Step(now, machine.Input{Ask: machine.Ask{Key: key, Kind: AskCommand, Value: command, Wait: time.Hour}})
+	}
+	back(0, received)
+	for key := uint64(1); key <= 1000; key++ {
+		ask(key)
+	}
+	for b.Loop() {
+		now += time.Microsecond
+		ask(5000)
+		back(r.next, good)
+	}
+}
