Have a leader that hears no majority send no heartbeats

Cause: where only the lines to the primary were cut, its heartbeats still reached the backups.

Ruled out: a wrong answer. In all rows clients asked every process for the plan and sent it changes all the while; nothing old was handed out, nothing confirmed twice.

A leader now needs to have heard from a majority of the witnesses within a second, else it sends no heartbeats and asks for no view; it looks for the others with the question for the view, also at the known seats.

--- a/core/keeper/keeper.go
+++ b/core/keeper/keeper.go
@@ -434,6 +434,9 @@
 }
 
 func (k *Keeper) replicateNew(now time.Duration, out *machine.Output) {
+	if !k.hears(now) {
+		return
+	}
 	position := k.ledger.Position()
 	waits := len(k.answers) > 0 && k.answers[len(k.answers)-1].token > k.token
 	if position == k.sent && !waits && now-k.beatAt < heartbeat {
--- a/core/keeper/keeper_test.go
+++ b/core/keeper/keeper_test.go
@@ -31,6 +31,8 @@
 	disk    map[[2]string]json.RawMessage
 	cut     bool
 	slow    time.Duration
+	frozen  bool
+	missed  []machine.Input // what came while it was frozen
 }
 
 // trio is a cluster of three founders and whoever is added later.
@@ -52,6 +54,11 @@
 	// late is by how much a line comes later; a negative one never comes.
 	late  func(from, to, kind string) time.Duration
 	sends map[string]int
+	// tune changes what a process is started with.
+	tune func(h *host, env *Env)
+	// idle says that nobody writes, reads that somebody reads, too.
+	idle, reads bool
+	asks        map[uint64]uint64 // by read, the newest plan answered before it was asked
 }
 
 func newTrio(t *testing.T) *trio {
@@ -67,7 +74,7 @@
 }
 
 func emptyTrio(t *testing.T) *trio {
-	return &trio{t: t, agenda: map[time.Duration][]func(){}, founders: []string{"a", "b", "c"}, answered: map[uint64]uint64{}, logs: map[string]int{}, sites: map[string]string{}, sends: map[string]int{}}
+	return &trio{t: t, agenda: map[time.Duration][]func(){}, founders: []string{"a", "b", "c"}, answered: map[uint64]uint64{}, logs: map[string]int{}, sites: map[string]string{}, sends: map[string]int{}, asks: map[uint64]uint64{}}
 }
 
 func (c *trio) add(address string) *host {
@@ -103,6 +110,9 @@
 	if slices.Contains(c.founders, h.address) || len(c.proxies) > 0 {
 		env.Founders = c.founders
 	}
+	if c.tune != nil {
+		c.tune(h, &env)
+	}
 	k, err := New(env, records)
 	if err != nil {
 		c.t.Fatalf("%s refuses its own disk: %v", h.address, err)
@@ -126,6 +136,7 @@
 	}
 	h.k = nil
 	h.life++
+	h.frozen, h.missed = false, nil
 }
 
 func (c *trio) wipe(h *host) {
@@ -144,6 +155,12 @@
 }
 
 func (c *trio) step(h *host, in machine.Input) {
+	if h.frozen {
+		if in.Wrote > 0 || in.Line.Kind != "" {
+			h.missed = append(h.missed, in)
+		}
+		return
+	}
 	out := h.k.Step(c.now-h.boot+time.Microsecond, in)
 	life := h.life
 	for _, e := range out.Events {
@@ -161,6 +178,10 @@
 			})
 			continue
 		}
+		if s.To == "reader" {
+			c.read(h, s)
+			continue
+		}
 		if s.To == "writer" {
 			c.answer(h, s)
 			continue
@@ -253,9 +274,12 @@
 				c.step(h, machine.Input{})
 			}
 		}
-		if c.now%(50*time.Millisecond) == 0 {
+		if c.now%(50*time.Millisecond) == 0 && !c.idle {
 			c.write()
 		}
+		if c.now%(50*time.Millisecond) == 25*time.Millisecond && c.reads {
+			c.askAll()
+		}
 		if c.now%(300*time.Millisecond) == 0 {
 			c.gossip()
 		}
@@ -279,7 +303,7 @@
 
 func (c *trio) primary() *host {
 	for _, h := range c.hosts {
-		if h.k != nil && !h.cut && h.k.proven(c.now-h.boot+time.Microsecond) {
+		if h.k != nil && !h.cut && !h.frozen && h.k.proven(c.now-h.boot+time.Microsecond) {
 			return h
 		}
 	}
--- a/core/keeper/view.go
+++ b/core/keeper/view.go
@@ -36,7 +36,8 @@
 	case k.backs():
 		k.stand(now, out)
 	}
-	if !register.Has(k.witness.Known.Witnesses, k.seat.ID) || now-k.peers[k.witness.Known.Primary.ID].heardAt > 2*suspect {
+	unheard := now-k.peers[k.witness.Known.Primary.ID].heardAt > 2*suspect || k.leads() && !k.hears(now)
+	if unheard || !register.Has(k.witness.Known.Witnesses, k.seat.ID) {
 		k.seek(now, out)
 	}
 }
@@ -155,7 +156,29 @@
 	return ok && f.Seat.ID != s.ID && f.at > k.peers[s.ID].heardAt
 }
 
+// hears says whether a leader has just heard from a majority of the witnesses, itself
+// among them. Without them it can commit nothing and have no view decided. It must then
+// send no heartbeats: if its lines arrive although it hears nobody, its backups would
+// not miss it, and nobody would serve.
+func (k *Keeper) hears(now time.Duration) bool {
+	if now-k.beganAt <= suspect {
+		return true
+	}
+	heard := map[string]bool{k.seat.ID: true}
+	for _, s := range k.witness.Known.Witnesses {
+		f := k.found[s.Address]
+		found := f.Seat.ID == s.ID && now-f.at <= suspect
+		if found || now-k.peers[s.ID].heardAt <= suspect {
+			heard[s.ID] = true
+		}
+	}
+	return register.Majority(k.witness.Known.Witnesses, heard)
+}
+
 func (k *Keeper) lead(now time.Duration, out *machine.Output) {
+	if !k.hears(now) {
+		return
+	}
 	known := k.witness.Known
 	if known.Boot != k.env.Boot {
 		k.retake(now, out)
@@ -580,12 +603,17 @@
 	}
 }
 
-// seek asks founders and other keepers for the view.
+// seek asks founders, the known seats and other keepers for the view.
 func (k *Keeper) seek(now time.Duration, out *machine.Output) {
 	if now-k.soughtAt < 2*heartbeat && k.soughtAt > 0 {
 		return
 	}
 	targets := slices.Clone(k.env.Founders)
+	for _, s := range k.witness.Known.Witnesses {
+		if !slices.Contains(targets, s.Address) {
+			targets = append(targets, s.Address)
+		}
+	}
 	for _, n := range k.nodes {
 		if n.Role == "keeper" && !slices.Contains(targets, n.Address) {
 			targets = append(targets, n.Address)
