Found one cluster though the power is lost meanwhile

Three faults, each seen failing in TestPowerIsLostWhileFounding with its mend taken out:

- An identity was told to the founder before it was synced.
With the founder's disk fast and the power of all lost at 9 ms, its view named seats that never came back, and nobody ever served (one backup, seeds a, b, c).
- The founder told its view before its own disk had it.
With slow disks of the seeds, others held that view when all lost power; the seeds founded a second one, and two disks held epoch 1 as different views.
- A process that is told no founders at its next start founds nothing.
Power lost from 5 ms on, with no view founded yet, left a system that never served.
The founders are now kept beside the identity.

The harness now checks in all tests that no two disks hold one epoch as different views; trio takes a testing.TB so that a variant can be shown to fail.

--- a/core/keeper/control_test.go
+++ b/core/keeper/control_test.go
@@ -3,6 +3,8 @@
 package keeper
 
 import (
+	"encoding/json"
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -10,6 +12,7 @@
 	"sorrelloom/core/code"
 	"sorrelloom/core/ledger"
 	"sorrelloom/core/machine"
+	"sorrelloom/core/register"
 	"sorrelloom/core/wire"
 )
 
@@ -116,7 +119,7 @@
 }
 
 // sized gives a founded cluster that bears so many losses.
-func sized(t *testing.T, losses int) *trio {
+func sized(t testing.TB, losses int) *trio {
 	if losses == 2 {
 		return newFive(t)
 	}
@@ -133,3 +136,25 @@
 	c.check()
 	return took
 }
+
+// oneView checks that no two disks ever hold an epoch as different views.
+func (c *trio) oneView(h *host) {
+	value, ok := h.disk[[2]string{bucketSelf, keyRegister}]
+	if !ok {
+		return
+	}
+	var state register.State
+	if err := json.Unmarshal(value, &state); err != nil {
+		c.t.Fatalf("%s: %v", h.address, err)
+	}
+	v := state.Known
+	if v.Epoch == 0 {
+		return
+	}
+	name := fmt.Sprint(v.Boot, v.Primary.ID, v.Backups, v.Witnesses)
+	if known, ok := c.views[v.Epoch]; ok && known != name {
+		c.t.Errorf("%s has epoch %d as %s, another as %s", h.address, v.Epoch, name, known)
+		return
+	}
+	c.views[v.Epoch] = name
+}
--- a/core/keeper/copies_test.go
+++ b/core/keeper/copies_test.go
@@ -13,7 +13,7 @@
 )
 
 // newFive founds a cluster of five with two backups, in three sites.
-func newFive(t *testing.T) *trio {
+func newFive(t testing.TB) *trio {
 	c := emptyTrio(t)
 	c.copies, c.sites = 2, map[string]string{"a": "x", "d": "x", "b": "y", "e": "y", "c": "z"}
 	for _, address := range []string{"a", "b", "c", "d", "e"} {
--- a/core/keeper/keeper.go
+++ b/core/keeper/keeper.go
@@ -52,6 +52,7 @@
 	keyIdentity = "identity"
 	keyRegister = "register"
 	keyStands   = "stands"
+	keyFounders = "founders"
 )
 
 // Buckets are all that a keeper's data file holds.
@@ -104,12 +105,16 @@
 }
 
 type Keeper struct {
-	env      Env
-	seat     wire.Seat
-	witness  register.State
-	proposal register.Proposal
-	asked    wire.Ballot
-	triedAt  time.Duration
+	env  Env
+	seat wire.Seat
+	born bool // its identity is synced
+	// founded is the first view as this founder made it; write foundedBy has it synced.
+	founded   wire.View
+	foundedBy uint64
+	witness   register.State
+	proposal  register.Proposal
+	asked     wire.Ballot
+	triedAt   time.Duration
 	// stands is the epoch in which this backup wants to lead the next, stood the
 	// same once it is synced, also those that a primary named for the next.
 	stands uint64
@@ -170,6 +175,8 @@
 		case r.Key == keyStands:
 			err = json.Unmarshal(r.Value, &k.stands)
 			k.stood = k.stands
+		case r.Key == keyFounders && len(env.Founders) == 0:
+			err = json.Unmarshal(r.Value, &k.env.Founders)
 		}
 		if err != nil {
 			return nil, fmt.Errorf("record %s/%s: %w", r.Bucket, r.Key, err)
@@ -188,7 +195,11 @@
 		}
 		k.seat.ID = env.FreshID
 		k.put(keyIdentity, k.seat.ID)
+		// All may lose power before a view is founded, and be told no founders when they start again.
+		k.put(keyFounders, env.Founders)
+		return k, nil
 	}
+	k.born = true
 	return k, nil
 }
 
@@ -459,11 +470,15 @@
 		return
 	}
 	delete(k.writing, done)
+	k.born = true
 	if took := now - k.wroteAt; took > 500*time.Millisecond {
 		out.Log("disk_slow", "tookMs", took.Milliseconds())
 	}
 	k.synced, k.stood = w.sequence, w.stands
 	out.Sends = append(out.Sends, w.sends...)
+	if k.founded.Epoch > 0 && done >= k.foundedBy {
+		k.learn(now, k.founded, out)
+	}
 	k.settle(out)
 }
 
@@ -490,7 +505,7 @@
 func (k *Keeper) settle(out *machine.Output) {
 	var keep []ack
 	for _, a := range k.acks {
-		if a.sequence <= k.synced {
+		if k.born && a.sequence <= k.synced {
 			out.Send(a.to, wire.ReplicateAck, a.body)
 		} else {
 			keep = append(keep, a)
--- a/core/keeper/keeper_test.go
+++ b/core/keeper/keeper_test.go
@@ -37,7 +37,7 @@
 
 // trio is a cluster of three founders and whoever is added later.
 type trio struct {
-	t        *testing.T
+	t        testing.TB
 	now      time.Duration
 	hosts    []*host
 	agenda   map[time.Duration][]func()
@@ -59,9 +59,12 @@
 	// idle says that nobody writes, reads that somebody reads, too.
 	idle, reads bool
 	asks        map[uint64]uint64 // by read, the newest plan answered before it was asked
+	views       map[uint64]string // by epoch, the view that a disk holds
+	// variant changes a process before each step, as one with a mechanism taken out.
+	variant func(h *host)
 }
 
-func newTrio(t *testing.T) *trio {
+func newTrio(t testing.TB) *trio {
 	c := emptyTrio(t)
 	for _, address := range c.founders {
 		c.add(address)
@@ -73,8 +76,8 @@
 	return c
 }
 
-func emptyTrio(t *testing.T) *trio {
-	return &trio{t: t, agenda: map[time.Duration][]func(){}, founders: []string{"a", "b", "c"}, answered: map[uint64]uint64{}, logs: map[string]int{}, sites: map[string]string{}, sends: map[string]int{}, asks: map[uint64]uint64{}}
+func emptyTrio(t testing.TB) *trio {
+	return &trio{t: t, agenda: map[time.Duration][]func(){}, founders: []string{"a", "b", "c"}, answered: map[uint64]uint64{}, logs: map[string]int{}, sites: map[string]string{}, sends: map[string]int{}, asks: map[uint64]uint64{}, views: map[uint64]string{}}
 }
 
 func (c *trio) add(address string) *host {
@@ -161,6 +164,9 @@
 		}
 		return
 	}
+	if c.variant != nil {
+		c.variant(h)
+	}
 	out := h.k.Step(c.now-h.boot+time.Microsecond, in)
 	life := h.life
 	for _, e := range out.Events {
@@ -217,13 +223,18 @@
 					}
 				}
 			}
+			registered := false
 			for _, r := range w.Records {
+				registered = registered || r.Key == keyRegister && r.Bucket == bucketSelf
 				if len(r.Value) == 0 {
 					delete(h.disk, [2]string{r.Bucket, r.Key})
 				} else {
 					h.disk[[2]string{r.Bucket, r.Key}] = r.Value
 				}
 			}
+			if registered {
+				c.oneView(h)
+			}
 			c.step(h, machine.Input{Wrote: w.Done})
 		})
 	}
--- a/core/keeper/view.go
+++ b/core/keeper/view.go
@@ -21,6 +21,10 @@
 
 func (k *Keeper) wakeups(now time.Duration, out *machine.Output) {
 	k.wakeAt = now + heartbeat/3
+	if !k.born {
+		// An identity that is told but lost with the power would hold a seat for ever.
+		return
+	}
 	for address, f := range k.followers {
 		if now > f.until {
 			delete(k.followers, address)
@@ -29,7 +33,7 @@
 	}
 	switch {
 	case k.witness.Known.Epoch == 0:
-		k.establish(now, out)
+		k.establish(now)
 		k.seek(now, out)
 	case k.leads():
 		k.lead(now, out)
@@ -637,7 +641,7 @@
 	}
 	k.learn(now, b.View, out)
 	k.found[b.Seat.Address] = finding{b, now}
-	k.establish(now, out)
+	k.establish(now)
 }
 
 // establish founds the cluster. All founders must have answered, each with an empty
@@ -645,8 +649,8 @@
 // has one, the smallest keeper that the members know. It takes the founders. Where
 // they are too few, or a site would hold more seats than may be lost, it waits a
 // while for others.
-func (k *Keeper) establish(now time.Duration, out *machine.Output) {
-	if k.witness.Known.Epoch > 0 || len(k.env.Founders) < 3 {
+func (k *Keeper) establish(now time.Duration) {
+	if k.witness.Known.Epoch > 0 || k.founded.Epoch > 0 || !k.born || len(k.env.Founders) < 3 {
 		return
 	}
 	waited := now-k.startAt > foundWait
@@ -696,7 +700,15 @@
 	if len(seats) < 3 {
 		return
 	}
-	k.learn(now, wire.View{Epoch: 1, Boot: k.env.Boot, Primary: seats[0], Backups: seats[1 : 1+min(copies, (len(seats)-1)/2)], Witnesses: seats}, out)
+	k.firstView(wire.View{Epoch: 1, Boot: k.env.Boot, Primary: seats[0], Backups: seats[1 : 1+min(copies, (len(seats)-1)/2)], Witnesses: seats})
+}
+
+// firstView writes the view that this keeper founds. It goes by it and tells it only once
+// it is synced: else all could lose power with the view on the disk of one that is no
+// founder, the founders found another, and two first views have two successors.
+func (k *Keeper) firstView(v wire.View) {
+	k.founded, k.foundedBy = v, k.nextWrite+1
+	k.put(keyRegister, register.State{Known: v})
 }
 
 // spread chooses seats, this one first, from the site that has the fewest of them
