Show that the checks of the control machines find six broken variants

Each takes one mechanism out by a change to the state of a keeper before each step, or by disks that lie: a leader that believes that it is heard, one that sends heartbeats though it hears nobody, one that thaws and keeps its epoch, acks before the disk has it, a member that is behind and leads, an empty disk with the identity of the old one.

--- a/core/keeper/keeper_test.go
+++ b/core/keeper/keeper_test.go
@@ -62,6 +62,8 @@
 	views       map[uint64]string // by epoch, the view that a disk holds
 	// variant changes a process before each step, as one with a mechanism taken out.
 	variant func(h *host)
+	// lyingDisks say that a batch is synced before it is.
+	lyingDisks bool
 }
 
 func newTrio(t testing.TB) *trio {
@@ -212,37 +214,55 @@
 		})
 	}
 	for _, w := range out.Writes {
-		c.after(3*stride+h.slow, func() {
-			if h.life != life {
-				return
-			}
-			for _, bucket := range w.Wipe {
-				for key := range h.disk {
-					if key[0] == bucket {
-						delete(h.disk, key)
-					}
-				}
-			}
-			registered := false
-			for _, r := range w.Records {
-				registered = registered || r.Key == keyRegister && r.Bucket == bucketSelf
-				if len(r.Value) == 0 {
-					delete(h.disk, [2]string{r.Bucket, r.Key})
-				} else {
-					h.disk[[2]string{r.Bucket, r.Key}] = r.Value
-				}
+		sync := c.now + 3*stride + h.slow
+		told := sync
+		if c.lyingDisks {
+			told = c.now + stride
+		}
+		c.after(sync-c.now, func() {
+			if h.life == life {
+				c.sync(h, w)
 			}
-			if registered {
-				c.oneView(h)
+			if h.life == life && told == sync {
+				c.step(h, machine.Input{Wrote: w.Done})
 			}
-			c.step(h, machine.Input{Wrote: w.Done})
 		})
+		if told < sync {
+			c.after(told-c.now, func() {
+				if h.life == life {
+					c.step(h, machine.Input{Wrote: w.Done})
+				}
+			})
+		}
 	}
 	if out.Stopped {
 		c.kill(h)
 	}
 }
 
+// sync has a batch on the disk.
+func (c *trio) sync(h *host, w machine.Write) {
+	for _, bucket := range w.Wipe {
+		for key := range h.disk {
+			if key[0] == bucket {
+				delete(h.disk, key)
+			}
+		}
+	}
+	registered := false
+	for _, r := range w.Records {
+		registered = registered || r.Key == keyRegister && r.Bucket == bucketSelf
+		if len(r.Value) == 0 {
+			delete(h.disk, [2]string{r.Bucket, r.Key})
+		} else {
+			h.disk[[2]string{r.Bucket, r.Key}] = r.Value
+		}
+	}
+	if registered {
+		c.oneView(h)
+	}
+}
+
 // write asks every keeper that is up to change the plan.
 func (c *trio) write() {
 	for _, h := range c.hosts {
