Let a new primary count as committed no more than its own disk has

Cause: on beginning to serve it took all that its backups had for committed. A read could then rest on as many disks as may be lost, not on one more; answered writes never did.

--- a/core/keeper/control_test.go
+++ b/core/keeper/control_test.go
@@ -54,6 +54,9 @@
 	if !ok || b.Answer.Code == code.NotPrimary {
 		return
 	}
+	if c.onRead != nil {
+		c.onRead(h, b)
+	}
 	if want := c.asks[b.ID]; b.Answer.Sequence < want {
 		c.t.Errorf("%s handed out plan %d at %s; plan %d had been answered before it was asked", h.address, b.Answer.Sequence, c.now, want)
 	}
--- a/core/keeper/keeper_test.go
+++ b/core/keeper/keeper_test.go
@@ -60,6 +60,7 @@
 	idle, reads bool
 	asks        map[uint64]uint64 // by read, the newest plan answered before it was asked
 	views       map[uint64]string // by epoch, the view that a disk holds
+	onRead      func(h *host, b wire.CommandBackBody)
 	// variant changes a process before each step, as one with a mechanism taken out.
 	variant func(h *host)
 	each    time.Duration // how often a client writes
--- a/core/keeper/view.go
+++ b/core/keeper/view.go
@@ -335,7 +335,9 @@
 
 func (k *Keeper) serve(now time.Duration, out *machine.Output) {
 	k.serving, k.leadingAt, k.beganAt = true, k.ledger.At()+time.Nanosecond, now
-	k.committed, k.told = k.ledger.Position().Sequence, k.ledger.Position().Sequence
+	// All backups have everything, but this disk may still be at what was not answered before.
+	k.committed = min(k.ledger.Position().Sequence, k.synced)
+	k.told = k.committed
 	k.sent = k.ledger.Position()
 	for _, s := range k.witness.Known.Backups {
 		p := k.peers[s.ID]
