--- a/core/keeper/control_serve_test.go
+++ b/core/keeper/control_serve_test.go
@@ -5,8 +5,6 @@
 	"testing"
 	"time"
 
-	"sorrelloom/core/ledger"
-	"sorrelloom/core/machine"
 	"sorrelloom/core/wire"
 )
 
@@ -14,17 +12,11 @@
 func (c *trio) disksWith(v wire.View, sequence uint64) (count int) {
 	for _, seat := range append([]wire.Seat{v.Primary}, v.Backups...) {
 		h := c.host(seat.Address)
-		var records []machine.Record
-		for key, value := range h.disk {
-			if key[0] != bucketSelf {
-				records = append(records, machine.Record{Bucket: key[0], Key: key[1], Value: value})
-			}
-		}
-		l, err := ledger.Load(records)
+		k, err := New(Env{}, h.disk.Stored())
 		if err != nil {
 			c.t.Fatalf("%s: %v", h.address, err)
 		}
-		if l.Plan().Sequence >= sequence {
+		if k.Ledger().Plan().Sequence >= sequence {
 			count++
 		}
 	}
--- a/core/keeper/control_test.go
+++ b/core/keeper/control_test.go
@@ -44,7 +44,7 @@
 		c.asked++
 		c.asks[c.asked] = c.newest()
 		body := wire.CommandBody{ID: c.asked, Command: ledger.Command{Kind: ledger.KindReadPlan}}
-		c.step(h, machine.Input{Line: machine.Line{Wire: machine.WireSequence, Kind: wire.Command, From: "reader", Body: machine.MustJSON(body)}})
+		c.step(h, machine.Input{Line: machine.Line{Wire: machine.WireSequence, Kind: wire.Command, From: "reader", Body: machine.MustMarshal(body)}})
 	}
 }
 
@@ -146,11 +146,7 @@
 }
 
 // oneView checks that no two disks ever hold an epoch as different views.
-func (c *trio) oneView(h *host) {
-	value, ok := h.disk[[2]string{bucketSelf, keyRegister}]
-	if !ok {
-		return
-	}
+func (c *trio) oneView(h *host, value json.RawMessage) {
 	var state register.State
 	if err := json.Unmarshal(value, &state); err != nil {
 		c.t.Fatalf("%s: %v", h.address, err)
--- a/core/keeper/keeper_test.go
+++ b/core/keeper/keeper_test.go
@@ -5,11 +5,9 @@
 package keeper
 
 import (
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"sort"
 	"strings"
 	"testing"
 	"time"
@@ -28,13 +26,17 @@
 	k       *Keeper
 	life    int
 	boot    time.Duration
-	disk    map[[2]string]json.RawMessage
+	disk    *machine.Disk
 	cut     bool
 	slow    time.Duration
 	frozen  bool
 	missed  []machine.Input // what came while it was frozen
 }
 
+// newDisk is an empty disk with room for so little log that days of a few seconds
+// have several snapshots.
+func newDisk() *machine.Disk { return &machine.Disk{SnapshotEach: 4096} }
+
 // trio is a cluster of three founders and whoever is added later.
 type trio struct {
 	t        testing.TB
@@ -66,6 +68,8 @@
 	each    time.Duration // how often a client writes
 	// lyingDisks say that a batch is synced before it is.
 	lyingDisks bool
+	// rejected counts the writes that a host sent elsewhere.
+	rejected map[string]int
 }
 
 func newTrio(t testing.TB) *trio {
@@ -81,11 +85,15 @@
 }
 
 func emptyTrio(t testing.TB) *trio {
-	return &trio{t: t, agenda: map[time.Duration][]func(){}, founders: []string{"a", "b", "c"}, answered: map[uint64]uint64{}, logs: map[string]int{}, sites: map[string]string{}, sends: map[string]int{}, asks: map[uint64]uint64{}, views: map[uint64]string{}, each: 50 * time.Millisecond}
+	return &trio{
+		t: t, founders: []string{"a", "b", "c"}, each: 50 * time.Millisecond,
+		agenda: map[time.Duration][]func(){}, answered: map[uint64]uint64{}, logs: map[string]int{}, sites: map[string]string{},
+		sends: map[string]int{}, rejected: map[string]int{}, asks: map[uint64]uint64{}, views: map[uint64]string{},
+	}
 }
 
 func (c *trio) add(address string) *host {
-	h := &host{address: address, disk: map[[2]string]json.RawMessage{}}
+	h := &host{address: address, disk: newDisk()}
 	c.hosts = append(c.hosts, h)
 	c.start(h)
 	return h
@@ -106,13 +114,6 @@
 	}
 	h.life++
 	h.boot = c.now
-	var records []machine.Record
-	for key, value := range h.disk {
-		records = append(records, machine.Record{Bucket: key[0], Key: key[1], Value: value})
-	}
-	sort.Slice(records, func(i, j int) bool {
-		return records[i].Bucket+"/"+records[i].Key < records[j].Bucket+"/"+records[j].Key
-	})
 	env := Env{Address: h.address, Site: c.site(h.address), Copies: c.copies, FreshID: fmt.Sprintf("%s-%d", h.address, h.life), Boot: uint64(h.life)<<16 + uint64(h.address[0])}
 	if slices.Contains(c.founders, h.address) || len(c.proxies) > 0 {
 		env.Founders = c.founders
@@ -120,7 +121,7 @@
 	if c.tune != nil {
 		c.tune(h, &env)
 	}
-	k, err := New(env, records)
+	k, err := New(env, h.disk.Stored())
 	if err != nil {
 		c.t.Fatalf("%s refuses its own disk: %v", h.address, err)
 	}
@@ -149,7 +150,7 @@
 func (c *trio) wipe(h *host) {
 	c.kill(h)
 	c.say("wipe %s", h.address)
-	h.disk = map[[2]string]json.RawMessage{}
+	h.disk = newDisk()
 }
 
 func (c *trio) say(format string, args ...any) {
@@ -180,7 +181,7 @@
 	for _, s := range out.Sends {
 		if slices.Contains(c.proxies, s.To) && s.Kind == wire.Found {
 			body := wire.FoundBody{Seat: wire.Seat{ID: s.To, Address: s.To, Site: c.site(s.To)}, Empty: true, Proxy: true}
-			line := machine.Line{Wire: machine.WireSequence, Kind: wire.FoundBack, From: s.To, Body: machine.MustJSON(body)}
+			line := machine.Line{Wire: machine.WireSequence, Kind: wire.FoundBack, From: s.To, Body: machine.MustMarshal(body)}
 			c.after(2*stride, func() {
 				if h.k != nil && h.life == life {
 					c.step(h, machine.Input{Line: line})
@@ -200,7 +201,7 @@
 		if to == nil || h.cut {
 			continue
 		}
-		line := machine.Line{Wire: machine.WireSequence, Kind: s.Kind, From: h.address, Body: machine.MustJSON(s.Body)}
+		line := machine.Line{Wire: machine.WireSequence, Kind: s.Kind, From: h.address, Body: machine.MustMarshal(s.Body)}
 		c.logs["line "+s.Kind+" to "+s.To]++
 		c.sends[s.Kind]++
 		var late time.Duration
@@ -216,23 +217,23 @@
 		})
 	}
 	for _, w := range out.Writes {
-		sync := c.now + 3*stride + h.slow
+		sync := 3*stride + h.slow
 		told := sync
 		if c.lyingDisks {
-			told = c.now + stride
+			told = stride
 		}
-		c.after(sync-c.now, func() {
+		c.after(sync, func() {
 			if h.life == life {
 				c.sync(h, w)
 			}
 			if h.life == life && told == sync {
-				c.step(h, machine.Input{Wrote: w.Done})
+				c.step(h, machine.Input{Wrote: w.Done, SnapshotDue: h.disk.SnapshotDue()})
 			}
 		})
 		if told < sync {
-			c.after(told-c.now, func() {
+			c.after(told, func() {
 				if h.life == life {
-					c.step(h, machine.Input{Wrote: w.Done})
+					c.step(h, machine.Input{Wrote: w.Done, SnapshotDue: h.disk.SnapshotDue()})
 				}
 			})
 		}
@@ -244,25 +245,12 @@
 
 // sync has a batch on the disk.
 func (c *trio) sync(h *host, w machine.Write) {
-	for _, bucket := range w.Wipe {
-		for key := range h.disk {
-			if key[0] == bucket {
-				delete(h.disk, key)
-			}
-		}
-	}
-	registered := false
+	h.disk.Apply(w)
 	for _, r := range w.Records {
-		registered = registered || r.Key == keyRegister && r.Bucket == bucketSelf
-		if len(r.Value) == 0 {
-			delete(h.disk, [2]string{r.Bucket, r.Key})
-		} else {
-			h.disk[[2]string{r.Bucket, r.Key}] = r.Value
+		if r.Bucket == bucketSelf && r.Key == keyRegister {
+			c.oneView(h, r.Value)
 		}
 	}
-	if registered {
-		c.oneView(h)
-	}
 }
 
 // write asks every keeper that is up to change the plan.
@@ -273,13 +261,16 @@
 		}
 		c.asked++
 		cmd := ledger.Command{Kind: ledger.KindPlan, Plan: ledger.PlanChange{Forced: true, Patch: true, Body: fmt.Appendf(nil, `{"limits":{"keep":"%dm"}}`, 10+c.asked)}}
-		line := machine.Line{Wire: machine.WireSequence, Kind: wire.Command, From: "writer", Body: machine.MustJSON(wire.CommandBody{ID: c.asked, Command: cmd})}
+		line := machine.Line{Wire: machine.WireSequence, Kind: wire.Command, From: "writer", Body: machine.MustMarshal(wire.CommandBody{ID: c.asked, Command: cmd})}
 		c.step(h, machine.Input{Line: line})
 	}
 }
 
 func (c *trio) answer(h *host, s machine.Send) {
 	b, ok := s.Body.(wire.CommandBackBody)
+	if ok && b.Answer.Code == code.NotPrimary {
+		c.rejected[h.address]++
+	}
 	if !ok || h.cut || b.Answer.Code == code.NotPrimary {
 		return
 	}
@@ -329,7 +320,7 @@
 	}
 	for _, h := range c.hosts {
 		if h.k != nil && !h.cut {
-			c.step(h, machine.Input{Line: machine.Line{Wire: machine.WireSequence, Kind: wire.Nodes, Body: machine.MustJSON(wire.Gossip{Nodes: nodes})}})
+			c.step(h, machine.Input{Line: machine.Line{Wire: machine.WireSequence, Kind: wire.Nodes, Body: machine.MustMarshal(wire.Gossip{Nodes: nodes})}})
 		}
 	}
 }
--- a/core/wire/wire.go
+++ b/core/wire/wire.go
@@ -4,6 +4,7 @@
 package wire
 
 import (
+	"encoding/json"
 	"time"
 
 	"sorrelloom/core/ledger"
@@ -100,17 +101,17 @@
 	Good     bool   `json:"good"`
 }
 
-// ReplicateBody carries commands from the primary. Token is echoed, so that an
+// ReplicateBody carries encoded commands from the primary. Token is echoed, so that an
 // empty body serves as a check that the backup still follows this epoch.
 // Boot names the process, so that an ack never reaches the next run of the same
 // keeper as its own.
 type ReplicateBody struct {
-	Boot     uint64           `json:"boot"`
-	View     View             `json:"view"`
-	From     Seat             `json:"from"`
-	Token    uint64           `json:"token"`
-	After    ledger.Position  `json:"after"`
-	Commands []ledger.Command `json:"commands,omitempty"`
+	Boot     uint64            `json:"boot"`
+	View     View              `json:"view"`
+	From     Seat              `json:"from"`
+	Token    uint64            `json:"token"`
+	After    ledger.Position   `json:"after"`
+	Commands []json.RawMessage `json:"commands,omitempty"`
 }
 
 type ReplicateAckBody struct {
@@ -135,17 +136,27 @@
 	Records []machine.Record `json:"records"`
 }
 
+// CommandBody asks a keeper for a command. An answer is of use to the sender for
+// Left from the sending on; Deadline is the ledger's time at the end of that span,
+// as the sender reckons it, never too early. Zero stands for no bound. Resent says
+// that a copy of the command was sent before.
 type CommandBody struct {
-	ID      uint64         `json:"id"`
-	Read    bool           `json:"read,omitempty"`
-	Command ledger.Command `json:"command"`
+	ID       uint64         `json:"id"`
+	Read     bool           `json:"read,omitempty"`
+	Left     time.Duration  `json:"left,omitempty"`
+	Deadline time.Duration  `json:"deadline,omitempty"`
+	Resent   bool           `json:"resent,omitempty"`
+	Command  ledger.Command `json:"command"`
 }
 
+// CommandBackBody is a keeper's answer to a command. With Received set it is no
+// answer yet: a leader says at once that a question for its proof has arrived.
 type CommandBackBody struct {
-	ID      uint64        `json:"id"`
-	At      uint64        `json:"at,omitempty"`
-	Answer  ledger.Answer `json:"answer"`
-	Primary string        `json:"primary,omitempty"`
+	ID       uint64        `json:"id"`
+	At       uint64        `json:"at,omitempty"`
+	Received bool          `json:"received,omitempty"`
+	Answer   ledger.Answer `json:"answer"`
+	Primary  string        `json:"primary,omitempty"`
 	// Keepers are the addresses of the view's keepers, for those who follow nothing.
 	Keepers []string `json:"keepers,omitempty"`
 }
@@ -154,19 +165,19 @@
 	At ledger.Position `json:"at"`
 }
 
-// NewsBody carries committed commands, or a whole copy when Records is set. A
+// NewsBody carries committed commands, encoded, or a whole copy when Records is set. A
 // site's home daemon passes it on with Relayed set and the age of the last word
 // that it had from a proven primary.
 type NewsBody struct {
-	Relayed  bool             `json:"relayed,omitempty"`
-	Age      time.Duration    `json:"age,omitempty"`
-	Epoch    uint64           `json:"epoch"`
-	After    ledger.Position  `json:"after"`
-	At       ledger.Position  `json:"at"`
-	Commands []ledger.Command `json:"commands,omitempty"`
-	Records  []machine.Record `json:"records,omitempty"`
-	Bounced  bool             `json:"bounced,omitempty"`
-	Primary  string           `json:"primary,omitempty"`
+	Relayed  bool              `json:"relayed,omitempty"`
+	Age      time.Duration     `json:"age,omitempty"`
+	Epoch    uint64            `json:"epoch"`
+	After    ledger.Position   `json:"after"`
+	At       ledger.Position   `json:"at"`
+	Commands []json.RawMessage `json:"commands,omitempty"`
+	Records  []machine.Record  `json:"records,omitempty"`
+	Bounced  bool              `json:"bounced,omitempty"`
+	Primary  string            `json:"primary,omitempty"`
 }
 
 type BeatBody struct {
