--- a/core/keeper/keeper_test.go
+++ b/core/keeper/keeper_test.go
@@ -29,6 +29,8 @@
 	disk    *machine.Disk
 	cut     bool
 	slow    time.Duration
+	frozen  bool
+	missed  []machine.Input // what came while it was frozen
 }
 
 // newDisk is an empty disk with room for so little log that days of a few seconds
@@ -37,7 +39,7 @@
 
 // trio is a cluster of three founders and whoever is added later.
 type trio struct {
-	t        *testing.T
+	t        testing.TB
 	now      time.Duration
 	hosts    []*host
 	agenda   map[time.Duration][]func()
@@ -54,13 +56,25 @@
 	// late is by how much a line comes later; a negative one never comes.
 	late  func(from, to, kind string) time.Duration
 	sends map[string]int
+	// tune changes what a process is started with.
+	tune func(h *host, env *Env)
+	// idle says that nobody writes, reads that somebody reads, too.
+	idle, reads bool
+	asks        map[uint64]uint64 // by read, the newest plan answered before it was asked
+	views       map[uint64]string // by epoch, the view that a disk holds
+	onRead      func(h *host, b wire.CommandBackBody)
+	// variant changes a process before each step, as one with a mechanism taken out.
+	variant func(h *host)
+	each    time.Duration // how often a client writes
+	// lyingDisks say that a batch is synced before it is.
+	lyingDisks bool
 	// rejected counts the writes that a host sent elsewhere.
 	rejected map[string]int
 	// saw is told of every line that is sent, also of those that never come.
 	saw func(from, to string, line machine.Line)
 }
 
-func newTrio(t *testing.T) *trio {
+func newTrio(t testing.TB) *trio {
 	c := emptyTrio(t)
 	for _, address := range c.founders {
 		c.add(address)
@@ -72,8 +86,12 @@
 	return c
 }
 
-func emptyTrio(t *testing.T) *trio {
-	return &trio{t: t, agenda: map[time.Duration][]func(){}, founders: []string{"a", "b", "c"}, answered: map[uint64]uint64{}, logs: map[string]int{}, sites: map[string]string{}, sends: map[string]int{}, rejected: map[string]int{}}
+func emptyTrio(t testing.TB) *trio {
+	return &trio{
+		t: t, founders: []string{"a", "b", "c"}, each: 50 * time.Millisecond,
+		agenda: map[time.Duration][]func(){}, answered: map[uint64]uint64{}, logs: map[string]int{}, sites: map[string]string{},
+		sends: map[string]int{}, rejected: map[string]int{}, asks: map[uint64]uint64{}, views: map[uint64]string{},
+	}
 }
 
 func (c *trio) add(address string) *host {
@@ -102,6 +120,9 @@
 	if slices.Contains(c.founders, h.address) || len(c.proxies) > 0 {
 		env.Founders = c.founders
 	}
+	if c.tune != nil {
+		c.tune(h, &env)
+	}
 	k, err := New(env, h.disk.Stored())
 	if err != nil {
 		c.t.Fatalf("%s refuses its own disk: %v", h.address, err)
@@ -125,6 +146,7 @@
 	}
 	h.k = nil
 	h.life++
+	h.frozen, h.missed = false, nil
 }
 
 func (c *trio) wipe(h *host) {
@@ -143,6 +165,15 @@
 }
 
 func (c *trio) step(h *host, in machine.Input) {
+	if h.frozen {
+		if in.Wrote > 0 || in.Line.Kind != "" {
+			h.missed = append(h.missed, in)
+		}
+		return
+	}
+	if c.variant != nil {
+		c.variant(h)
+	}
 	out := h.k.Step(c.now-h.boot+time.Microsecond, in)
 	life := h.life
 	for _, e := range out.Events {
@@ -160,6 +191,10 @@
 			})
 			continue
 		}
+		if s.To == "reader" {
+			c.read(h, s)
+			continue
+		}
 		if s.To == "writer" {
 			c.answer(h, s)
 			continue
@@ -187,19 +222,42 @@
 		})
 	}
 	for _, w := range out.Writes {
-		c.after(3*stride+h.slow, func() {
-			if h.life != life {
-				return
+		sync := 3*stride + h.slow
+		told := sync
+		if c.lyingDisks {
+			told = stride
+		}
+		c.after(sync, func() {
+			if h.life == life {
+				c.sync(h, w)
+			}
+			if h.life == life && told == sync {
+				c.step(h, machine.Input{Wrote: w.Done, SnapshotDue: h.disk.SnapshotDue()})
 			}
-			h.disk.Apply(w)
-			c.step(h, machine.Input{Wrote: w.Done, SnapshotDue: h.disk.SnapshotDue()})
 		})
+		if told < sync {
+			c.after(told, func() {
+				if h.life == life {
+					c.step(h, machine.Input{Wrote: w.Done, SnapshotDue: h.disk.SnapshotDue()})
+				}
+			})
+		}
 	}
 	if out.Stopped {
 		c.kill(h)
 	}
 }
 
+// sync has a batch on the disk.
+func (c *trio) sync(h *host, w machine.Write) {
+	h.disk.Apply(w)
+	for _, r := range w.Records {
+		if r.Bucket == bucketSelf && r.Key == keyRegister {
+			c.oneView(h, r.Value)
+		}
+	}
+}
+
 // write asks every keeper that is up to change the plan.
 func (c *trio) write() {
 	for _, h := range c.hosts {
@@ -231,7 +289,7 @@
 	c.longest, c.last = max(c.longest, c.now-c.last), c.now
 }
 
-// pass lets time go by, with a write each 50 ms.
+// pass lets time go by, with a write each 50 ms where nothing else is said.
 func (c *trio) pass(d time.Duration) {
 	for end := c.now + d; c.now < end; {
 		c.now += stride
@@ -245,9 +303,12 @@
 				c.step(h, machine.Input{})
 			}
 		}
-		if c.now%(50*time.Millisecond) == 0 {
+		if c.now%c.each == 0 && !c.idle {
 			c.write()
 		}
+		if c.now%c.each == c.each/2 && c.reads {
+			c.askAll()
+		}
 		if c.now%(300*time.Millisecond) == 0 {
 			c.gossip()
 		}
@@ -271,7 +332,7 @@
 
 func (c *trio) primary() *host {
 	for _, h := range c.hosts {
-		if h.k != nil && !h.cut && h.k.proven(c.now-h.boot+time.Microsecond) {
+		if h.k != nil && !h.cut && !h.frozen && h.k.proven(c.now-h.boot+time.Microsecond) {
 			return h
 		}
 	}
--- a/core/keeper/replicate.go
+++ b/core/keeper/replicate.go
@@ -20,6 +20,9 @@
 // replicateNew sends the new commands to all peers that keep up, as one body, and a
 // heartbeat to the others.
 func (k *Keeper) replicateNew(now time.Duration, out *machine.Output) {
+	if !k.hears(now) {
+		return
+	}
 	position := k.ledger.Position()
 	waits := len(k.answers) > 0 && k.answers[len(k.answers)-1].token > k.token
 	if position == k.sent && !waits && now-k.beatAt < heartbeat {
--- a/core/keeper/view.go
+++ b/core/keeper/view.go
@@ -21,6 +21,10 @@
 
 func (k *Keeper) wakeups(now time.Duration, out *machine.Output) {
 	k.wakeAt = now + heartbeat/3
+	if !k.born {
+		// An identity that is told but lost with the power would hold a seat for ever.
+		return
+	}
 	k.rejectWaiting(now, out)
 	for address, f := range k.followers {
 		if now > f.until {
@@ -32,14 +36,15 @@
 	k.askAgain(now, out)
 	switch {
 	case k.witness.Known.Epoch == 0:
-		k.establish(now, out)
+		k.establish(now)
 		k.seek(now, out)
 	case k.leads():
 		k.lead(now, out)
 	case k.backs():
 		k.stand(now, out)
 	}
-	if !register.Has(k.witness.Known.Witnesses, k.seat.ID) || now-k.peers[k.witness.Known.Primary.ID].heardAt > 2*suspect {
+	unheard := now-k.peers[k.witness.Known.Primary.ID].heardAt > 2*suspect || k.leads() && !k.hears(now)
+	if unheard || !register.Has(k.witness.Known.Witnesses, k.seat.ID) {
 		k.seek(now, out)
 	}
 }
@@ -158,7 +163,29 @@
 	return ok && f.Seat.ID != s.ID && f.at > k.peers[s.ID].heardAt
 }
 
+// hears says whether a leader has just heard from a majority of the witnesses, itself
+// among them. Without them it can commit nothing and have no view decided. It must then
+// send no heartbeats: if its lines arrive although it hears nobody, its backups would
+// not miss it, and nobody would serve.
+func (k *Keeper) hears(now time.Duration) bool {
+	if now-k.beganAt <= suspect {
+		return true
+	}
+	heard := map[string]bool{k.seat.ID: true}
+	for _, s := range k.witness.Known.Witnesses {
+		f := k.found[s.Address]
+		found := f.Seat.ID == s.ID && now-f.at <= suspect
+		if found || now-k.peers[s.ID].heardAt <= suspect {
+			heard[s.ID] = true
+		}
+	}
+	return register.Majority(k.witness.Known.Witnesses, heard)
+}
+
 func (k *Keeper) lead(now time.Duration, out *machine.Output) {
+	if !k.hears(now) {
+		return
+	}
 	known := k.witness.Known
 	if known.Boot != k.env.Boot {
 		k.retake(now, out)
@@ -311,7 +338,9 @@
 
 func (k *Keeper) serve(now time.Duration, out *machine.Output) {
 	k.serving, k.leadingAt, k.beganAt = true, k.ledger.At()+time.Nanosecond, now
-	k.committed, k.told = k.ledger.Position().Sequence, k.ledger.Position().Sequence
+	// All backups have everything, but this disk may still be at what was not answered before.
+	k.committed = min(k.ledger.Position().Sequence, k.synced)
+	k.told = k.committed
 	k.sent = k.ledger.Position()
 	for _, s := range k.witness.Known.Backups {
 		p := k.peers[s.ID]
@@ -486,12 +515,17 @@
 	return false
 }
 
-// seek asks founders and other keepers for the view.
+// seek asks founders, the known seats and other keepers for the view.
 func (k *Keeper) seek(now time.Duration, out *machine.Output) {
 	if now-k.soughtAt < 2*heartbeat && k.soughtAt > 0 {
 		return
 	}
 	targets := slices.Clone(k.env.Founders)
+	for _, s := range k.witness.Known.Witnesses {
+		if !slices.Contains(targets, s.Address) {
+			targets = append(targets, s.Address)
+		}
+	}
 	for _, n := range k.nodes {
 		if n.Role == "keeper" && !slices.Contains(targets, n.Address) {
 			targets = append(targets, n.Address)
@@ -515,7 +549,7 @@
 	}
 	k.learn(now, b.View, out)
 	k.found[b.Seat.Address] = finding{b, now}
-	k.establish(now, out)
+	k.establish(now)
 }
 
 // establish founds the cluster. All founders must have answered, each with an empty
@@ -523,8 +557,8 @@
 // has one, the smallest keeper that the members know. It takes the founders. Where
 // they are too few, or a site would hold more seats than may be lost, it waits a
 // while for others.
-func (k *Keeper) establish(now time.Duration, out *machine.Output) {
-	if k.witness.Known.Epoch > 0 || len(k.env.Founders) < 3 {
+func (k *Keeper) establish(now time.Duration) {
+	if k.witness.Known.Epoch > 0 || k.founded.Epoch > 0 || !k.born || len(k.env.Founders) < 3 {
 		return
 	}
 	waited := now-k.startAt > foundWait
@@ -574,7 +608,15 @@
 	if len(seats) < 3 {
 		return
 	}
-	k.learn(now, wire.View{Epoch: 1, Boot: k.env.Boot, Primary: seats[0], Backups: seats[1 : 1+min(copies, (len(seats)-1)/2)], Witnesses: seats}, out)
+	k.firstView(wire.View{Epoch: 1, Boot: k.env.Boot, Primary: seats[0], Backups: seats[1 : 1+min(copies, (len(seats)-1)/2)], Witnesses: seats})
+}
+
+// firstView writes the view that this keeper founds. It goes by it and tells it only once
+// it is synced: else all could lose power with the view on the disk of one that is no
+// founder, the founders found another, and two first views have two successors.
+func (k *Keeper) firstView(v wire.View) {
+	k.founded, k.foundedBy = v, k.nextWrite+1
+	k.put(keyRegister, register.State{Known: v})
 }
 
 // spread chooses seats, this one first, from the site that has the fewest of them
--- a/core/relay/load_test.go
+++ b/core/relay/load_test.go
@@ -381,7 +381,7 @@
 	now := time.Duration(0)
 	back := func(id uint64, body wire.CommandBackBody) {
 		body.ID = id
-		line := machine.Line{Wire: 1, Kind: wire.CommandBack, From: "k0", Body: machine.MustJSON(body)}
+		line := machine.Line{Wire: 1, Kind: wire.CommandBack, From: "k0", Body: machine.MustMarshal(body)}
 		r.Step(now, machine.Input{Line: line})
 	}
 	ask := func(key uint64) {
