Let the fleet start a member again that ended by itself

Seen while a keeper's disk was filled: the keeper ended with 4, and the fleet said "runs already" to run and "process already finished" to kill, so that it could not be started again. A member runs now if its process has not ended. TestAMemberThatEndedIsRunAgain failed before ("keeper-1 runs already") and passes.

Long lines of the package are split and its public items have doc comments; nothing else behaves otherwise.

--- a/tool/fleet/fleet.go
+++ b/tool/fleet/fleet.go
@@ -19,6 +19,7 @@
 	"sorrelloom/tool/deploy"
 )
 
+// Env says what to run, how much of it, and where.
 type Env struct {
 	Bin        string
 	Folder     string
@@ -44,6 +45,7 @@
 	ended   chan struct{}
 }
 
+// Fleet is the processes of one deployment.
 type Fleet struct {
 	env     Env
 	mu      sync.Mutex
@@ -63,7 +65,13 @@
 	add := func(role string, count int) []*Process {
 		var out []*Process
 		for i := range count {
-			p := &Process{Name: fmt.Sprintf("%s-%d", role, i+1), Role: role, Site: e.Deployment.Sites[i%len(e.Deployment.Sites)], Address: f.address(), HTTP: f.address()}
+			p := &Process{
+				Name:    fmt.Sprintf("%s-%d", role, i+1),
+				Role:    role,
+				Site:    e.Deployment.Sites[i%len(e.Deployment.Sites)],
+				Address: f.address(),
+				HTTP:    f.address(),
+			}
 			f.members[p.Name] = p
 			out = append(out, p)
 		}
@@ -86,8 +94,12 @@
 	}
 	for i, p := range add("standin", e.Workers) {
 		d := e.Deployment
-		p.args = []string{"-id", p.Name, "-site", p.Site, "-service", d.Service, "-rack", fmt.Sprintf("r%d", i/deploy.PerRack+1),
-			"-slots", fmt.Sprint(deploy.Slots), "-cores", fmt.Sprint(d.Cores), "-fronts", strings.Join(rotate(fronts, i), ","), "-http", p.HTTP}
+		p.args = []string{
+			"-id", p.Name, "-site", p.Site, "-service", d.Service,
+			"-rack", fmt.Sprintf("r%d", i/deploy.PerRack+1),
+			"-slots", fmt.Sprint(deploy.Slots), "-cores", fmt.Sprint(d.Cores),
+			"-fronts", strings.Join(rotate(fronts, i), ","), "-http", p.HTTP,
+		}
 	}
 	f.Client = client.Must(fronts)
 	for _, name := range f.Names() {
@@ -117,11 +129,12 @@
 }
 
 func (f *Fleet) args(p *Process, seeds []string) []string {
+	args := []string{"-address", p.Address}
 	if f.relays != nil {
 		p.listen = f.address()
-		return []string{"-address", p.Address, "-listen", p.listen, "-http", p.HTTP, "-site", p.Site, "-seeds", strings.Join(seeds, ",")}
+		args = append(args, "-listen", p.listen)
 	}
-	return []string{"-address", p.Address, "-http", p.HTTP, "-site", p.Site, "-seeds", strings.Join(seeds, ",")}
+	return append(args, "-http", p.HTTP, "-site", p.Site, "-seeds", strings.Join(seeds, ","))
 }
 
 // Names lists the members; keepers come first, stand-ins last.
@@ -141,6 +154,7 @@
 	return names
 }
 
+// Member finds a process by its name.
 func (f *Fleet) Member(name string) (*Process, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -151,13 +165,26 @@
 	return p, nil
 }
 
+// runs says whether the process was started and has not ended, by itself or by an order.
+func (p *Process) runs() bool {
+	if p.command == nil {
+		return false
+	}
+	select {
+	case <-p.ended:
+		return false
+	default:
+		return true
+	}
+}
+
 // Run starts a member that is not running.
 func (f *Fleet) Run(name string) error {
 	p, err := f.Member(name)
 	if err != nil {
 		return err
 	}
-	if p.command != nil {
+	if p.runs() {
 		return fmt.Errorf("%s runs already", name)
 	}
 	if err := os.MkdirAll(f.env.Folder, 0o700); err != nil {
@@ -188,7 +215,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if p.command == nil {
+	if !p.runs() {
 		return nil, fmt.Errorf("%s does not run", name)
 	}
 	return p, p.command.Process.Signal(s)
@@ -220,11 +247,13 @@
 	return nil
 }
 
+// Freeze stops a member where it stands, until Wake.
 func (f *Fleet) Freeze(name string) error {
 	_, err := f.signal(name, syscall.SIGSTOP)
 	return err
 }
 
+// Wake lets a frozen member go on.
 func (f *Fleet) Wake(name string) error {
 	_, err := f.signal(name, syscall.SIGCONT)
 	return err
@@ -236,7 +265,7 @@
 	if err != nil {
 		return err
 	}
-	if p.command != nil || p.Role != "keeper" {
+	if p.runs() || p.Role != "keeper" {
 		return fmt.Errorf("%s runs, or is no keeper", name)
 	}
 	return os.RemoveAll(filepath.Join(f.env.Folder, name))
@@ -331,7 +360,8 @@
 		var status struct {
 			Serving bool `json:"serving"`
 		}
-		if r, err := f.Client.At(p.HTTP, "GET", "/status", nil, nil, time.Second); err == nil && r.Decode(&status) == nil && status.Serving {
+		r, err := f.Client.At(p.HTTP, "GET", "/status", nil, nil, time.Second)
+		if err == nil && r.Decode(&status) == nil && status.Serving {
 			return name
 		}
 	}
