Show operators who leads, in which epoch, and how far each member is behind

sorrelctl members asks every keeper for its status page and prints, of the newest view, the leader, the epoch and for each member its part, position, lag and how long ago it was heard. It ends with 1 if no leader that its backups confirm answered.

The page says whether the leader is confirmed, not only that it serves: in a fleet with both other keepers killed, the first form of the command said that the third leads and ended with 0, though it could accept nothing.

--- /dev/null
+++ b/core/keeper/members_test.go
@@ -0,0 +1,69 @@
+package keeper
+
+import (
+	"testing"
+	"time"
+)
+
+// memberOf is what a keeper reports of the member at an address.
+func memberOf(t *testing.T, c *trio, reporter *host, address string) MemberStatus {
+	t.Helper()
+	for _, m := range reporter.k.Report(c.now - reporter.boot + time.Microsecond).Members {
+		if m.Address == address {
+			return m
+		}
+	}
+	t.Fatalf("%s reports no member at %s", reporter.address, address)
+	return MemberStatus{}
+}
+
+// TestTheLeaderReportsWhoLags cuts the witness off and compares what the leader and
+// the backup report of each member.
+func TestTheLeaderReportsWhoLags(t *testing.T) {
+	const away = 500 * time.Millisecond
+	c := newTrio(t)
+	leader := c.primary()
+	view := leader.k.View()
+	backup := c.host(view.Backups[0].Address)
+	var witness *host
+	for _, h := range c.hosts {
+		if h != leader && h != backup {
+			witness = h
+		}
+	}
+	for address, role := range map[string]Role{leader.address: Leader, backup.address: Backup, witness.address: Witness} {
+		if m := memberOf(t, c, leader, address); m.Role != role || m.HeardMsAgo < 0 || m.HeardMsAgo >= away.Milliseconds() {
+			t.Errorf("of %s: %+v, want the role %s, heard lately", address, m, role)
+		}
+	}
+	witness.cut = true
+	before := leader.k.Status().At.Sequence
+	c.pass(away)
+	behind := int64(leader.k.Status().At.Sequence - before)
+	m := memberOf(t, c, leader, witness.address)
+	if behind == 0 || m.Lag < behind || m.Lag > behind+1 || m.HeardMsAgo < away.Milliseconds() {
+		t.Errorf("the witness missed %d commands in %s: %+v", behind, away, m)
+	}
+	if m := memberOf(t, c, leader, backup.address); m.Lag > 1 || m.HeardMsAgo >= away.Milliseconds() {
+		t.Errorf("the backup has every answered write: %+v", m)
+	}
+	if m := memberOf(t, c, backup, witness.address); m.Lag != Unknown {
+		t.Errorf("a backup cannot know how far another is: %+v", m)
+	}
+	if m := memberOf(t, c, backup, leader.address); m.Role != Leader || m.HeardMsAgo < 0 {
+		t.Errorf("a backup hears the leader: %+v", m)
+	}
+	backup.cut = true
+	c.pass(2 * suspect)
+	if report := leader.k.Report(c.now - leader.boot + time.Microsecond); report.Proven || !report.Serving {
+		t.Errorf("a leader that reaches no other member: serving=%v proven=%v", report.Serving, report.Proven)
+	}
+	witness.cut, backup.cut = false, false
+	c.pass(time.Second)
+	if report := leader.k.Report(c.now - leader.boot + time.Microsecond); !report.Proven {
+		t.Errorf("a leader that reaches all members is not proven: %+v", report)
+	}
+	if m := memberOf(t, c, leader, witness.address); m.Lag > 1 || m.HeardMsAgo >= away.Milliseconds() {
+		t.Errorf("the witness caught up: %+v", m)
+	}
+}
--- a/daemon/cmd/keeper/main.go
+++ b/daemon/cmd/keeper/main.go
@@ -34,7 +34,7 @@
 				return ready
 			},
 			Status: func() (status any) {
-				s.Look(func() { status = k.Status() })
+				s.Look(func() { status = k.Report(h.Now()) })
 				return status
 			},
 			Gauges: []web.Gauge{
--- a/daemon/cmd/sorrelctl/main.go
+++ b/daemon/cmd/sorrelctl/main.go
@@ -38,6 +38,7 @@
   worker drain|undrain ID     drain a worker or take it back
   worker gone ID              say that a silent worker will not come back
   workers | nodes | duties    show what the cluster knows
+  members                     show who leads, in which epoch, and how far each keeper is behind
   duty pass SITE ADDRESS      hand a site's dispatch duty to that scheduler
   audit verify FOLDER...      check audit logs and their checkpoints
   version                     show the version
@@ -60,7 +61,9 @@
 	timeout := fs.Duration("timeout", 10*time.Second, "how long one front may take")
 	base := fs.Uint64("base", 0, "plan put, patch: the sequence the change is made on")
 	force := fs.Bool("force", false, "plan put, patch: whatever the sequence is")
-	key := fs.String("key", "", "operators' writes: the request's key, to repeat a call that had no answer; else a new one")
+	key := fs.String("key", "",
+		"operators' writes: the request's key, to repeat a call that had no answer; else a new one")
+	status := fs.String("status", "", "members: comma-separated IP:port of status pages; else a front names the keepers")
 	keys := fs.String("keys", "", "audit verify: comma-separated public keys; else those in the folders")
 	fs.Usage = func() {
 		fmt.Fprint(errs, usage)
@@ -77,6 +80,9 @@
 		fmt.Fprintln(out, env.Version("sorrelctl"))
 		return 0
 	}
+	if len(words) == 1 && words[0] == "members" {
+		return members(strings.Split(*fronts, ","), addresses(*status), *timeout, out, errs)
+	}
 	if len(words) > 2 && words[0] == "audit" && words[1] == "verify" {
 		return verify(words[2:], *keys, out, errs)
 	}
@@ -109,7 +115,8 @@
 	if *key == "" {
 		*key = rand.Text()
 	}
-	r, err := client.Must(strings.Split(*fronts, ",")).Call(c.method, c.path, body, map[string]string{"Idempotency-Key": *key}, *timeout+*wait)
+	headers := map[string]string{"Idempotency-Key": *key}
+	r, err := client.Must(strings.Split(*fronts, ",")).Call(c.method, c.path, body, headers, *timeout+*wait)
 	if err != nil {
 		fmt.Fprintln(errs, "sorrelctl: no front answered:", err)
 		return 3
@@ -149,6 +156,14 @@
 	return 0
 }
 
+// addresses splits a list at its commas; an empty text lists none.
+func addresses(list string) []string {
+	if list == "" {
+		return nil
+	}
+	return strings.Split(list, ",")
+}
+
 func read(file string) ([]byte, error) {
 	if file == "-" {
 		return io.ReadAll(os.Stdin)
--- /dev/null
+++ b/daemon/cmd/sorrelctl/members_test.go
@@ -0,0 +1,100 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"sorrelloom/core/keeper"
+	"sorrelloom/core/ledger"
+	"sorrelloom/core/wire"
+)
+
+// serveJSON answers GET of one path with a body.
+func serveJSON(t *testing.T, path string, body any) (address string) {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method != http.MethodGet || r.URL.Path != path {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		if err := json.NewEncoder(w).Encode(body); err != nil {
+			t.Error(err)
+		}
+	}))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// reportOf is the report of a keeper in an epoch that seat "one" leads.
+func reportOf(id string, epoch uint64, serving bool) keeper.Report {
+	one, two := wire.Seat{ID: "one", Address: "10.0.0.1:7000"}, wire.Seat{ID: "two", Address: "10.0.0.2:7000"}
+	var report keeper.Report
+	report.ID, report.Serving, report.Proven = id, serving, serving
+	report.View = wire.View{Epoch: epoch, Primary: one, Backups: []wire.Seat{two}, Witnesses: []wire.Seat{one, two}}
+	report.At = ledger.Position{Epoch: epoch, Sequence: 900}
+	report.Members = []keeper.MemberStatus{
+		{Seat: one, Role: keeper.Leader, Sequence: 900},
+		{Seat: two, Role: keeper.Backup, Sequence: 893, Lag: 7, HeardMsAgo: 40},
+	}
+	if id == "two" {
+		report.Members[0].Lag, report.Members[0].HeardMsAgo = keeper.Unknown, 30
+		report.Members[1].Lag, report.Members[1].HeardMsAgo = keeper.Unknown, 0
+	}
+	return report
+}
+
+// TestMembersShowsTheNewestLeader prints what pages of several members say together.
+func TestMembersShowsTheNewestLeader(t *testing.T) {
+	const nobody = "127.0.0.1:1"
+	leader := serveJSON(t, statusPath, reportOf("one", 4, true))
+	backup := serveJSON(t, statusPath, reportOf("two", 4, false))
+	alone := reportOf("one", 4, true)
+	alone.Proven = false
+	unproven := serveJSON(t, statusPath, alone)
+	replaced := serveJSON(t, statusPath, reportOf("old", 3, true))
+	for _, row := range []struct {
+		name  string
+		pages []string
+		exit  int
+		has   []string
+	}{
+		{"all answer", []string{backup, leader}, exitYes, []string{"10.0.0.1:7000 leads in epoch 4", "893", "7", "40ms ago"}},
+		{"a replaced leader answers too", []string{replaced, leader}, exitYes,
+			[]string{"leads in epoch 4", "not in this view: " + replaced + " (old)"}},
+		{"the leader is away", []string{nobody, backup}, exitBounce,
+			[]string{"is named to lead and did not confirm it in epoch 4",
+				"no status from " + nobody, "none leads and is confirmed"}},
+		{"the leader reaches no backup", []string{unproven, backup}, exitBounce,
+			[]string{"leads and is not confirmed by its backups in epoch 4", "none leads and is confirmed"}},
+		{"nobody answers", []string{nobody}, exitUnreachable, []string{"no status from " + nobody}},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			var out bytes.Buffer
+			if exit := members(nil, row.pages, time.Second, &out, &out); exit != row.exit {
+				t.Errorf("ends with %d, want %d", exit, row.exit)
+			}
+			for _, text := range row.has {
+				if !strings.Contains(out.String(), text) {
+					t.Errorf("no %q in\n%s", text, out.String())
+				}
+			}
+		})
+	}
+}
+
+// TestMembersAsksAFrontForTheKeepers finds status pages without addresses given.
+func TestMembersAsksAFrontForTheKeepers(t *testing.T) {
+	leader := serveJSON(t, statusPath, reportOf("one", 4, true))
+	front := serveJSON(t, nodesPath, wire.Gossip{Nodes: []wire.Node{
+		{ID: "one", Role: keeperRole, HTTP: leader}, {ID: "f", Role: "front", HTTP: "127.0.0.1:1"},
+	}})
+	var out bytes.Buffer
+	if exit := members([]string{front}, nil, time.Second, &out, &out); exit != exitYes {
+		t.Errorf("ends with %d:\n%s", exit, out.String())
+	}
+}
