Split long lines and add doc comments in plan, member, code, audit, env and load

Nothing behaves otherwise. In the tests of member and audit, two local functions take the place of the same expression written out several times; no row and no check is changed.

--- a/core/code/code.go
+++ b/core/code/code.go
@@ -6,6 +6,7 @@
 
 import "fmt"
 
+// Code is the number of a result.
 type Code int
 
 const (
@@ -49,6 +50,7 @@
 	Internal     Code = 900
 )
 
+// Entry is a line of the table: a code with its name, HTTP status and meaning.
 type Entry struct {
 	Code   Code
 	Name   string
@@ -93,12 +95,15 @@
 	{NotPrimary, "not-primary", 503, "this keeper does not lead; the answer may name the one that does"},
 	{Stopping, "stopping", 503, "this process is going down; ask another front"},
 	{NoPlan, "no-plan", 503, "there is no plan yet; come back after the time given"},
-	{NoAnswer, "no-answer", 504, "no keeper answered in time; the request may still take effect, so ask again for the same"},
+	{NoAnswer, "no-answer", 504,
+		"no keeper answered in time; the request may still take effect, so ask again for the same"},
 	{Internal, "internal", 500, "a fault of ours; the log of the process has more"},
 }
 
+// Table lists all codes in the order of their numbers.
 func Table() []Entry { return append([]Entry(nil), table...) }
 
+// Entry finds the code in the table.
 func (c Code) Entry() Entry {
 	for _, e := range table {
 		if e.Code == c {
@@ -108,6 +113,11 @@
 	return Entry{c, fmt.Sprintf("code-%d", int(c)), 500, "unknown code"}
 }
 
+// String is the code's name.
 func (c Code) String() string { return c.Entry().Name }
-func (c Code) Status() int    { return c.Entry().Status }
-func (c Code) Good() bool     { return c < 100 }
+
+// Status is the HTTP status that goes with the code.
+func (c Code) Status() int { return c.Entry().Status }
+
+// Good says whether the code stands for success.
+func (c Code) Good() bool { return c < 100 }
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -15,6 +15,8 @@
 	"sorrelloom/core/wire"
 )
 
+// Env is what a member begins with: itself, whom it asks first, and the seed of its
+// random choices.
 type Env struct {
 	Self  wire.Node
 	Seeds []string
@@ -22,11 +24,16 @@
 }
 
 const (
+	// shuffleEach is how often a part of the entries is exchanged.
 	shuffleEach = 300 * time.Millisecond
+	// forgetAfter is when an entry that its node does not renew is dropped.
 	forgetAfter = 6 * time.Second
-	graveFor    = 2 * time.Minute
+	// graveFor is how long a dropped entry is remembered, so that it does not return.
+	graveFor = 2 * time.Minute
+	// perRoleSite bounds the entries of one role in one site.
 	perRoleSite = 8
-	sampleSize  = 8
+	// sampleSize is how many entries are sent in one exchange, beside the node itself.
+	sampleSize = 8
 )
 
 type entry struct {
@@ -34,6 +41,7 @@
 	seen time.Duration
 }
 
+// Member is one node of the membership; it is a machine.
 type Member struct {
 	env     Env
 	self    wire.Node
@@ -44,10 +52,18 @@
 	lost    bool // no keeper was known when this member last told its own daemon
 }
 
+// New makes a member that knows only itself.
 func New(env Env) *Member {
-	return &Member{env: env, self: env.Self, chance: rand.New(rand.NewPCG(env.Seed, 1)), entries: map[string]entry{}, graves: map[string]entry{}}
+	return &Member{
+		env:     env,
+		self:    env.Self,
+		chance:  rand.New(rand.NewPCG(env.Seed, 1)),
+		entries: map[string]entry{},
+		graves:  map[string]entry{},
+	}
 }
 
+// Wakeup is when the next exchange is due.
 func (m *Member) Wakeup() time.Duration { return m.next }
 
 // Nodes gives this node and all it knows of, by identity.
@@ -69,6 +85,7 @@
 	return count
 }
 
+// Step takes what another member sent, and begins an exchange when one is due.
 func (m *Member) Step(now time.Duration, in machine.Input) machine.Output {
 	var out machine.Output
 	switch in.Line.Kind {
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -21,7 +21,8 @@
 	if _, ok := c.members[address]; !ok {
 		c.order = append(c.order, address)
 	}
-	c.members[address] = New(Env{Self: wire.Node{ID: id, Role: "keeper", Site: "a", Address: address, Incarnation: incarnation}, Seeds: seeds, Seed: uint64(len(c.order))})
+	self := wire.Node{ID: id, Role: "keeper", Site: "a", Address: address, Incarnation: incarnation}
+	c.members[address] = New(Env{Self: self, Seeds: seeds, Seed: uint64(len(c.order))})
 }
 
 func (c *town) send(from string, out machine.Output) {
@@ -73,7 +74,8 @@
 	}{
 		{"a dead one ages out and does not come back by hearsay", func() { delete(c.members, "a1") }, "n1", "n2", 6},
 		{"back at a new address", func() { delete(c.members, "a2"); c.add("n2", "b2", 101, "a0") }, "", "n2", 6},
-		{"another identity at a known address, though its clock went back", func() { c.add("fresh", "a3", 5, "a0") }, "n3", "fresh", 6},
+		{"another identity at a known address, though its clock went back",
+			func() { c.add("fresh", "a3", 5, "a0") }, "n3", "fresh", 6},
 		{"the same identity, though its clock went back", func() { c.add("n4", "a4", 7, "a0") }, "", "n4", 6},
 	}
 	for _, step := range steps {
@@ -104,19 +106,26 @@
 		hear := []wire.Node{{ID: "k", Role: "keeper", Site: "a", Address: "k"}}
 		for i := range 24 {
 			site := string(rune('a' + i/8))
-			hear = append(hear, wire.Node{ID: fmt.Sprintf("s%d", i), Role: "scheduler", Site: site, Address: fmt.Sprintf("s%d", i)})
+			name := fmt.Sprintf("s%d", i)
+			hear = append(hear, wire.Node{ID: name, Role: "scheduler", Site: site, Address: name})
 		}
-		asked.Step(time.Second, machine.Input{Line: machine.Line{Wire: 1, Kind: wire.ShuffleBack, From: "x", Body: machine.MustJSON(wire.Gossip{Nodes: hear})}})
-		fresh := New(Env{Self: wire.Node{ID: "new", Role: "keeper", Site: "a", Address: "new"}, Seeds: []string{"f0"}, Seed: seed})
+		line := func(kind, from string, body any) machine.Input {
+			return machine.Input{Line: machine.Line{Wire: 1, Kind: kind, From: from, Body: machine.MustJSON(body)}}
+		}
+		asked.Step(time.Second, line(wire.ShuffleBack, "x", wire.Gossip{Nodes: hear}))
+		self := wire.Node{ID: "new", Role: "keeper", Site: "a", Address: "new"}
+		fresh := New(Env{Self: self, Seeds: []string{"f0"}, Seed: seed})
 		told := false
 		for _, s := range fresh.Step(time.Second, machine.Input{}).Sends {
 			if s.To != "f0" {
 				continue
 			}
-			for _, back := range asked.Step(time.Second, machine.Input{Line: machine.Line{Wire: 1, Kind: s.Kind, From: "new", Body: machine.MustJSON(s.Body)}}).Sends {
-				for _, out := range fresh.Step(time.Second, machine.Input{Line: machine.Line{Wire: 1, Kind: back.Kind, From: "f0", Body: machine.MustJSON(back.Body)}}).Sends {
+			for _, back := range asked.Step(time.Second, line(s.Kind, "new", s.Body)).Sends {
+				for _, out := range fresh.Step(time.Second, line(back.Kind, "f0", back.Body)).Sends {
 					b, ok := out.Body.(wire.Gossip)
-					told = told || ok && out.To == "" && slices.ContainsFunc(b.Nodes, func(n wire.Node) bool { return n.Role == "keeper" && n.ID == "k" })
+					told = told || ok && out.To == "" && slices.ContainsFunc(b.Nodes, func(n wire.Node) bool {
+						return n.Role == "keeper" && n.ID == "k"
+					})
 				}
 			}
 		}
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -27,8 +27,10 @@
 // Span is a duration that reads and writes as "1.5s".
 type Span struct{ time.Duration }
 
+// MarshalText writes the duration as Go does.
 func (s Span) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
 
+// UnmarshalText reads a duration that is not negative.
 func (s *Span) UnmarshalText(text []byte) error {
 	d, err := time.ParseDuration(string(text))
 	if err == nil && d < 0 {
@@ -38,6 +40,7 @@
 	return err
 }
 
+// Class is a kind of work of one service, with its part of the workers.
 type Class struct {
 	Priority int    `json:"priority"`
 	Share    int    `json:"share"`
@@ -70,6 +73,7 @@
 	Hold    = "hold"
 )
 
+// Service is a set of workers of one kind and the classes of work for them.
 type Service struct {
 	Classes map[string]Class `json:"classes"`
 	Labels  []string         `json:"labels,omitempty"`
@@ -90,32 +94,49 @@
 	Accelerators int `json:"accelerators,omitempty"`
 }
 
+// Add sums each resource.
 func (r Room) Add(o Room) Room {
 	return Room{r.Slots + o.Slots, r.Cores + o.Cores, r.MemoryMB + o.MemoryMB, r.Accelerators + o.Accelerators}
 }
 
+// Less takes the other from each resource; the result may be negative.
 func (r Room) Less(o Room) Room {
 	return Room{r.Slots - o.Slots, r.Cores - o.Cores, r.MemoryMB - o.MemoryMB, r.Accelerators - o.Accelerators}
 }
 
+// Holds says whether the other fits, by each resource.
 func (r Room) Holds(o Room) bool {
 	return r.Slots >= o.Slots && r.Cores >= o.Cores && r.MemoryMB >= o.MemoryMB && r.Accelerators >= o.Accelerators
 }
 
+// Least takes the smaller of each.
 func (r Room) Least(o Room) Room {
-	return Room{min(r.Slots, o.Slots), min(r.Cores, o.Cores), min(r.MemoryMB, o.MemoryMB), min(r.Accelerators, o.Accelerators)}
+	return Room{
+		Slots:        min(r.Slots, o.Slots),
+		Cores:        min(r.Cores, o.Cores),
+		MemoryMB:     min(r.MemoryMB, o.MemoryMB),
+		Accelerators: min(r.Accelerators, o.Accelerators),
+	}
 }
 
 // Most takes the larger of each.
 func (r Room) Most(o Room) Room {
-	return Room{max(r.Slots, o.Slots), max(r.Cores, o.Cores), max(r.MemoryMB, o.MemoryMB), max(r.Accelerators, o.Accelerators)}
+	return Room{
+		Slots:        max(r.Slots, o.Slots),
+		Cores:        max(r.Cores, o.Cores),
+		MemoryMB:     max(r.MemoryMB, o.MemoryMB),
+		Accelerators: max(r.Accelerators, o.Accelerators),
+	}
 }
 
+// Policies are expressions: Order ranks waiting tasks, Borrow says whether a class may
+// go over its share.
 type Policies struct {
 	Order  string `json:"order"`
 	Borrow string `json:"borrow"`
 }
 
+// Limits are the times and counts that hold for all services.
 type Limits struct {
 	Lease       Span `json:"lease"`
 	Margin      Span `json:"margin"`
@@ -150,7 +171,8 @@
 	var best Entry
 	found := false
 	for _, e := range p.Entries {
-		if strings.EqualFold(e.Host, host) && strings.HasPrefix(path, e.Prefix) && (!found || len(e.Prefix) > len(best.Prefix)) {
+		matches := strings.EqualFold(e.Host, host) && strings.HasPrefix(path, e.Prefix)
+		if matches && (!found || len(e.Prefix) > len(best.Prefix)) {
 			best, found = e, true
 		}
 	}
@@ -165,9 +187,16 @@
 		Services: map[string]Service{},
 		Policies: Policies{Order: "priority", Borrow: "waiting == 0 && idle - asked >= total / 8"},
 		Limits: Limits{
-			Lease: span(6 * time.Second), Margin: span(time.Second), StartBy: span(4 * time.Second),
-			Silent: span(3 * time.Second), Keep: span(10 * time.Minute), Remember: span(6 * time.Hour), RememberMax: 50000, MaxLosses: 20,
-			RunLimit: span(10 * time.Minute), MaxTasks: 1000,
+			Lease:       span(6 * time.Second),
+			Margin:      span(time.Second),
+			StartBy:     span(4 * time.Second),
+			Silent:      span(3 * time.Second),
+			Keep:        span(10 * time.Minute),
+			Remember:    span(6 * time.Hour),
+			RememberMax: 50000,
+			MaxLosses:   20,
+			RunLimit:    span(10 * time.Minute),
+			MaxTasks:    1000,
 		},
 	}
 }
@@ -267,18 +296,21 @@
 			sum += class.Share
 		}
 		if sum > 100 {
-			faults = append(faults, Fault{code.BadPlan, "/services/" + name, fmt.Sprintf("the shares add up to %d, over 100", sum)})
+			why := fmt.Sprintf("the shares add up to %d, over 100", sum)
+			faults = append(faults, Fault{code.BadPlan, "/services/" + name, why})
 		}
 	}
 	places := map[[2]string]bool{}
 	for i, e := range p.Entries {
+		at := fmt.Sprintf("/entries/%d", i)
 		place := [2]string{strings.ToLower(e.Host), e.Prefix}
 		if places[place] {
-			faults = append(faults, Fault{code.BadPlan, fmt.Sprintf("/entries/%d", i), "another entry has this host and prefix"})
+			faults = append(faults, Fault{code.BadPlan, at, "another entry has this host and prefix"})
 		}
 		places[place] = true
 		if _, ok := p.Services[e.Service].Classes[e.Class]; !ok {
-			faults = append(faults, Fault{code.BadPlan, fmt.Sprintf("/entries/%d", i), fmt.Sprintf("no class %q of a service %q", e.Class, e.Service)})
+			why := fmt.Sprintf("no class %q of a service %q", e.Class, e.Service)
+			faults = append(faults, Fault{code.BadPlan, at, why})
 		}
 	}
 	if p.Limits.StartBy.Duration >= p.Limits.Lease.Duration {
@@ -337,9 +369,15 @@
 func (p Plan) Compile() Rules {
 	order, _ := compileOrder(p.Policies.Order)
 	borrow, _ := compileBorrow(p.Policies.Borrow)
-	return Rules{order, borrow, strings.TrimSpace(p.Policies.Order) == "priority", strings.TrimSpace(p.Policies.Borrow) == "true"}
+	return Rules{
+		order:      order,
+		borrow:     borrow,
+		byPriority: strings.TrimSpace(p.Policies.Order) == "priority",
+		always:     strings.TrimSpace(p.Policies.Borrow) == "true",
+	}
 }
 
+// Order ranks a waiting task; the larger result goes first.
 func (r Rules) Order(names OrderNames) float64 {
 	if r.order != nil && !r.byPriority {
 		if out, err := expr.Run(r.order, names); err == nil {
@@ -351,6 +389,7 @@
 	return float64(names.Priority)
 }
 
+// Borrow says whether a class may go over its share now.
 func (r Rules) Borrow(names BorrowNames) bool {
 	if r.borrow == nil {
 		return false
--- a/daemon/audit/audit.go
+++ b/daemon/audit/audit.go
@@ -254,7 +254,8 @@
 				continue
 			}
 			if old, ok := all[e.Sequence]; ok && old != line {
-				r.Findings = append(r.Findings, Finding{folder, int64(i), fmt.Sprintf("sequence %d says something else in another log", e.Sequence)})
+				what := fmt.Sprintf("sequence %d says something else in another log", e.Sequence)
+				r.Findings = append(r.Findings, Finding{folder, int64(i), what})
 			}
 			all[e.Sequence], chain[e.Sequence] = line, e.Previous
 			if r.From == 0 || e.Sequence < r.From {
@@ -277,7 +278,9 @@
 				}
 			}
 			if previous > r.From {
-				r.Findings = append(r.Findings, Finding{"", -1, fmt.Sprintf("the decision of sequence %d is missing; the one before it that is there is %d", previous, next)})
+				what := fmt.Sprintf(
+					"the decision of sequence %d is missing; the one before it that is there is %d", previous, next)
+				r.Findings = append(r.Findings, Finding{"", -1, what})
 			}
 			previous = next
 		}
@@ -353,7 +356,8 @@
 	})
 	for i, line := range lines[:min(int64(len(lines)), size)] {
 		var was tlog.Hash
-		if _, err := stored.ReadAt(was[:], tlog.StoredHashIndex(0, int64(i))*tlog.HashSize); err == nil && was != tlog.RecordHash([]byte(line)) {
+		at := tlog.StoredHashIndex(0, int64(i)) * tlog.HashSize
+		if _, err := stored.ReadAt(was[:], at); err == nil && was != tlog.RecordHash([]byte(line)) {
 			find(int64(i), "the entry was altered: it is not what its hash was made of")
 		}
 		made, err := tlog.StoredHashes(int64(i), []byte(line), memory)
--- a/daemon/audit/audit_test.go
+++ b/daemon/audit/audit_test.go
@@ -13,7 +13,11 @@
 )
 
 func entry(sequence, previous uint64) machine.Audit {
-	e := ledger.Entry{Position: ledger.Position{Epoch: 1, Sequence: sequence}, Previous: previous, Decisions: []ledger.Decision{{Kind: "accept", Job: "j"}}}
+	e := ledger.Entry{
+		Position:  ledger.Position{Epoch: 1, Sequence: sequence},
+		Previous:  previous,
+		Decisions: []ledger.Decision{{Kind: "accept", Job: "j"}},
+	}
 	return machine.Audit{Sequence: sequence, Entry: machine.MustJSON(e)}
 }
 
@@ -54,6 +58,9 @@
 			return append(bytes.Join(f(bytes.Split(bytes.TrimSuffix(data, []byte("\n")), []byte("\n"))), []byte("\n")), '\n')
 		}
 	}
+	swap := func(old, with string) func([]byte) []byte {
+		return func(data []byte) []byte { return bytes.Replace(data, []byte(old), []byte(with), 1) }
+	}
 	table := []struct {
 		name  string
 		file  string
@@ -62,12 +69,15 @@
 		why   string
 	}{
 		{"whole", entriesName, func(b []byte) []byte { return b }, 0, ""},
-		{"altered", entriesName, func(b []byte) []byte { return bytes.Replace(b, []byte(`"sequence":50`), []byte(`"sequence":51`), 1) }, 4, "altered"},
-		{"one taken out", entriesName, lines(func(l [][]byte) [][]byte { return append(l[:3:3], l[4:]...) }), -1, "sequence 40 is missing"},
-		{"a half written end after the checkpoint", entriesName, func(b []byte) []byte { return append(b, `{"ep`...) }, 0, ""},
-		{"the end cut off", entriesName, lines(func(l [][]byte) [][]byte { return l[:5] }), 5, "covers 9 entries, 5 are there"},
+		{"altered", entriesName, swap(`"sequence":50`, `"sequence":51`), 4, "altered"},
+		{"one taken out", entriesName,
+			lines(func(l [][]byte) [][]byte { return append(l[:3:3], l[4:]...) }), -1, "sequence 40 is missing"},
+		{"a half written end after the checkpoint", entriesName,
+			func(b []byte) []byte { return append(b, `{"ep`...) }, 0, ""},
+		{"the end cut off", entriesName,
+			lines(func(l [][]byte) [][]byte { return l[:5] }), 5, "covers 9 entries, 5 are there"},
 		{"two exchanged", entriesName, lines(func(l [][]byte) [][]byte { l[1], l[2] = l[2], l[1]; return l }), 1, "altered"},
-		{"checkpoint altered", checkpointName, func(b []byte) []byte { return bytes.Replace(b, []byte("\n9\n"), []byte("\n8\n"), 1) }, -1, "signature"},
+		{"checkpoint altered", checkpointName, swap("\n9\n", "\n8\n"), -1, "signature"},
 		{"another key", publicName, func(b []byte) []byte {
 			return bytes.Replace(b, []byte("sorrelloom/k1"), []byte("sorrelloom/k2"), 1)
 		}, -1, ""},
--- a/daemon/env/env.go
+++ b/daemon/env/env.go
@@ -61,10 +61,12 @@
 		fs.StringVar(&founders, "founders", "", "comma-separated IP:port of the three keepers that found the cluster")
 	}
 	fs.Usage = func() {
-		fmt.Fprintf(fs.Output(), "%s: settings may come as flags, as SORRELLOOM_NAME in the environment,\nor as lines in the file that -settings names.\n\n", program)
+		fmt.Fprintf(fs.Output(), "%s: settings may come as flags, as SORRELLOOM_NAME in the environment,\n"+
+			"or as lines in the file that -settings names.\n\n", program)
 		fs.PrintDefaults()
 	}
-	err := ff.Parse(fs, args, ff.WithEnvVarPrefix("SORRELLOOM"), ff.WithConfigFileFlag("settings"), ff.WithConfigFileParser(ff.PlainParser))
+	err := ff.Parse(fs, args, ff.WithEnvVarPrefix("SORRELLOOM"),
+		ff.WithConfigFileFlag("settings"), ff.WithConfigFileParser(ff.PlainParser))
 	if err != nil {
 		if errors.Is(err, flag.ErrHelp) {
 			return Env{}, ErrShown
--- a/daemon/env/env_test.go
+++ b/daemon/env/env_test.go
@@ -19,7 +19,8 @@
 		{"good", false, good, nil},
 		{"good keeper", true, append(good, "-data", "d", "-founders", "1.1.1.1:1,1.1.1.2:1,1.1.1.3:1"), nil},
 		{"nothing", true, nil, []string{"-address", "-http", "-site", "-data"}},
-		{"names instead of numbers", false, []string{"-address", "host:7000", "-http", "h:1", "-site", "a b"}, []string{"-address", "-http", "-site"}},
+		{"names instead of numbers", false,
+			[]string{"-address", "host:7000", "-http", "h:1", "-site", "a b"}, []string{"-address", "-http", "-site"}},
 		{"nobody can reach it", false, append(good, "-address", "0.0.0.0:7000"), []string{"cannot be reached"}},
 		{"four seeds", false, append(good, "-seeds", "1.1.1.1:1,1.1.1.2:1,1.1.1.3:1,1.1.1.4:1"), []string{"at most three"}},
 		{"two founders", true, append(good, "-data", "d", "-founders", "1.1.1.1:1,1.1.1.2:1"), []string{"three or none"}},
@@ -43,7 +44,8 @@
 
 func TestSettingsFileAndEnvironment(t *testing.T) {
 	file := filepath.Join(t.TempDir(), "settings")
-	if err := os.WriteFile(file, []byte("address 127.0.0.1:7000\nhttp 127.0.0.1:8000\nsite fromfile\n"), 0o600); err != nil {
+	text := []byte("address 127.0.0.1:7000\nhttp 127.0.0.1:8000\nsite fromfile\n")
+	if err := os.WriteFile(file, text, 0o600); err != nil {
 		t.Fatal(err)
 	}
 	e, err := Parse("test", false, []string{"-settings", file})
@@ -54,7 +56,8 @@
 	if e, err = Parse("test", false, []string{"-settings", file}); err != nil || e.Site != "fromenv" {
 		t.Errorf("environment over file: %+v %v", e, err)
 	}
-	if e, err = Parse("test", false, []string{"-settings", file, "-site", "fromflag"}); err != nil || e.Site != "fromflag" {
+	e, err = Parse("test", false, []string{"-settings", file, "-site", "fromflag"})
+	if err != nil || e.Site != "fromflag" {
 		t.Errorf("flag over both: %+v %v", e, err)
 	}
 	if _, err = Parse("test", false, []string{"-version"}); !errors.Is(err, ErrShown) {
--- a/tool/load/load.go
+++ b/tool/load/load.go
@@ -18,6 +18,7 @@
 	"sorrelloom/tool/deploy"
 )
 
+// Env is the traffic to play and where it goes.
 type Env struct {
 	Deployment deploy.Deployment
 	Fronts     []string
@@ -65,6 +66,7 @@
 	AcceptMs, FinishMs                                      []float64
 }
 
+// Report is what became of the traffic.
 type Report struct {
 	mu      sync.Mutex
 	Classes map[string]*Class
@@ -184,9 +186,14 @@
 	var out []string
 	for _, name := range names {
 		c := r.Classes[name]
-		out = append(out, fmt.Sprintf("class=%s sent=%d accepted=%d done=%d failed=%d unfinished=%d resent=%d asked=%d acceptMs_p50=%s acceptMs_p99=%s finishMs_p50=%s finishMs_p95=%s finishMs_p99=%s finishMs_max=%s bounces=%v",
-			name, c.Sent, c.Accepted, c.Done, c.Failed, c.Unfinished, c.Resent, c.Asked, ms(Percentile(c.AcceptMs, 50)), ms(Percentile(c.AcceptMs, 99)),
-			ms(Percentile(c.FinishMs, 50)), ms(Percentile(c.FinishMs, 95)), ms(Percentile(c.FinishMs, 99)), ms(Percentile(c.FinishMs, 100)), c.Bounces))
+		counts := fmt.Sprintf("class=%s sent=%d accepted=%d done=%d failed=%d unfinished=%d resent=%d asked=%d",
+			name, c.Sent, c.Accepted, c.Done, c.Failed, c.Unfinished, c.Resent, c.Asked)
+		accept := fmt.Sprintf("acceptMs_p50=%s acceptMs_p99=%s",
+			ms(Percentile(c.AcceptMs, 50)), ms(Percentile(c.AcceptMs, 99)))
+		finish := fmt.Sprintf("finishMs_p50=%s finishMs_p95=%s finishMs_p99=%s finishMs_max=%s",
+			ms(Percentile(c.FinishMs, 50)), ms(Percentile(c.FinishMs, 95)),
+			ms(Percentile(c.FinishMs, 99)), ms(Percentile(c.FinishMs, 100)))
+		out = append(out, fmt.Sprintf("%s %s %s bounces=%v", counts, accept, finish, c.Bounces))
 	}
 	return append(out, fmt.Sprintf("unknown=%d", r.Unknown))
 }
