Make a calm report no command; renew the leases of all workers by one

Cause: every agent's report was a command in the replicated log, also the calm ones, twice a second a worker and with all that runs listed. At 74 workers and 200 starts/s they were most of the log.

Now the primary compares a report with its ledger (ledger.Reduce). One without changes is answered with what is left of the cutoff that all disks have; one renewal extends the leases of all workers heard since the last, each from its own last report on, every sixth of the lease and of the bound on silence. A report with changes becomes a command with just these. A lease has a record of its own on disk. A grant carries the number of the report that it answers, so that what two reports without a start mean is as before.

--- a/core/center/center.go
+++ b/core/center/center.go
@@ -47,6 +47,9 @@
 func (o *own) Leave(*machine.Output) {}
 func (o *own) Loaded() bool          { return o.keeper.Serving() }
 
+func (o *own) Proven(now time.Duration) bool        { return o.keeper.Proven(now) }
+func (o *own) Time(now time.Duration) time.Duration { return o.keeper.Time(now) }
+
 func (o *own) Fresh(now time.Duration) bool { return o.keeper.Proven(now) && !o.keeper.Behind() }
 
 func (o *own) Submit(now time.Duration, cmd ledger.Command, _ time.Duration, out *machine.Output) uint64 {
--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -86,6 +86,12 @@
 func (c *Copy) View() *ledger.Ledger { return c.Ledger }
 func (c *Copy) Own() bool            { return false }
 
+// Proven says no more of a copy than that it is fresh.
+func (c *Copy) Proven(now time.Duration) bool { return c.Fresh(now) }
+
+// Time is that of the last command the copy has.
+func (c *Copy) Time(time.Duration) time.Duration { return c.Ledger.At() }
+
 // Submit sends a command and gives the number its result will carry.
 func (c *Copy) Submit(now time.Duration, cmd ledger.Command, wait time.Duration, out *machine.Output) uint64 {
 	c.next++
--- a/core/keeper/keeper.go
+++ b/core/keeper/keeper.go
@@ -249,6 +249,9 @@
 // Proven says whether this keeper serves and its backups have just confirmed it.
 func (k *Keeper) Proven(now time.Duration) bool { return k.proven(now) }
 
+// Time is the ledger time that a command would have now.
+func (k *Keeper) Time(now time.Duration) time.Duration { return k.leadingAt + now - k.beganAt }
+
 // Command takes a command from the same process; its answer comes by TakeOwn.
 func (k *Keeper) Command(now time.Duration, id uint64, cmd ledger.Command, out *machine.Output) {
 	k.command(now, "", wire.CommandBody{ID: id, Command: cmd}, out)
@@ -353,8 +356,8 @@
 		}}, out)
 		return
 	}
-	if b.Command.Kind == ledger.KindTake && from != "" {
-		out.Send(from, wire.CommandBack, wire.CommandBackBody{ID: b.ID, Answer: ledger.Answer{Code: code.Malformed, Why: "only the primary itself takes a duty"}})
+	if ownOnly(b.Command) && from != "" {
+		out.Send(from, wire.CommandBack, wire.CommandBackBody{ID: b.ID, Answer: ledger.Answer{Code: code.Malformed, Why: "only the primary itself sends this"}})
 		return
 	}
 	var answer ledger.Answer
@@ -370,9 +373,14 @@
 	k.answers = append(k.answers, pending{from, body, k.ledger.Position().Sequence, k.token + 1})
 }
 
+// ownOnly says whether only the primary's own dispatcher may send a command.
+func ownOnly(cmd ledger.Command) bool {
+	return cmd.Kind == ledger.KindTake || cmd.Kind == ledger.KindRenew || cmd.Kind == ledger.KindBeat && cmd.Beat.Reduced
+}
+
 func (k *Keeper) apply(now time.Duration, cmd ledger.Command) ledger.Answer {
 	cmd.Position = ledger.Position{Epoch: k.witness.Known.Epoch, Sequence: k.ledger.Position().Sequence + 1}
-	cmd.At = k.leadingAt + now - k.beganAt
+	cmd.At = k.Time(now)
 	if cmd.Kind == ledger.KindAccept && cmd.Accept.Repeat.Count > 0 {
 		cmd.Wall = k.wall
 	}
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -272,6 +272,8 @@
 		return l.tick()
 	case KindTake:
 		return l.take(cmd.Name, cmd.Hello)
+	case KindRenew:
+		return l.renew(cmd.Renew)
 	}
 	return bounce(code.Malformed, "unknown command %q", cmd.Kind)
 }
@@ -747,7 +749,7 @@
 	l.entries = nil
 }
 
-var Buckets = []string{"meta", "job", "task", "worker", "site", "duty", "daemon", "request", "past"}
+var Buckets = []string{"meta", "job", "task", "worker", "lease", "site", "duty", "daemon", "request", "past"}
 
 func (l *Ledger) record(bucket, key string) machine.Record {
 	r := machine.Record{Bucket: bucket, Key: key}
@@ -772,6 +774,9 @@
 	case "worker":
 		v, ok := l.workers[key]
 		put(v, ok)
+	case "lease":
+		v, ok := l.workers[key]
+		put(v.lease(), ok)
 	case "site":
 		v, ok := l.emptied[key]
 		put(v, ok)
@@ -837,6 +842,7 @@
 func Load(records []machine.Record) (*Ledger, error) {
 	l := New()
 	var tasks []machine.Record
+	leases := map[string]Lease{}
 	for _, r := range records {
 		var err error
 		switch r.Bucket {
@@ -851,6 +857,8 @@
 			tasks = append(tasks, r)
 		case "worker":
 			err = loadInto(l.workers, r)
+		case "lease":
+			err = loadInto(leases, r)
 		case "site":
 			err = loadInto(l.emptied, r)
 		case "duty":
@@ -886,6 +894,11 @@
 			return nil, fmt.Errorf("record task/%s: %w", r.Key, err)
 		}
 	}
+	for id, lease := range leases {
+		if w, known := l.workers[id]; known {
+			l.workers[id] = w.renewed(lease)
+		}
+	}
 	l.rules = l.plan.Compile()
 	l.index()
 	return l, nil
--- a/core/ledger/turns.go
+++ b/core/ledger/turns.go
@@ -60,12 +60,18 @@
 			}
 		}
 	}
-	progress := b.Progress
-	b.Progress = nil
+	if b.Reduced && (!known || b.Incarnation != old.Incarnation) {
+		return bounce(code.Malformed, "a reduced beat needs a worker that is known in its incarnation")
+	}
+	if b.Reduced {
+		b = old.completed(b)
+	}
 	if !known && b.Address != "" {
 		l.succeed(b)
 	}
 	w := Worker{Beat: b, Drained: old.Drained, SeenAt: l.at, CutoffAt: max(old.CutoffAt, l.at+l.plan.Limits.Lease.Duration)}
+	// What runs and what has ended is in the turns; a change is not kept.
+	w.Running, w.Ended, w.Progress, w.Unlisted, w.Reduced = nil, nil, nil, nil, false
 	w.Capacity = b.Free
 	answer := Answer{Code: code.OK}
 	answer.Orders.Lease = l.plan.Limits.Lease.Duration
@@ -77,7 +83,7 @@
 			touched[at.job] = true
 		}
 	}
-	for _, p := range progress {
+	for _, p := range b.Progress {
 		if at, t, ok := l.find(p.Attempt); ok && holds(t.Turn, b) && t.Turn.Try == p.Try && l.jobs[at.job].Spec.Tasks[at.task].Progress {
 			t.Saved, t.Percent = p.Saved, p.Percent
 			l.setTask(at, t)
@@ -112,12 +118,9 @@
 	if b.Total != (Room{}) {
 		w.Capacity = b.Total
 	}
-	for _, at := range l.turnsOn(b.Worker) {
+	for _, at := range l.unlisted(b, listed) {
 		t := l.jobs[at.job].Tasks[at.task]
-		if !holds(t.Turn, b) || listed[l.attempt(at)] {
-			continue
-		}
-		if t.Turn.StartedAt > 0 || b.Number >= t.Turn.Beat+2 {
+		if notRun(t.Turn, b) {
 			l.giveBack(at, t.Turn.StartedAt > 0 && t.Turn.Stop == "", "the worker does not run it")
 			touched[at.job] = true
 		} else if t.Turn.Stop == "" {
@@ -133,6 +136,25 @@
 	return answer
 }
 
+// unlisted gives the worker's turns that its report does not list.
+func (l *Ledger) unlisted(b Beat, listed map[Attempt]bool) []ref {
+	var out []ref
+	if b.Reduced {
+		for _, a := range b.Unlisted {
+			if at, t, ok := l.find(a); ok && holds(t.Turn, b) && t.Turn.Try == a.Try {
+				out = append(out, at)
+			}
+		}
+		return out
+	}
+	for _, at := range l.turnsOn(b.Worker) {
+		if holds(l.jobs[at.job].Tasks[at.task].Turn, b) && !listed[l.attempt(at)] {
+			out = append(out, at)
+		}
+	}
+	return out
+}
+
 // succeed takes a newcomer's address as the proof that the worker there before is
 // gone, with all that it ran.
 func (l *Ledger) succeed(b Beat) {
@@ -144,13 +166,18 @@
 			l.giveBack(at, l.jobs[at.job].Tasks[at.task].Turn.StartedAt > 0, "its worker was replaced")
 			l.release(at.job)
 		}
-		delete(l.workers, id)
-		l.touch("worker", id)
+		l.forgetWorker(id)
 		l.decide(Decision{Kind: "gone", Worker: id})
 		l.changes = append(l.changes, Changed{Worker: id})
 	}
 }
 
+func (l *Ledger) forgetWorker(id string) {
+	delete(l.workers, id)
+	l.touch("worker", id)
+	l.touch("lease", id)
+}
+
 // adoptable says whether an attempt that runs on after its turn was given back
 // may simply have its turn again: safer than a stop, which may come too late.
 func (l *Ledger) adoptable(at ref, t Task, a Attempt, b Beat) bool {
@@ -517,6 +544,10 @@
 		if gang != "" {
 			t.Saved, t.Percent = saved, percent
 		}
+		if p.Beat > w.Number {
+			w.Number = p.Beat
+			l.setLease(w)
+		}
 		t.Turn = Turn{Try: t.Tries, Worker: p.Worker, Incarnation: w.Incarnation, Beat: w.Number, GrantedAt: l.at, Limit: l.runLimit(at), Borrowed: borrowed}
 		l.setTask(at, t)
 		l.decide(Decision{Kind: "grant", Job: p.Job, Task: p.Task, Try: t.Tries, Worker: p.Worker})
@@ -666,7 +697,7 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(l.workers)) {
 		if w := l.workers[id]; now > w.CutoffAt+limits.Margin.Duration+limits.Keep.Duration && len(l.turns[id]) == 0 {
-			out = append(out, due{"", func() { delete(l.workers, id); l.touch("worker", id) }})
+			out = append(out, due{"", func() { l.forgetWorker(id) }})
 		}
 	}
 	if requests, past := l.forgotten(now); len(requests)+len(past) > 0 {
--- a/core/ledger/types.go
+++ b/core/ledger/types.go
@@ -4,6 +4,7 @@
 package ledger
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"time"
@@ -93,6 +94,10 @@
 	Try  int    `json:"try"`
 }
 
+func (a Attempt) compare(b Attempt) int {
+	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Task, b.Task), cmp.Compare(a.Try, b.Try))
+}
+
 func (a Attempt) String() string { return fmt.Sprintf("%s/%s/%d", a.Job, a.Task, a.Try) }
 
 // End is one reported end. Lost is an end through no fault of the attempt, which
@@ -133,6 +138,11 @@
 	// proves that the one before it is gone, with all that it ran.
 	Address  string     `json:"address,omitempty"`
 	Progress []Progress `json:"progress,omitempty"`
+	// Reduced marks a report that the primary has reduced to its changes: Running
+	// lists only what is no started turn of the worker, Unlisted the turns that the
+	// worker does not run, and its standing properties are left out.
+	Reduced  bool      `json:"reduced,omitempty"`
+	Unlisted []Attempt `json:"unlisted,omitempty"`
 }
 
 // Turn is a grant in force. Stop, once set, says why it is to end. Limit is how
@@ -238,10 +248,13 @@
 	Sequence uint64 `json:"sequence"`
 }
 
+// Pick is a task for a worker. Beat is the number of the worker's last report,
+// which may be later than the last one that the ledger has.
 type Pick struct {
 	Job    string `json:"job"`
 	Task   string `json:"task"`
 	Worker string `json:"worker"`
+	Beat   uint64 `json:"beat,omitempty"`
 }
 
 // Grant is refused unless its duty's epoch is current. A gang comes whole. A
@@ -291,6 +304,9 @@
 	KindTick    = "tick"
 	// KindTake is the primary's own dispatcher taking a duty; nobody else may send it.
 	KindTake = "take"
+	// KindRenew is the primary's own dispatcher renewing the leases of all workers
+	// that it has heard lately; nobody else may send it.
+	KindRenew = "renew"
 	// What follows changes nothing: a job, a class's waiting tasks, the plan, an
 	// operator's write by its token, or just the proof that the primary leads.
 	KindRead        = "read"
@@ -327,6 +343,7 @@
 	Brief  bool       `json:"brief,omitempty"`
 	Accept JobSpec    `json:"accept,omitzero"`
 	Beat   Beat       `json:"beat,omitzero"`
+	Renew  []Renewal  `json:"renew,omitempty"`
 	Grant  Grant      `json:"grant,omitzero"`
 	Plan   PlanChange `json:"plan,omitzero"`
 	Hello  Hello      `json:"hello,omitzero"`
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -52,6 +52,13 @@
 	command  uint64
 	recorded bool
 	orders   ledger.Orders
+	// In the primary's own process: when the report came, by ledger time; whether
+	// the ledger has taken it; whether it is calm, needing no command; and whether
+	// it is to be answered as soon as its worker's lease is renewed.
+	heardAt time.Duration
+	applied bool
+	calm    bool
+	short   bool
 }
 
 type proposal struct {
@@ -73,6 +80,10 @@
 	View() *ledger.Ledger
 	Own() bool
 	Fresh(now time.Duration) bool
+	// Proven says whether the primary's lead was confirmed a moment ago.
+	Proven(now time.Duration) bool
+	// Time is ledger time.
+	Time(now time.Duration) time.Duration
 	Loaded() bool
 	Submit(now time.Duration, cmd ledger.Command, wait time.Duration, out *machine.Output) uint64
 	Line(now time.Duration, line machine.Line, out *machine.Output) ([]follow.Result, bool)
@@ -104,6 +115,10 @@
 	wakeAt    time.Duration
 	passAt    time.Duration
 	passed    time.Duration
+	heard     map[string]heard
+	promises  map[uint64][]promise
+	renewAt   time.Duration
+	renewedAt time.Duration
 	stopping  bool
 	stopAt    time.Duration
 }
@@ -119,6 +134,7 @@
 	if env.Central {
 		s.dispatch = dispatch.NewCentral()
 	}
+	s.hearAnew()
 	return s
 }
 
@@ -188,6 +204,7 @@
 	if now >= s.helloAt {
 		s.hello(now, &out)
 	}
+	s.renew(now, &out)
 	if len(changes)+len(results) > 0 || in.Line.Kind == wire.Beat {
 		s.passAt = min(s.passAt, max(now, s.passed+passGap))
 	}
@@ -291,10 +308,18 @@
 		out.Send(from, wire.BeatBack, wire.BeatBackBody{ID: b.ID, Answer: ledger.Answer{Code: code.StaleEpoch, Why: "the duty for this site is elsewhere", RetryAfter: 200 * time.Millisecond}})
 		return
 	}
+	if a, stale := s.stale(b.Beat); stale {
+		out.Send(from, wire.BeatBack, wire.BeatBackBody{ID: b.ID, Answer: a})
+		return
+	}
 	if old, ok := s.records[b.Beat.Worker]; ok {
 		s.reply(old, ledger.Answer{Code: code.StaleBeat, Why: "a later beat replaced this one"}, out)
 	}
 	r := record{id: b.ID, from: from, beat: b.Beat, holdFor: b.Hold, until: now + b.Hold}
+	if s.copy.Own() {
+		s.records[b.Beat.Worker] = s.hear(now, r, out)
+		return
+	}
 	r.command = s.copy.Submit(now, ledger.Command{Kind: ledger.KindBeat, Beat: b.Beat}, commandWait, out)
 	s.records[b.Beat.Worker] = r
 	s.commands[r.command] = b.Beat.Worker
@@ -325,6 +350,7 @@
 		s.proposals[r.ID] = p
 		return
 	}
+	s.promised(now, r.ID, r.Answer.Code.Good())
 	worker := s.commands[r.ID]
 	delete(s.commands, r.ID)
 	rec, ok := s.records[worker]
@@ -454,12 +480,16 @@
 // behind says whether the copy has not yet seen this very beat.
 func (s *Scheduler) behind(r record) bool {
 	w, ok := s.copy.View().Worker(r.beat.Worker)
+	if s.copy.Own() {
+		return !ok || !r.applied || w.Incarnation != r.beat.Incarnation || w.Number > r.beat.Number
+	}
 	return !ok || w.Incarnation != r.beat.Incarnation || w.Number != r.beat.Number
 }
 
 func (s *Scheduler) ask(now time.Duration, duty, kind string, c dispatch.Choice, out *machine.Output) {
 	p := proposal{picks: c.Picks, refs: c.Refs, until: now + commandWait, pushOut: kind == ledger.KindPushOut}
 	for i, pick := range c.Picks {
+		c.Picks[i].Beat = s.heard[pick.Worker].number
 		job, _ := s.copy.View().Job(pick.Job)
 		p.class = [2]string{job.Spec.Service, job.Spec.Class}
 		if i < len(c.Refs) {
@@ -476,6 +506,7 @@
 	s.dispatch.Update(s.copy.View(), []ledger.Changed{{All: true}})
 	s.records, s.proposals, s.commands = map[string]record{}, map[uint64]proposal{}, map[uint64]string{}
 	s.idle = map[string]idle{}
+	s.hearAnew()
 	s.overShare, s.wanted, s.told = map[[2]string]uint64{}, map[string]bool{}, map[ledger.Attempt]time.Duration{}
 }
 
@@ -512,6 +543,9 @@
 	for _, a := range orders.Stops {
 		s.told[a] = now
 	}
+	if r.calm {
+		orders.Lease = s.leaseLeft(r)
+	}
 	orders.Epoch = s.copy.View().Position().Epoch
 	s.reply(r, ledger.Answer{Code: code.OK, Orders: orders}, out)
 }
