Bound the dispatch's work of a step; keep workers and busyness between commands

Cause: with the lead, and with each change that touches everything, all that waits was seeded in one step; each report of any worker sorted all tasks for whom no worker was found; the ordered list of workers and the busyness of a service were made anew after each command, on every copy of the ledger; and each 50 ms all turns were sorted to find that none was due.

Now inboxes are built anew by 256 tasks a step, quick classes first, and emptied by as many; unplaced tasks are tried on a worker when what it may take has changed; the list of workers is changed in place, busyness along with the turns until a worker changes or falls silent; only turns that are due are sorted. More free room than before is a change of a report only where the worker's turns leave that much.

Ruled out: a bound on time, as a machine has no clock within a step.

New tests were run against variants and failed: a rebuild in one step, quick work not first, unplaced tasks tried with each report, turns not recounted, busyness that outlives silence or a worker's change, any other room a change, less room none.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -73,22 +73,31 @@
 	unplaced map[Ref]bool
 	entries  map[string]map[Ref]string
 	helping  map[Ref]string
-	ran      map[Ref]held
-	done     map[string]int
-	health   map[string]health
-	usual    map[[2]string]float64
-	claims   claims
-	Counters Counters
-	central  bool
-	news     map[string]uint64
-	full     []string
-	where    map[Ref]spot
-	together map[step]map[string]int
-	inputs   map[input]map[string]int
-	runs     map[string]int
-	tried    map[string]time.Duration
-	wellOff  map[string]wellOff
-	sizes    map[string]int
+	helpers  map[string]int
+	rebuilds rebuild
+	fresh    map[string]bool
+	// standings are those of the workers when unplaced tasks were last tried on
+	// them, moving the workers whose inboxes are being emptied.
+	standings map[string]standing
+	moving    map[string]bool
+	ran       map[Ref]held
+	done      map[string]int
+	health    map[string]health
+	usual     map[[2]string]float64
+	claims    claims
+	Counters  Counters
+	central   bool
+	news      map[string]uint64
+	full      []string
+	where     map[Ref]spot
+	together  map[step]map[string]int
+	inputs    map[input]map[string]int
+	runs      map[string]int
+	tried     map[string]time.Duration
+	wellOff   map[string]wellOff
+	sizes     map[string]int
+	// choices are what the last seeding chose from, kept for its memory.
+	choices []seat
 }
 
 // spot is where a task lies, runs or has ended; step and input name what the
@@ -140,6 +149,33 @@
 	}
 }
 
+// TakeFresh gives the workers into whose inboxes something has come, or whose turns
+// have ended, since it was last called.
+func (d *Dispatch) TakeFresh() map[string]bool {
+	out := d.fresh
+	d.fresh = map[string]bool{}
+	return out
+}
+
+// helps notes that a task is run for the worker in whose inbox it lay, helped
+// that this is over.
+func (d *Dispatch) helps(at Ref, from string) {
+	d.helped(at)
+	d.helping[at] = from
+	d.helpers[from]++
+}
+
+func (d *Dispatch) helped(at Ref) {
+	from, known := d.helping[at]
+	if !known {
+		return
+	}
+	delete(d.helping, at)
+	if d.helpers[from]--; d.helpers[from] == 0 {
+		delete(d.helpers, from)
+	}
+}
+
 // News changes whenever a task has come into a worker's inbox.
 func (d *Dispatch) News(worker string) uint64 { return d.news[worker] }
 
@@ -170,7 +206,7 @@
 }
 
 func New() *Dispatch {
-	d := &Dispatch{health: map[string]health{}, usual: map[[2]string]float64{}, news: map[string]uint64{}, wellOff: map[string]wellOff{}}
+	d := &Dispatch{fresh: map[string]bool{}, health: map[string]health{}, usual: map[[2]string]float64{}, news: map[string]uint64{}, wellOff: map[string]wellOff{}}
 	d.clear()
 	return d
 }
@@ -180,16 +216,18 @@
 	d.where, d.together, d.inputs = map[Ref]spot{}, map[step]map[string]int{}, map[input]map[string]int{}
 	d.runs, d.tried, d.sizes = map[string]int{}, map[string]time.Duration{}, map[string]int{}
 	d.inbox, d.slots, d.place, d.unplaced = map[string][]group{}, map[string]int{}, map[Ref]placed{}, map[Ref]bool{}
+	d.helpers, d.rebuilds = map[string]int{}, rebuild{}
+	d.standings, d.moving = map[string]standing{}, map[string]bool{}
 	d.entries, d.helping, d.ran, d.done = map[string]map[Ref]string{}, map[Ref]string{}, map[Ref]held{}, map[string]int{}
 }
 
-// Update takes what changed in the ledger.
+// Update takes what changed in the ledger, and goes on with a rebuild that is under way.
 func (d *Dispatch) Update(l *ledger.Ledger, changes []ledger.Changed) {
 	for _, c := range changes {
 		switch {
 		case c.All:
 			d.claims = claims{}
-			d.rebuild(l)
+			d.beginRebuild(l)
 		case c.Worker != "":
 			d.worker(l, c.Worker)
 		case c.Task < 0:
@@ -200,17 +238,7 @@
 			d.task(l, Ref{c.Job, c.Task})
 		}
 	}
-}
-
-func (d *Dispatch) rebuild(l *ledger.Ledger) {
-	done := d.done
-	d.clear()
-	d.done = done
-	for _, job := range l.Active() {
-		for i := range job.Tasks {
-			d.task(l, Ref{job.Spec.ID, i})
-		}
-	}
+	d.goOn(l)
 }
 
 func (d *Dispatch) forget(job string) {
@@ -287,7 +315,8 @@
 		d.learn(l, job, at.Task, was)
 		delete(d.entries[was.worker], at)
 		delete(d.ran, at)
-		delete(d.helping, at)
+		d.helped(at)
+		d.fresh[was.worker] = true
 	}
 	switch {
 	case t.State == ledger.Done:
@@ -299,7 +328,7 @@
 		d.move(at, spot{t.Holder, t.Level, holds})
 	case t.Turn.Held():
 		if from := d.place[at].worker; from != "" && from != t.Turn.Worker {
-			d.helping[at] = from
+			d.helps(at, from)
 		}
 		d.remove(at)
 		d.enter(t.Turn.Worker, at, runs)
@@ -332,26 +361,80 @@
 // worker moves tasks away from a worker that can no longer take them, and
 // tries those for whom no worker was found before.
 func (d *Dispatch) worker(l *ledger.Ledger, id string) {
+	d.settle(l, id, rebuildMost)
+}
+
+// settle does the same with so many tasks at most, and gives how many of those are
+// left. What is not done waits for the next Update.
+func (d *Dispatch) settle(l *ledger.Ledger, id string, most int) int {
+	most = d.moveAway(l, id, most)
+	d.tryUnplaced(l, id)
+	return most
+}
+
+// tryUnplaced puts the tasks for whom no worker was found into a worker's inbox if
+// it is not as it was when they were last tried.
+func (d *Dispatch) tryUnplaced(l *ledger.Ledger, id string) {
 	w, known := l.Worker(id)
+	standing := standingOf(l, w, known)
+	if d.standings[id] == standing {
+		return
+	}
+	d.standings[id] = standing
+	if len(d.unplaced) == 0 {
+		return
+	}
+	left := unplacedMost
+	for _, at := range d.sorted(l, d.unplaced) {
+		if job, ok := l.Job(at.Job); ok && l.Fits(job, at.Task, w) == code.OK && w.Capacity.Holds(job.Spec.Tasks[at.Task].Room) {
+			if left--; left < 0 {
+				delete(d.standings, id)
+				d.moving[id] = true
+				return
+			}
+			d.put(job, at, id)
+		}
+	}
+}
+
+// standing is all of a worker that decides which tasks it may ever take. While it
+// stays the same, a task for which no worker was found finds none in this one.
+type standing struct {
+	service, site, labels   string
+	capacity                ledger.Room
+	leaving, drained, alive bool
+}
+
+func standingOf(l *ledger.Ledger, w ledger.Worker, known bool) standing {
+	if !known {
+		return standing{}
+	}
+	return standing{w.Service, w.Site, strings.Join(w.Labels, ","), w.Capacity, w.Leaving, w.Drained, l.Live(w)}
+}
+
+// moveAway seeds anew what lies in a worker's inbox and does not fit it, so many
+// tasks at most; it gives how many of those are left. The rest waits for the next
+// Update.
+func (d *Dispatch) moveAway(l *ledger.Ledger, id string, most int) int {
+	w, known := l.Worker(id)
+	delete(d.moving, id)
 	for _, g := range slices.Clone(d.inbox[id]) {
 		if job, ok := l.Job(g.tasks[0].at.Job); known && ok && l.Fits(job, g.tasks[0].at.Task, w) == code.OK {
 			continue
 		}
-		for _, t := range slices.Clone(g.tasks) {
+		for _, t := range slices.Backward(slices.Clone(g.tasks)) {
+			if most == 0 {
+				d.moving[id] = true
+				return 0
+			}
+			most--
 			d.remove(t.at)
 			if job, ok := l.Job(t.at.Job); ok {
 				d.seed(l, job, t.at)
 			}
 		}
 	}
-	if len(d.unplaced) == 0 {
-		return
-	}
-	for _, at := range d.sorted(l, d.unplaced) {
-		if job, ok := l.Job(at.Job); ok && l.Fits(job, at.Task, w) == code.OK && w.Capacity.Holds(job.Spec.Tasks[at.Task].Room) {
-			d.put(job, at, id)
-		}
-	}
+	return most
 }
 
 // Sweep moves tasks out of the inboxes of workers that have gone silent.
@@ -370,6 +453,7 @@
 
 func (d *Dispatch) put(job ledger.Job, at Ref, worker string) {
 	d.news[worker]++
+	d.fresh[worker] = true
 	d.full = nil
 	delete(d.unplaced, at)
 	k, number := kindOf(job, at.Task), job.Tasks[at.Task].Number
@@ -408,10 +492,15 @@
 		d.put(job, at, "")
 		return
 	}
-	var seats []seat
+	seats := d.choices[:0]
 	least, allSpared := math.Inf(1), true
-	for _, w := range l.Workers() {
-		if l.Fits(job, at.Task, w) != code.OK || !w.Capacity.Holds(job.Spec.Tasks[at.Task].Room) || d.barred(l, job, at.Task, w) {
+	workers := l.Workers()
+	for i := range workers {
+		if workers[i].Service != job.Spec.Service || !workers[i].Capacity.Holds(job.Spec.Tasks[at.Task].Room) {
+			continue
+		}
+		w := workers[i]
+		if l.Fits(job, at.Task, w) != code.OK || d.barred(l, job, at.Task, w) {
 			continue
 		}
 		s := seat{w.ID(), d.spared(l, w) && !d.probes(l, job, w), near(job, at.Task, w), d.Locality(job, at, w.ID()), d.busyness(l, w), d.siblings(job, at, w.ID())}
@@ -422,6 +511,7 @@
 		}
 		seats = append(seats, s)
 	}
+	d.choices = seats
 	best := -1
 	for i, s := range seats {
 		if s.spared == allSpared && s.busyness <= least+window && (best < 0 || s.before(seats[best])) {
--- a/core/dispatch/pick.go
+++ b/core/dispatch/pick.go
@@ -239,10 +239,6 @@
 	if len(d.filled()) == 0 {
 		return own
 	}
-	helpers := map[string]int{}
-	for _, from := range d.helping {
-		helpers[from]++
-	}
 	out := own
 	for _, other := range d.filled() {
 		if other == w.ID() {
@@ -252,7 +248,7 @@
 		if !b.found {
 			continue
 		}
-		b.helpers, b.progress = helpers[other], d.Progress(other)
+		b.helpers, b.progress = d.helpers[other], d.Progress(other)
 		switch {
 		case !out.found || out.tier.less(b.tier):
 			out = b
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -67,6 +67,9 @@
 	cloned  map[string]bool
 	changes []Changed
 	lookups lookups
+	// byName has the workers in order; nil until it is asked for.
+	byName []Worker
+	busy   map[string]*busyness
 
 	decision uint64
 	decided  []Decision
@@ -106,14 +109,12 @@
 // lookups keeps what several questions at one position have in common.
 type lookups struct {
 	at       Position
-	busyness map[string]Busyness
 	meetable map[need]bool
-	workers  []Worker
 }
 
 func (l *Ledger) cached() lookups {
-	if l.lookups.at != l.position || l.lookups.busyness == nil {
-		l.lookups = lookups{l.position, map[string]Busyness{}, map[need]bool{}, nil}
+	if l.lookups.at != l.position || l.lookups.meetable == nil {
+		l.lookups = lookups{l.position, map[need]bool{}}
 	}
 	return l.lookups
 }
@@ -133,7 +134,7 @@
 func (l *Ledger) index() {
 	l.turns, l.inbox, l.loads = map[string]map[ref]bool{}, map[[2]string]int{}, map[string]load{}
 	l.waiting, l.active, l.timed = map[need]int{}, map[string]bool{}, map[ref]bool{}
-	l.over = nil
+	l.over, l.busy = nil, map[string]*busyness{}
 	l.requests.sort(func(r Request) time.Duration { return r.At })
 	l.past.sort(func(p Past) time.Duration { return p.EndedAt })
 	for id, job := range l.jobs {
@@ -178,6 +179,7 @@
 			delete(l.turns[t.Turn.Worker], at)
 		}
 		l.loads[t.Turn.Worker] = l.loads[t.Turn.Worker].with(job, i, by)
+		l.recount(t.Turn.Worker, job.Spec.Class, by*job.Spec.Tasks[i].Room.Slots)
 	} else if t.State == Open {
 		n := l.needOf(job, i)
 		if l.waiting[n] += by; l.waiting[n] == 0 {
@@ -507,6 +509,7 @@
 	// Where tasks may go does not hang on the entries, nor on what classes come and go.
 	same := reflect.DeepEqual(l.plan.Policies, next.Policies) && l.plan.Limits == next.Limits && kept(l.plan, next)
 	l.plan, l.rules = next, next.Compile()
+	clear(l.busy)
 	l.touch("meta", "plan")
 	l.decide(Decision{Kind: "plan", Plan: next.Sequence, Digest: digest(next)})
 	if !same {
@@ -536,6 +539,7 @@
 		}
 		return unknown("site", name, known)
 	}
+	clear(l.busy)
 	l.emptied[name] = on
 	if !on {
 		delete(l.emptied, name)
@@ -583,7 +587,7 @@
 	}
 	w.Drained = on
 	l.decide(Decision{Kind: map[bool]string{true: "drain", false: "undrain"}[on], Worker: name})
-	l.workers[name] = w
+	l.setWorker(w)
 	l.touch("worker", name)
 	l.changes = append(l.changes, Changed{Worker: name})
 	return Answer{Code: code.OK}
@@ -603,7 +607,7 @@
 	}
 	w.Gone = true
 	l.decide(Decision{Kind: "gone", Worker: name})
-	l.workers[name] = w
+	l.setWorker(w)
 	l.touch("worker", name)
 	l.changes = append(l.changes, Changed{Worker: name})
 	return Answer{Code: code.OK}
@@ -896,7 +900,7 @@
 	}
 	for id, lease := range leases {
 		if w, known := l.workers[id]; known {
-			l.workers[id] = w.renewed(lease)
+			l.setWorker(w.renewed(lease))
 		}
 	}
 	l.rules = l.plan.Compile()
--- a/core/ledger/renewal.go
+++ b/core/ledger/renewal.go
@@ -61,7 +61,7 @@
 }
 
 func (l *Ledger) setLease(w Worker) {
-	l.workers[w.ID()] = w
+	l.setWorker(w)
 	l.touch("lease", w.ID())
 }
 
@@ -79,11 +79,21 @@
 	reduced.Site, reduced.Rack, reduced.Service, reduced.Address, reduced.Labels = "", "", "", "", nil
 	reduced.Running, reduced.Unlisted = l.compareTurns(b)
 	changes = len(reduced.Running)+len(reduced.Unlisted)+len(b.Ended)+len(b.Progress) > 0 ||
-		w.Stray != (Room{}) || w.Free != b.Free || w.Total != b.Total ||
+		w.Stray != (Room{}) || l.roomChanges(w, b.Free) || w.Total != b.Total ||
 		w.Leaving != b.Leaving || (w.LeavesIn == 0) != (b.LeavesIn == 0)
 	return reduced, changes
 }
 
+// roomChanges says whether a worker's word on its free room makes a difference.
+// Less than before always does. More does not where its capacity less its turns is
+// all that it has: the report that ends one of these says so again.
+func (l *Ledger) roomChanges(w Worker, free Room) bool {
+	if !free.Holds(w.Free) {
+		return true
+	}
+	return l.roomWith(w, free) != l.roomWith(w, w.Free)
+}
+
 // sameIdentity says whether two reports name the same worker with the same standing properties.
 func sameIdentity(a, b Beat) bool {
 	return a.Incarnation == b.Incarnation && a.Site == b.Site && a.Rack == b.Rack && a.Service == b.Service &&
--- a/core/ledger/renewal_test.go
+++ b/core/ledger/renewal_test.go
@@ -76,6 +76,42 @@
 	}
 }
 
+// TestMoreFreeRoomIsAChangeWhereItMakesADifference has a worker of 8 slots that
+// runs one task say how much is free.
+func TestMoreFreeRoomIsAChangeWhereItMakesADifference(t *testing.T) {
+	for _, row := range []struct {
+		name       string
+		was, is    int
+		wasUnheard bool
+		changes    bool
+	}{
+		{"as before", 7, 7, false, false},
+		{"less", 7, 6, false, true},
+		{"less, and still more than its turns leave", 9, 8, false, true},
+		{"more, where its turns leave no more", 7, 8, false, false},
+		{"more, up to what its turns leave", 5, 6, false, true},
+		{"more, where a turn that it had not listed takes it", 6, 7, true, true},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			w := ledgertest.New(t)
+			w.Must(ledger.Command{Kind: ledger.KindBeat, Beat: reportOf(1)})
+			w.Job("j", "quick", "a", "b")
+			w.Grant("j/a@w")
+			running := ledger.Attempt{Job: "j", Task: "a", Try: 1}
+			b := reportOf(2, running)
+			b.Free = room(row.was)
+			w.Must(ledger.Command{Kind: ledger.KindBeat, Beat: b})
+			if row.wasUnheard {
+				w.Grant("j/b@w")
+			}
+			b.Number, b.Free = 3, room(row.is)
+			if _, changes := w.Ledger.Reduce(b); changes != row.changes {
+				t.Errorf("changes is %v", changes)
+			}
+		})
+	}
+}
+
 // TestAStrayThatEndsIsAChange has a worker list, and then no more, what it has no turn for.
 func TestAStrayThatEndsIsAChange(t *testing.T) {
 	w := ledgertest.New(t)
@@ -114,6 +150,8 @@
 				both(ledger.Command{Kind: ledger.KindGrant, Grant: grant})
 				attempts = append(attempts, ledger.Attempt{Job: job, Task: task, Try: 1 + chance.IntN(2)})
 			case 3:
+				whole.At += time.Duration(chance.IntN(3)) * 700 * time.Millisecond
+				brief.At = whole.At
 				both(ledger.Command{Kind: ledger.KindTick})
 			case 4:
 				if chance.IntN(4) == 0 {
@@ -146,6 +184,9 @@
 					t.Fatalf("seed %d step %d: acks %s", seed, step, diff)
 				}
 			}
+			if step%10 == 0 {
+				same(t, whole.Ledger)
+			}
 			if want, got := whole.Ledger.Records(), brief.Ledger.Records(); !reflect.DeepEqual(want, got) {
 				t.Fatalf("seed %d step %d: %s", seed, step, cmp.Diff(want, got))
 			}
--- a/core/ledger/turns.go
+++ b/core/ledger/turns.go
@@ -127,7 +127,7 @@
 			answer.Orders.Starts = append(answer.Orders.Starts, l.start(at))
 		}
 	}
-	l.workers[b.Worker] = w
+	l.setWorker(w)
 	l.touch("worker", b.Worker)
 	l.changes = append(l.changes, Changed{Worker: b.Worker})
 	for _, id := range slices.Sorted(maps.Keys(touched)) {
@@ -172,12 +172,6 @@
 	}
 }
 
-func (l *Ledger) forgetWorker(id string) {
-	delete(l.workers, id)
-	l.touch("worker", id)
-	l.touch("lease", id)
-}
-
 // adoptable says whether an attempt that runs on after its turn was given back
 // may simply have its turn again: safer than a stop, which may come too late.
 func (l *Ledger) adoptable(at ref, t Task, a Attempt, b Beat) bool {
@@ -334,8 +328,13 @@
 // incarnation; and never more than its capacity less all turns.
 func (l *Ledger) Room(worker string) Room {
 	w := l.workers[worker]
-	o := l.loads[worker]
-	return w.Free.Less(o.unheard).Least(w.Capacity.Less(w.Stray).Less(o.used))
+	return l.roomWith(w, w.Free)
+}
+
+// roomWith is the room of a worker that reports so much free.
+func (l *Ledger) roomWith(w Worker, free Room) Room {
+	o := l.loads[w.ID()]
+	return free.Less(o.unheard).Least(w.Capacity.Less(w.Stray).Less(o.used))
 }
 
 // Fits checks the standing rules between a task and a worker, without room.
@@ -363,39 +362,6 @@
 
 func (l *Ledger) Live(w Worker) bool { return l.at-w.SeenAt <= l.plan.Limits.Silent.Duration }
 
-// Busyness is how a service's slots stand. Slots are those that shares are
-// parts of: of all workers that take work and may still hold a lease. Idle are
-// the free ones among those heard lately. Used counts turns by class; a turn
-// that waits for a word from a lost worker is no use of what is left.
-type Busyness struct {
-	Slots, Idle int
-	Used        map[string]int
-}
-
-func (l *Ledger) Busyness(service string) Busyness {
-	cache := l.cached().busyness
-	if known, ok := cache[service]; ok {
-		return known
-	}
-	b := Busyness{Used: map[string]int{}}
-	for id, w := range l.workers {
-		if w.Service != service || w.Leaving || w.Drained || l.emptied[w.Site] || l.at > w.CutoffAt && !l.Live(w) {
-			continue
-		}
-		for class, slots := range l.loads[id].classes {
-			if slots != 0 {
-				b.Used[class] += slots
-			}
-		}
-		b.Slots += w.Capacity.Slots
-		if l.Live(w) {
-			b.Idle += w.Capacity.Slots - l.loads[id].used.Slots
-		}
-	}
-	cache[service] = b
-	return b
-}
-
 func (l *Ledger) shareSlots(service, class string, totalSlots int) int {
 	share := l.plan.Services[service].Classes[class].Share
 	return (totalSlots*share + 99) / 100
@@ -665,29 +631,19 @@
 	for _, at := range timed {
 		out = append(out, due{at.job, func() {}})
 	}
-	for _, worker := range slices.Sorted(maps.Keys(l.turns)) {
-		for _, at := range l.turnsOn(worker) {
-			id, job, i := at.job, l.jobs[at.job], at.task
-			t, spec := job.Tasks[i], job.Spec.Tasks[i]
-			stop := ""
-			switch {
-			case now > l.endedBy(t.Turn) && !l.Held(job, i):
-				lost := t.Turn.StartedAt > 0
-				out = append(out, due{id, func() {
-					if l.jobs[at.job].Tasks[at.task].Turn.Held() {
-						l.giveBack(at, lost, "the worker went silent")
-					}
-				}})
-			case t.Turn.Stop != "":
-			case t.Turn.StartedAt > 0 && !limits.EndsAtCutoff && l.workers[t.Turn.Worker].SeenAt > t.Turn.StartedAt+t.Turn.Limit:
-				stop = limit
-			case t.Turn.StartedAt == 0 && spec.Gang != "" && now > t.Turn.GrantedAt+limits.StartBy.Duration:
-				stop = gangStop
-			}
-			if stop != "" {
-				out = append(out, due{id, func() { l.stopTurn(at, stop) }})
-			}
+	for _, at := range l.dueTurns(now) {
+		id, t := at.job, l.jobs[at.job].Tasks[at.task]
+		if l.givesBack(now, at) {
+			lost := t.Turn.StartedAt > 0
+			out = append(out, due{id, func() {
+				if l.jobs[at.job].Tasks[at.task].Turn.Held() {
+					l.giveBack(at, lost, "the worker went silent")
+				}
+			}})
+			continue
 		}
+		stop := l.stopOf(now, at)
+		out = append(out, due{id, func() { l.stopTurn(at, stop) }})
 	}
 	for _, id := range l.over {
 		if now <= l.jobs[id].EndedAt+limits.Keep.Duration {
@@ -711,6 +667,44 @@
 	return out
 }
 
+// dueTurns gives the turns that are to go back or to be stopped, by worker and then
+// by task number. It is asked often and mostly finds none, so only these are sorted.
+func (l *Ledger) dueTurns(now time.Duration) []ref {
+	var out []ref
+	for _, turns := range l.turns {
+		for at := range turns {
+			if l.givesBack(now, at) || l.stopOf(now, at) != "" {
+				out = append(out, at)
+			}
+		}
+	}
+	slices.SortFunc(out, func(a, b ref) int {
+		x, y := l.jobs[a.job].Tasks[a.task], l.jobs[b.job].Tasks[b.task]
+		return cmp.Or(cmp.Compare(x.Turn.Worker, y.Turn.Worker), cmp.Compare(x.Number, y.Number))
+	})
+	return out
+}
+
+// givesBack says whether a turn is over by the silence of its worker.
+func (l *Ledger) givesBack(now time.Duration, at ref) bool {
+	job := l.jobs[at.job]
+	return now > l.endedBy(job.Tasks[at.task].Turn) && !l.Held(job, at.task)
+}
+
+// stopOf says why a turn is to be stopped now, nothing if it is not.
+func (l *Ledger) stopOf(now time.Duration, at ref) string {
+	job, limits := l.jobs[at.job], &l.plan.Limits
+	t := job.Tasks[at.task].Turn
+	switch {
+	case t.Stop != "":
+	case t.StartedAt > 0 && !limits.EndsAtCutoff && l.workers[t.Worker].SeenAt > t.StartedAt+t.Limit:
+		return limit
+	case t.StartedAt == 0 && job.Spec.Tasks[at.task].Gang != "" && now > t.GrantedAt+limits.StartBy.Duration:
+		return gangStop
+	}
+	return ""
+}
+
 // ready says whether all that a task needs is done.
 func (l *Ledger) ready(at ref) bool {
 	job := l.jobs[at.job]
--- a/core/ledger/views.go
+++ b/core/ledger/views.go
@@ -21,19 +21,6 @@
 	return w, ok
 }
 
-// Workers gives all workers by name; the list is shared and not to be changed.
-func (l *Ledger) Workers() []Worker {
-	l.cached()
-	if l.lookups.workers == nil {
-		out := make([]Worker, 0, len(l.workers))
-		for _, id := range slices.Sorted(maps.Keys(l.workers)) {
-			out = append(out, l.workers[id])
-		}
-		l.lookups.workers = out
-	}
-	return l.lookups.workers
-}
-
 func (l *Ledger) Duty(name string) Duty { return l.duties[name] }
 
 // Duties gives every duty by name.
