Pace reports by the leader's load; let a pass look at workers with news only

Cause: a change of the lead brought every agent's whole report at once; agents that lost the primary together came back together; a report went out again when the worker listed a start that had been reported as taken; and each pass sorted and looked at every worker.

Any other is told the tick in which it has a place, and what is left of its lease; its worker counts as heard. While commands take over 30 ms, answers ask for as long between two reports, up to 200 ms. Agents add up to half of a pause from the second bounce in a row on, drawn from Env.First. A pass looks at the workers with news, at all each 50 ms, and asks for 64 turns at most.

--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -8,6 +8,7 @@
 
 import (
 	"encoding/json"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -42,9 +43,12 @@
 	rotateAfter  = 60 * time.Millisecond
 	rotateMax    = 300 * time.Millisecond
 	bouncesMax   = 5
+	paceMost     = 200 * time.Millisecond // between two reports at the core's wish
+	putOffMost   = time.Second            // until a report that the core put off
 	driftPercent = 3
 	driftMore    = 100 * time.Millisecond
 	goneMax      = 64
+	jitterStream = 1
 )
 
 // Counters count since the process began. Dropped are starts that were taken
@@ -89,6 +93,9 @@
 	repliedAt time.Duration
 	replied   bool
 	wakeAt    time.Duration
+	// pace is the time between two reports that the core asks for.
+	pace   time.Duration
+	chance *rand.Rand
 }
 
 func New(env Env) *Agent {
@@ -101,7 +108,7 @@
 	if env.Silent <= 0 {
 		env.Silent = silentDefault
 	}
-	a := &Agent{env: env, id: env.First}
+	a := &Agent{env: env, id: env.First, chance: rand.New(rand.NewPCG(env.First, jitterStream))}
 	if len(env.Keepers) > 0 {
 		a.target = env.Keepers[0]
 	}
--- a/core/agent/report.go
+++ b/core/agent/report.go
@@ -76,7 +76,7 @@
 	}
 	at := w.pauseUntil
 	if w.number > 0 {
-		at = max(at, w.sentAt+reportEach)
+		at = max(at, w.sentAt+max(reportEach, a.pace))
 	}
 	lost := false
 	if w.out != nil {
@@ -194,6 +194,7 @@
 		a.primary = r.to
 	}
 	a.replied, a.repliedAt, a.bounces = true, now, 0
+	a.pace = min(b.Answer.RetryAfter, paceMost)
 	orders := b.Answer.Orders
 	a.fence = max(a.fence, orders.Epoch)
 	a.lease = max(a.lease, orders.Lease)
@@ -222,23 +223,30 @@
 	}
 }
 
-// bounced finds the keeper that leads, or the number that comes next.
+// bounced finds the keeper that leads, or the number that comes next, or waits
+// for as long as a keeper asks that has too much to do.
 func (a *Agent) bounced(now time.Duration, w *worker, r report, b wire.BeatBackBody, out *machine.Output) {
-	a.bounces++
 	c := b.Answer.Code
+	if c == code.InboxFull && b.Answer.RetryAfter > 0 {
+		a.replied, a.repliedAt = true, now
+		w.leaseEnd = max(w.leaseEnd, r.sentAt+b.Answer.Orders.Lease)
+		w.pauseUntil, w.dirty = now+min(b.Answer.RetryAfter, putOffMost), true
+		return
+	}
+	a.bounces++
 	switch {
 	case c == code.StaleBeat && b.Answer.Orders.Number > 0:
 		w.number = max(w.number, b.Answer.Orders.Number)
 		return
 	case c == code.StaleBeat, (c == code.StaleEpoch || c == code.NoAuthority) && a.bounces%bouncesMax > 0:
-		w.pauseUntil = now + retryAfter
+		w.pauseUntil = now + a.jittered(retryAfter)
 		return
 	case c == code.Malformed && r.empty && (w.dead || w.leaving):
 		out.Log("worker_forgotten", "worker", w.call.Worker, "why", b.Answer.Why)
 		a.forget(w)
 		return
 	}
-	w.pauseUntil = now + min(rotateAfter<<min(a.bounces-1, 4), rotateMax)
+	w.pauseUntil = now + a.jittered(min(rotateAfter<<min(a.bounces-1, 4), rotateMax))
 	switch {
 	case r.to != a.target:
 	case b.Primary != "" && b.Primary != r.to:
@@ -251,6 +259,15 @@
 	}
 }
 
+// jittered is a pause of up to half as long again from the second bounce in a row
+// on, so that agents that lose the primary together do not come back together.
+func (a *Agent) jittered(pause time.Duration) time.Duration {
+	if a.bounces <= 1 {
+		return pause
+	}
+	return pause + time.Duration(a.chance.Int64N(int64(pause/2)))
+}
+
 // stop passes the core's word on, or takes a start back that was not handed over.
 func (a *Agent) stop(w *worker, at ledger.Attempt, out *machine.Output) {
 	if i := slices.IndexFunc(w.taken, func(t *taken) bool { return t.Attempt == at }); i >= 0 {
--- a/core/agent/told.go
+++ b/core/agent/told.go
@@ -2,6 +2,7 @@
 package agent
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -85,13 +86,14 @@
 	} else if c.Number <= w.call.Number {
 		return a.told(now, w, 0)
 	}
-	w.dirty = w.dirty || w.changed(c)
+	before := w.reportable()
+	news := w.changed(c)
+	freed := w.call.Free != c.Free
 	w.call, w.calledAt, w.emptied, w.said = c, now, false, false
 	w.total = w.total.Most(c.Free)
 	w.learnEnds()
 	w.taken = slices.DeleteFunc(w.taken, func(t *taken) bool {
 		if w.lists(t.Attempt) {
-			w.dirty = true
 			return true
 		}
 		if why := w.refuses(now, t); why != "" {
@@ -105,6 +107,8 @@
 		return false
 	})
 	w.own = slices.DeleteFunc(w.own, func(e ledger.End) bool { return w.lists(e.Attempt) })
+	after := w.reportable()
+	w.dirty = w.dirty || news || !maps.Equal(before.running, after.running) || freed && before.free != after.free
 	a.expire(now, w, out)
 	w.stops = slices.DeleteFunc(w.stops, func(at ledger.Attempt) bool { return !slices.Contains(w.running(), at) })
 	for at := range w.saved {
@@ -172,13 +176,28 @@
 	return ""
 }
 
-// changed says whether a call differs from the last in what is reported at once.
+// changed says whether a call differs from the last in the worker's standing
+// properties, which are reported at once.
 func (w *worker) changed(c Call) bool {
 	o := w.call
-	same := func(x, y Run) bool { return x.Attempt == y.Attempt }
-	return o.Free != c.Free || o.Leaving != c.Leaving || o.LeavesIn == 0 && c.LeavesIn != 0 || o.Service != c.Service ||
+	return o.Leaving != c.Leaving || o.LeavesIn == 0 && c.LeavesIn != 0 || o.Service != c.Service ||
 		o.Site != c.Site || o.Rack != c.Rack || o.Address != c.Address ||
-		!slices.Equal(o.Labels, c.Labels) || !slices.EqualFunc(o.Running, c.Running, same)
+		!slices.Equal(o.Labels, c.Labels)
+}
+
+// reportable is what of a worker's state a report carries that must not wait. A
+// start that was reported as taken stays the same when the worker lists it.
+type reportable struct {
+	running map[ledger.Attempt]bool
+	free    ledger.Room
+}
+
+func (w *worker) reportable() reportable {
+	r := reportable{map[ledger.Attempt]bool{}, w.free()}
+	for _, at := range w.running() {
+		r.running[at] = true
+	}
+	return r
 }
 
 // learnEnds takes the ends of a call that are new.
--- a/core/center/center_test.go
+++ b/core/center/center_test.go
@@ -30,6 +30,11 @@
 	answers map[uint64]wire.CommandBackBody
 	boots   uint64
 	id      uint64
+	// watch is called after each step of a center.
+	watch func(*Center)
+	// Agents that stand beside workers, by address and in order.
+	sides    map[string]*side
+	allSides []*side
 }
 
 func newNet(t *testing.T) *net {
@@ -69,6 +74,9 @@
 	in.Wall = time.Unix(1_000_000, 0).Add(n.now)
 	c := d.center
 	out := c.Step(n.now-d.boot, in)
+	if n.watch != nil {
+		n.watch(c)
+	}
 	for _, s := range out.Sends {
 		body := machine.MustJSON(s.Body)
 		n.queue = append(n.queue, func() { n.deliver(at, s.To, machine.Line{Wire: 1, Kind: s.Kind, From: at, Body: body}) })
@@ -97,6 +105,10 @@
 }
 
 func (n *net) deliver(from, to string, line machine.Line) {
+	if s, ok := n.sides[to]; ok {
+		s.step(machine.Input{Line: line})
+		return
+	}
 	switch line.Kind {
 	case wire.BeatBack:
 		var b wire.BeatBackBody
@@ -118,6 +130,9 @@
 		for _, at := range n.addr {
 			n.step(at, machine.Input{})
 		}
+		for _, s := range n.allSides {
+			s.wake()
+		}
 		for len(n.queue) > 0 {
 			next := n.queue[0]
 			n.queue = n.queue[1:]
--- a/core/scheduler/renewal.go
+++ b/core/scheduler/renewal.go
@@ -50,6 +50,7 @@
 // the moment in which the lead comes.
 func (s *Scheduler) hearAnew() {
 	s.heard, s.promises, s.renewAt = map[string]heard{}, map[uint64][]promise{}, 0
+	s.sentAt, s.oldest, s.commandTook = map[uint64]time.Duration{}, 0, 0
 	if !s.copy.Own() {
 		return
 	}
@@ -70,35 +71,56 @@
 }
 
 // hear takes a report: one that changes something becomes a command that says no
-// more than that, any other waits for the next renewal.
-func (s *Scheduler) hear(now time.Duration, r record, out *machine.Output) record {
+// more than that, or is put off; any other waits for the next renewal.
+func (s *Scheduler) hear(now time.Duration, r record, out *machine.Output) {
 	l, b := s.copy.View(), r.beat
 	reduced, changes := l.Reduce(b)
+	w, known := l.Worker(b.Worker)
 	h := s.heard[b.Worker]
-	if _, known := l.Worker(b.Worker); !known {
+	if !known {
 		h.cutoff = 0
 	}
 	h.incarnation, h.number, h.at = b.Incarnation, b.Number, s.copy.Time(now)
 	r.heardAt = h.at
-	if changes || !s.copy.Proven(now) {
-		r.command = s.copy.Submit(now, ledger.Command{Kind: ledger.KindBeat, Beat: reduced}, commandWait, out)
-		s.commands[r.command] = b.Worker
-		w, known := l.Worker(b.Worker)
-		r.applied = known && w.Incarnation == b.Incarnation && w.Number == b.Number
-		if h.due = false; r.applied {
-			s.promises[r.command] = []promise{{b.Worker, w.CutoffAt}}
+	if !s.copy.Proven(now) {
+		s.command(now, r, h, reduced, out)
+		return
+	}
+	if changes {
+		after, taken := s.admission.admit(now)
+		if taken {
+			s.command(now, r, h, reduced, out)
+			return
+		}
+		h.due = known && w.Incarnation == b.Incarnation
+		if h.due {
 			s.heard[b.Worker] = h
 		}
-		return r
+		s.reply(r, s.putOff(r, after), out)
+		return
 	}
 	r.applied, r.recorded, r.calm, h.due = true, true, true, true
 	s.heard[b.Worker] = h
-	w, _ := l.Worker(b.Worker)
 	r.short = s.leaseLeft(r) < l.Plan().Limits.Lease.Duration/2
 	if r.short || !l.Live(w) {
 		s.renewAt = min(s.renewAt, s.renewedAt+renewLeast)
 	}
-	return r
+	s.records[b.Worker], s.news[b.Worker] = r, true
+}
+
+// command submits a report with changes.
+func (s *Scheduler) command(now time.Duration, r record, h heard, reduced ledger.Beat, out *machine.Output) {
+	worker := r.beat.Worker
+	r.command = s.copy.Submit(now, ledger.Command{Kind: ledger.KindBeat, Beat: reduced}, commandWait, out)
+	s.sent(now, r.command)
+	s.commands[r.command] = worker
+	w, known := s.copy.View().Worker(worker)
+	if r.applied = known && w.Incarnation == r.beat.Incarnation && w.Number == r.beat.Number; r.applied {
+		h.due = false
+		s.heard[worker] = h
+		s.promises[r.command] = []promise{{worker, w.CutoffAt}}
+	}
+	s.records[worker], s.news[worker] = r, true
 }
 
 // leaseLeft is what is left of a worker's lease on all disks, counted from when
@@ -152,6 +174,7 @@
 		s.heard[p.worker] = h
 		if r, waits := s.records[p.worker]; waits && r.short {
 			r.until = now
+			s.news[p.worker] = true
 			s.records[p.worker] = r
 		}
 	}
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -37,6 +37,10 @@
 	pushEach    = 50 * time.Millisecond
 	// passGap is the least time between two passes in the primary's own process.
 	passGap = 8 * time.Millisecond
+	// rebuildEach is the time between two slices of a rebuild.
+	rebuildEach = 2 * time.Millisecond
+	// askMost is how many turns one pass in the primary's own process asks for.
+	askMost = 64
 )
 
 // DutyOf names the duty that owns a site's inboxes.
@@ -115,12 +119,21 @@
 	wakeAt    time.Duration
 	passAt    time.Duration
 	passed    time.Duration
+	// news are the workers that the next pass looks at; every worker is at wholeAt.
+	news      map[string]bool
+	wholeAt   time.Duration
 	heard     map[string]heard
 	promises  map[uint64][]promise
 	renewAt   time.Duration
 	renewedAt time.Duration
-	stopping  bool
-	stopAt    time.Duration
+	admission admission
+	// sentAt has the reports' commands under way, of which the oldest went out at
+	// oldest; commandTook is what the last one took.
+	sentAt      map[uint64]time.Duration
+	oldest      time.Duration
+	commandTook time.Duration
+	stopping    bool
+	stopAt      time.Duration
 }
 
 func New(env Env) *Scheduler {
@@ -130,7 +143,7 @@
 // NewWith is a scheduler that works on the given authority.
 func NewWith(env Env, authority Authority) *Scheduler {
 	s := &Scheduler{env: env, copy: authority, dispatch: dispatch.New(), records: map[string]record{}, commands: map[uint64]string{},
-		proposals: map[uint64]proposal{}, told: map[ledger.Attempt]time.Duration{}, overShare: map[[2]string]uint64{}, wanted: map[string]bool{}, idle: map[string]idle{}}
+		proposals: map[uint64]proposal{}, told: map[ledger.Attempt]time.Duration{}, overShare: map[[2]string]uint64{}, wanted: map[string]bool{}, idle: map[string]idle{}, news: map[string]bool{}}
 	if env.Central {
 		s.dispatch = dispatch.NewCentral()
 	}
@@ -205,14 +218,18 @@
 		s.hello(now, &out)
 	}
 	s.renew(now, &out)
+	s.noteChanges(changes)
 	if len(changes)+len(results) > 0 || in.Line.Kind == wire.Beat {
 		s.passAt = min(s.passAt, max(now, s.passed+passGap))
 	}
 	if now >= s.passAt || !s.copy.Own() {
-		s.pass(now, &out)
 		s.passAt, s.passed = now+passEach, now
+		s.pass(now, &out)
 	}
 	s.wakeAt = s.passAt
+	if s.dispatch.Rebuilding() {
+		s.wakeAt = min(s.wakeAt, now+rebuildEach)
+	}
 	if s.stopping && (now >= s.stopAt || len(s.Duties()) == 0) {
 		out.Stopped = true
 	}
@@ -317,7 +334,7 @@
 	}
 	r := record{id: b.ID, from: from, beat: b.Beat, holdFor: b.Hold, until: now + b.Hold}
 	if s.copy.Own() {
-		s.records[b.Beat.Worker] = s.hear(now, r, out)
+		s.hear(now, r, out)
 		return
 	}
 	r.command = s.copy.Submit(now, ledger.Command{Kind: ledger.KindBeat, Beat: b.Beat}, commandWait, out)
@@ -332,6 +349,9 @@
 
 func (s *Scheduler) result(now time.Duration, r follow.Result, out *machine.Output) {
 	if p, ok := s.proposals[r.ID]; ok {
+		for _, pick := range p.picks {
+			s.news[pick.Worker] = true
+		}
 		if r.Answer.Code.Good() {
 			p.at = r.At
 		} else {
@@ -350,6 +370,7 @@
 		s.proposals[r.ID] = p
 		return
 	}
+	s.ended(now, r.ID)
 	s.promised(now, r.ID, r.Answer.Code.Good())
 	worker := s.commands[r.ID]
 	delete(s.commands, r.ID)
@@ -359,6 +380,7 @@
 	case !r.Answer.Code.Good():
 		s.reply(rec, r.Answer, out)
 	default:
+		s.news[worker] = true
 		rec.recorded, rec.orders = true, r.Answer.Orders
 		rec.orders.Starts = nil
 		s.records[worker] = rec
@@ -403,7 +425,12 @@
 // room, own inboxes before helping, then replies to each beat that has orders
 // or has been held long enough.
 func (s *Scheduler) pass(now time.Duration, out *machine.Output) {
-	workers := slices.Sorted(maps.Keys(s.records))
+	whole := !s.copy.Own() || now >= s.wholeAt
+	workers := s.dueWorkers(whole)
+	s.news = map[string]bool{}
+	if whole {
+		s.wholeAt = now + passEach
+	}
 	l := s.copy.View()
 	if !s.stopping && s.copy.Fresh(now) {
 		s.pull(now, workers, out)
@@ -430,10 +457,8 @@
 			s.orders(now, r, unsure, out)
 		}
 	}
-	for a, at := range s.told {
-		if now-at > 10*retellAfter {
-			delete(s.told, a)
-		}
+	if whole {
+		maps.DeleteFunc(s.told, func(_ ledger.Attempt, at time.Duration) bool { return now-at > 10*retellAfter })
 	}
 }
 
@@ -455,13 +480,19 @@
 		}
 		able = append(able, worker)
 	}
+	asked := 0
 	for _, pull := range dispatch.Pulls {
 		for _, worker := range able {
 			for {
+				if asked >= askMost && s.copy.Own() {
+					s.pullLater(now, able)
+					return
+				}
 				choice, ok := s.dispatch.Next(l, worker, held, pull)
 				if !ok {
 					break
 				}
+				asked++
 				if s.ask(now, DutyOf(s.records[worker].beat.Site), ledger.KindGrant, choice, out); !s.copy.Own() {
 					held = s.held(now)
 					continue
@@ -505,7 +536,7 @@
 func (s *Scheduler) Drop() {
 	s.dispatch.Update(s.copy.View(), []ledger.Changed{{All: true}})
 	s.records, s.proposals, s.commands = map[string]record{}, map[uint64]proposal{}, map[uint64]string{}
-	s.idle = map[string]idle{}
+	s.idle, s.news, s.wholeAt = map[string]idle{}, map[string]bool{}, 0
 	s.hearAnew()
 	s.overShare, s.wanted, s.told = map[[2]string]uint64{}, map[string]bool{}, map[ledger.Attempt]time.Duration{}
 }
@@ -547,7 +578,7 @@
 		orders.Lease = s.leaseLeft(r)
 	}
 	orders.Epoch = s.copy.View().Position().Epoch
-	s.reply(r, ledger.Answer{Code: code.OK, Orders: orders}, out)
+	s.reply(r, ledger.Answer{Code: code.OK, RetryAfter: s.pace(now), Orders: orders}, out)
 }
 
 // Inboxes shows how much waits where, for operators.
