Try unplaced tasks again on a worker that was silent when they came

Cause: since unplaced tasks are tried on a worker only when what it may take has changed, one that came while a worker was silent was not tried on it when it was heard again as before: silence is no change of the ledger.

TestATaskThatCameWhileItsWorkerWasSilent fails without the change.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -412,6 +412,16 @@
 	return standing{w.Service, w.Site, strings.Join(w.Labels, ","), w.Capacity, w.Leaving, w.Drained, l.Live(w)}
 }
 
+// forgetSilent has unplaced tasks tried on the workers that are silent now as soon as
+// they are heard: a worker falls silent without a change of the ledger.
+func (d *Dispatch) forgetSilent(l *ledger.Ledger) {
+	for _, w := range l.Workers() {
+		if !l.Live(w) {
+			delete(d.standings, w.ID())
+		}
+	}
+}
+
 // moveAway seeds anew what lies in a worker's inbox and does not fit it, so many
 // tasks at most; it gives how many of those are left. The rest waits for the next
 // Update.
@@ -520,6 +530,7 @@
 	}
 	if best < 0 {
 		d.unplaced[at] = true
+		d.forgetSilent(l)
 		return
 	}
 	d.put(job, at, seats[best].worker)
--- a/core/dispatch/rebuild_test.go
+++ b/core/dispatch/rebuild_test.go
@@ -150,3 +150,23 @@
 		t.Errorf("%d tasks are unplaced though the worker has got the label", n)
 	}
 }
+
+// TestATaskThatCameWhileItsWorkerWasSilent is found no worker, until that one is
+// heard again, as it was before.
+func TestATaskThatCameWhileItsWorkerWasSilent(t *testing.T) {
+	w := ledgertest.New(t)
+	w.Worker("w0", 8)
+	d := dispatch.New()
+	d.Update(w.Ledger, w.Ledger.TakeChanges())
+	w.Pass(31 * time.Second)
+	w.Job("j", "quick", "a")
+	d.Update(w.Ledger, w.Ledger.TakeChanges())
+	if n := len(d.Unplaced(w.Ledger)); n != 1 {
+		t.Fatalf("%d tasks are unplaced", n)
+	}
+	w.Beat("w0", nil)
+	d.Update(w.Ledger, w.Ledger.TakeChanges())
+	if n := len(d.Unplaced(w.Ledger)); n != 0 {
+		t.Errorf("%d tasks are unplaced though the worker is heard", n)
+	}
+}
