--- a/core/keeper/admission_test.go
+++ b/core/keeper/admission_test.go
@@ -56,7 +56,7 @@
 	}
 	deadline := func(in time.Duration) func(*desk, *wire.CommandBody) {
 		return func(d *desk, b *wire.CommandBody) {
-			b.Left, b.Deadline = time.Second, d.leader.ledgerTime(d.start+age)+in
+			b.Left, b.Deadline = time.Second, d.leader.Time(d.start+age)+in
 		}
 	}
 	left := func(left time.Duration) func(*desk, *wire.CommandBody) {
@@ -119,7 +119,7 @@
 	if proof.Received || proof.Answer.Code != code.OK || proof.Answer.Proven != d.leader.ledger.Position().Sequence {
 		t.Errorf("the proof: %+v", proof)
 	}
-	if want := d.leader.ledgerTime(d.start + time.Millisecond); proof.Answer.Time != want {
+	if want := d.leader.Time(d.start + time.Millisecond); proof.Answer.Time != want {
 		t.Errorf("ledger time %s, want %s", proof.Answer.Time, want)
 	}
 }
--- a/core/keeper/keeper.go
+++ b/core/keeper/keeper.go
@@ -282,6 +282,9 @@
 // Proven says whether this keeper serves and its backups have just confirmed it.
 func (k *Keeper) Proven(now time.Duration) bool { return k.proven(now) }
 
+// Time is the ledger time that a command would have now.
+func (k *Keeper) Time(now time.Duration) time.Duration { return k.leadingAt + now - k.beganAt }
+
 // Command takes a command from the same process; its answer comes by TakeOwn.
 func (k *Keeper) Command(now time.Duration, id uint64, cmd ledger.Command, out *machine.Output) {
 	k.command(now, "", wire.CommandBody{ID: id, Command: cmd}, out)
@@ -395,20 +398,25 @@
 		}}, out)
 		return
 	}
-	if b.Command.Kind == ledger.KindTake && from != "" {
-		out.Send(from, wire.CommandBack, wire.CommandBackBody{ID: b.ID, Answer: ledger.Answer{Code: code.Malformed, Why: "only the primary itself takes a duty"}})
+	if ownOnly(b.Command) && from != "" {
+		out.Send(from, wire.CommandBack, wire.CommandBackBody{ID: b.ID, Answer: ledger.Answer{Code: code.Malformed, Why: "only the primary itself sends this"}})
 		return
 	}
 	body := wire.CommandBackBody{ID: b.ID, Answer: k.carryOut(now, b.Command)}
 	body.At = k.ledger.Position().Sequence
 	if b.Command.Kind == ledger.KindProve {
 		k.receive(now, from, b.ID, out)
-		body.Answer.Time, body.Answer.Proven = k.ledgerTime(now), body.At
+		body.Answer.Time, body.Answer.Proven = k.Time(now), body.At
 		body.Keepers = k.Keepers()
 	}
 	k.answers = append(k.answers, pending{from, body, body.At, k.token + 1, now})
 }
 
+// ownOnly says whether only the primary's own dispatcher may send a command.
+func ownOnly(cmd ledger.Command) bool {
+	return cmd.Kind == ledger.KindTake || cmd.Kind == ledger.KindRenew || cmd.Kind == ledger.KindBeat && cmd.Beat.Reduced
+}
+
 // carryOut reads from the ledger or changes it.
 func (k *Keeper) carryOut(now time.Duration, cmd ledger.Command) ledger.Answer {
 	if ledger.Reads(cmd.Kind) {
@@ -431,7 +439,7 @@
 // outOfTime says whether nobody waits for the command's answer any more: what it
 // spent in queues on its way is seen by the ledger's time.
 func (k *Keeper) outOfTime(now time.Duration, b wire.CommandBody) bool {
-	return b.Deadline > 0 && k.ledgerTime(now) >= b.Deadline
+	return b.Deadline > 0 && k.Time(now) >= b.Deadline
 }
 
 // awaitsCommit says whether an earlier copy of a command is among those that wait
@@ -448,7 +456,7 @@
 	}
 	left := b.Left
 	if b.Deadline > 0 {
-		left = min(left, b.Deadline-k.ledgerTime(now))
+		left = min(left, b.Deadline-k.Time(now))
 	}
 	return "what is under way takes longer than this request has time", b.Left > 0 && k.waited(now) >= left
 }
@@ -462,12 +470,9 @@
 	return now - k.answers[0].takenAt
 }
 
-// ledgerTime is the ledger's time by this leader's clock.
-func (k *Keeper) ledgerTime(now time.Duration) time.Duration { return k.leadingAt + now - k.beganAt }
-
 func (k *Keeper) apply(now time.Duration, cmd ledger.Command) ledger.Answer {
 	cmd.Position = ledger.Position{Epoch: k.witness.Known.Epoch, Sequence: k.ledger.Position().Sequence + 1}
-	cmd.At = k.ledgerTime(now)
+	cmd.At = k.Time(now)
 	if cmd.Kind == ledger.KindAccept && cmd.Accept.Repeat.Count > 0 {
 		cmd.Wall = k.wall
 	}
