Keep answers that wait without copying them at each step

settle cloned all waiting answers at each step: 0.27 of 2.25 s in a profile of the leader. They are resliced now, and what was sent is cleared.

--- a/core/center/center.go
+++ b/core/center/center.go
@@ -69,7 +69,10 @@
 
 // New rebuilds a center from what its keeper has stored.
 func New(env Env, stored machine.Stored) (*Center, error) {
-	k, err := keeper.New(keeper.Env{Address: env.Address, Site: env.Site, Founders: env.Founders, FreshID: env.FreshID, Boot: env.Boot, Copies: env.Copies, Dispatches: true}, stored)
+	k, err := keeper.New(keeper.Env{
+		Address: env.Address, Site: env.Site, Founders: env.Founders, FreshID: env.FreshID, Boot: env.Boot,
+		Copies: env.Copies, Dispatches: true,
+	}, stored)
 	if err != nil {
 		return nil, err
 	}
--- a/core/center/center_test.go
+++ b/core/center/center_test.go
@@ -43,7 +43,9 @@
 func (n *net) start(at string) {
 	n.boots++
 	d := n.nodes[at]
-	c, err := New(Env{Address: at, Site: at, Founders: n.addr, FreshID: fmt.Sprintf("%s-%d", at, n.boots), Boot: n.boots}, d.disk.Stored())
+	c, err := New(Env{
+		Address: at, Site: at, Founders: n.addr, FreshID: fmt.Sprintf("%s-%d", at, n.boots), Boot: n.boots,
+	}, d.disk.Stored())
 	if err != nil {
 		n.t.Fatal(err)
 	}
--- a/core/keeper/catchup_test.go
+++ b/core/keeper/catchup_test.go
@@ -62,7 +62,8 @@
 // grow accepts jobs of 2 KB each until the state has that many.
 func (c *trio) grow(jobs int) {
 	c.t.Helper()
-	c.command(ledger.Command{Kind: ledger.KindPlan, Plan: ledger.PlanChange{Forced: true, Patch: true, Body: []byte(classes)}})
+	change := ledger.PlanChange{Forced: true, Patch: true, Body: []byte(classes)}
+	c.command(ledger.Command{Kind: ledger.KindPlan, Plan: change})
 	payload := machine.MustJSON(strings.Repeat("x", 2000))
 	for n := range jobs {
 		task := ledger.TaskSpec{ID: "t", Room: ledger.Room{Slots: 1}, Payload: payload}
@@ -89,7 +90,11 @@
 	from := c.now
 	for c.now-from < d {
 		c.pass(stride)
-		if p := c.primary(); p != nil && h.k != nil && p.k.Ledger().Position().Sequence-h.k.Ledger().Position().Sequence < 20 {
+		p := c.primary()
+		if p == nil || h.k == nil {
+			continue
+		}
+		if p.k.Ledger().Position().Sequence-h.k.Ledger().Position().Sequence < 20 {
 			return c.now - from, true
 		}
 	}
@@ -141,7 +146,8 @@
 		t.Errorf("level after %s: %v\n%s", took, ok, c.tell(30))
 	}
 	if most := missed*250 + 100<<10; w.bytes["c"] > most || w.largest > windowBytes+4096 || w.snapshots() > 0 {
-		t.Errorf("%d bytes, at most %d are right; the largest line has %d; %d lines of snapshots", w.bytes["c"], most, w.largest, w.snapshots())
+		t.Errorf("%d bytes, at most %d are right; the largest line has %d; %d lines of snapshots",
+			w.bytes["c"], most, w.largest, w.snapshots())
 	}
 	c.same(third)
 	c.check()
@@ -195,7 +201,8 @@
 // TestAMemberThatCameBackLeads has one return behind by thousands, and takes the power
 // from the primary at different moments while it catches up.
 func TestAMemberThatCameBackLeads(t *testing.T) {
-	for _, after := range []time.Duration{0, 20 * time.Millisecond, 60 * time.Millisecond, 300 * time.Millisecond, time.Second} {
+	for _, ms := range []time.Duration{0, 20, 60, 300, 1000} {
+		after := ms * time.Millisecond
 		c := newTrio(t)
 		c.grow(10)
 		c.host("c").cut = true
@@ -320,7 +327,8 @@
 		c.pass(time.Second)
 		c.same(third)
 		c.same(old)
-		t.Logf("%d more: %d bytes to the third, %d to the old primary, %d lines of snapshots", suffix, w.bytes[third.address], w.bytes[old.address], w.snapshots())
+		t.Logf("%d more: %d bytes to the third, %d to the old primary, %d lines of snapshots",
+			suffix, w.bytes[third.address], w.bytes[old.address], w.snapshots())
 		if w.snapshots() > 0 {
 			t.Errorf("%d more: %d lines of snapshots\n%s", suffix, w.snapshots(), c.tell(40))
 		}
@@ -374,7 +382,8 @@
 		chunks := w.lines[wire.Snapshot+" to c"]
 		t.Logf("seed %d: level after %s with %d chunks, the largest line has %d bytes", seed, took, chunks, w.largest)
 		if !ok || chunks < 8 || chunks > 40 || w.largest > chunkMax+8192 {
-			t.Errorf("seed %d: level after %s: %v, %d chunks, largest %d\n%s", seed, took, ok, chunks, w.largest, c.tell(30))
+			t.Errorf("seed %d: level after %s: %v, %d chunks, largest %d\n%s",
+				seed, took, ok, chunks, w.largest, c.tell(30))
 		}
 		if n := c.logs["snapshot_damaged"]; n > 0 {
 			t.Errorf("seed %d: %d snapshots came damaged\n%s", seed, n, c.tell(30))
--- a/core/keeper/checkpoint.go
+++ b/core/keeper/checkpoint.go
@@ -1,3 +1,5 @@
+// Checkpoints of the ledger, and going back to where the leader's history and this
+// keeper's diverged.
 package keeper
 
 import (
--- a/core/keeper/install.go
+++ b/core/keeper/install.go
@@ -1,3 +1,4 @@
+// The receiving side of a transfer of the whole state.
 package keeper
 
 import (
--- a/core/keeper/keeper.go
+++ b/core/keeper/keeper.go
@@ -518,12 +518,14 @@
 		}
 		k.back(a.to, a.body, out)
 	}
-	k.answers = slices.Clone(k.answers[n:])
+	clear(k.answers[:n])
+	k.answers = k.answers[n:]
 	done := 0
 	for ; done < len(k.entries) && k.entries[done].Sequence <= k.committed; done++ {
 		out.Audits = append(out.Audits, machine.Audit{Sequence: k.entries[done].Sequence, Entry: machine.MustJSON(k.entries[done])})
 	}
-	k.entries = slices.Clone(k.entries[done:])
+	clear(k.entries[:done])
+	k.entries = k.entries[done:]
 	k.tell(out)
 }
 
--- a/core/keeper/recover.go
+++ b/core/keeper/recover.go
@@ -1,3 +1,4 @@
+// Starting again from what is on the disk.
 package keeper
 
 import (
@@ -66,7 +67,8 @@
 		return cmd, fmt.Errorf("logged command after sequence %d: %w", at.Sequence, err)
 	}
 	if cmd.Sequence != at.Sequence+1 || cmd.Epoch < at.Epoch {
-		return cmd, fmt.Errorf("logged command %d of epoch %d comes after %d of epoch %d", cmd.Sequence, cmd.Epoch, at.Sequence, at.Epoch)
+		return cmd, fmt.Errorf("logged command %d of epoch %d comes after %d of epoch %d",
+			cmd.Sequence, cmd.Epoch, at.Sequence, at.Epoch)
 	}
 	return cmd, nil
 }
--- a/core/keeper/replicate.go
+++ b/core/keeper/replicate.go
@@ -1,3 +1,5 @@
+// Replication in windows: what the leader sends to each peer, and what a peer makes
+// of it.
 package keeper
 
 import (
@@ -199,7 +201,8 @@
 	}
 	if b.After != position {
 		out.Send(from, wire.ReplicateAck, wire.ReplicateAckBody{
-			Boot: b.Boot, Epoch: b.View.Epoch, From: k.seat, Token: b.Token, At: position, Whole: whole, Known: k.witness.Known,
+			Boot: b.Boot, Epoch: b.View.Epoch, From: k.seat, Token: b.Token, At: position,
+			Whole: whole, Known: k.witness.Known,
 		})
 		return
 	}
--- a/core/keeper/transfer.go
+++ b/core/keeper/transfer.go
@@ -1,3 +1,4 @@
+// The sending side of a transfer of the whole state, in chunks that the peer asks for.
 package keeper
 
 import (
--- a/core/ledger/capture.go
+++ b/core/ledger/capture.go
@@ -1,3 +1,4 @@
+// Captures of the ledger at one position, for snapshots and checkpoints.
 package ledger
 
 import (
--- a/core/ledger/encoding.go
+++ b/core/ledger/encoding.go
@@ -1,3 +1,4 @@
+// The encoding of commands, which is made once and shared.
 package ledger
 
 import (
--- a/core/ledger/load.go
+++ b/core/ledger/load.go
@@ -1,3 +1,4 @@
+// Rebuilding a ledger from records.
 package ledger
 
 import (
--- a/core/machine/disk.go
+++ b/core/machine/disk.go
@@ -1,3 +1,4 @@
+// A keeper's disk in memory.
 package machine
 
 import (
--- a/core/machine/write.go
+++ b/core/machine/write.go
@@ -1,3 +1,4 @@
+// What a keeper writes to its disk and finds there again.
 package machine
 
 import (
--- a/daemon/cmd/keeper/main.go
+++ b/daemon/cmd/keeper/main.go
@@ -17,7 +17,9 @@
 }
 
 func build(e env.Env, stored machine.Stored) (run.Built, error) {
-	k, err := keeper.New(keeper.Env{Address: e.Address, Site: e.Site, Founders: e.Founders, FreshID: run.ChanceID(), Boot: run.Chance()}, stored)
+	k, err := keeper.New(keeper.Env{
+		Address: e.Address, Site: e.Site, Founders: e.Founders, FreshID: run.ChanceID(), Boot: run.Chance(),
+	}, stored)
 	if err != nil {
 		return run.Built{}, err
 	}
--- a/daemon/store/files.go
+++ b/daemon/store/files.go
@@ -1,3 +1,4 @@
+// The file system, behind an interface that tests can put faults into.
 package store
 
 import (
--- a/daemon/store/frame.go
+++ b/daemon/store/frame.go
@@ -1,3 +1,4 @@
+// Frames, which files are made of.
 package store
 
 import (
--- a/daemon/store/item.go
+++ b/daemon/store/item.go
@@ -1,3 +1,4 @@
+// Items, which the frames of snapshots and segments hold.
 package store
 
 import (
--- a/daemon/store/names.go
+++ b/daemon/store/names.go
@@ -1,3 +1,4 @@
+// The names of the files in a data folder.
 package store
 
 import (
--- a/daemon/store/own.go
+++ b/daemon/store/own.go
@@ -1,3 +1,4 @@
+// The keeper's own records, which every snapshot has in full.
 package store
 
 import (
--- a/daemon/store/power_test.go
+++ b/daemon/store/power_test.go
@@ -42,7 +42,10 @@
 		{Done: 2, Commands: commands(1, 2)},
 		{Done: 3, Commands: commands(3), Snapshot: ledgerOf(`3`)},
 		{Done: 4, Commands: commands(4), Records: []machine.Record{record("keeper", "stands", `1`)}},
-		{Done: 5, Commands: commands(5), Records: []machine.Record{record("keeper", "stands", `2`)}, Snapshot: ledgerOf(`5`)},
+		{
+			Done: 5, Commands: commands(5), Records: []machine.Record{record("keeper", "stands", `2`)},
+			Snapshot: ledgerOf(`5`),
+		},
 		{Done: 6, Commands: commands(6, 66, 67)},
 		{Done: 6, Drop: 2, Commands: commands(7)},
 		{Done: 6, Drop: 1},
--- a/daemon/store/snapshot.go
+++ b/daemon/store/snapshot.go
@@ -1,3 +1,4 @@
+// Writing snapshots, and removing what they stand for.
 package store
 
 import (
--- a/daemon/store/store.go
+++ b/daemon/store/store.go
@@ -86,7 +86,9 @@
 	if err != nil {
 		return nil, machine.Stored{}, Unusable.Wrap(err, "data folder %s is in use", folder)
 	}
-	s := &Store{files: files, folder: folder, lock: lock, own: ownRecords{}, logMin: logMin, closing: make(chan struct{})}
+	s := &Store{
+		files: files, folder: folder, lock: lock, own: ownRecords{}, logMin: logMin, closing: make(chan struct{}),
+	}
 	s.pause = s.sleep
 	stored, err := s.recover()
 	if err != nil {
--- a/daemon/store/store_test.go
+++ b/daemon/store/store_test.go
@@ -82,7 +82,8 @@
 func TestHistoryLeadsUpToTheSnapshot(t *testing.T) {
 	folder := t.TempDir()
 	s, _ := mustOpen(t, folder)
-	mustWrite(t, s, machine.Write{Commands: commands(1, 2, 3), Snapshot: ledgerOf(`3`)}, machine.Write{Commands: commands(4)})
+	mustWrite(t, s, machine.Write{Commands: commands(1, 2, 3), Snapshot: ledgerOf(`3`)})
+	mustWrite(t, s, machine.Write{Commands: commands(4)})
 	s.Close()
 	s, stored := mustOpen(t, folder)
 	defer s.Close()
--- a/tool/scale/core.go
+++ b/tool/scale/core.go
@@ -41,7 +41,9 @@
 		return err
 	}
 	founders := strings.Split(c.Founders, ",")
-	main, err := center.New(center.Env{Address: c.Address, Site: c.Site, Founders: founders, FreshID: run.ChanceID(), Boot: run.Chance()}, stored)
+	main, err := center.New(center.Env{
+		Address: c.Address, Site: c.Site, Founders: founders, FreshID: run.ChanceID(), Boot: run.Chance(),
+	}, stored)
 	if err != nil {
 		return err
 	}
@@ -73,7 +75,8 @@
 	}
 	shard.Look(func() {
 		counters, _ := json.Marshal(main.Scheduler().Counters())
-		fmt.Fprintf(os.Stderr, "batches=%d serving=%v counters=%s\n", main.Keeper().Batches(), main.Keeper().Serving(), counters)
+		k := main.Keeper()
+		fmt.Fprintf(os.Stderr, "batches=%d serving=%v counters=%s\n", k.Batches(), k.Serving(), counters)
 	})
 	h.Close()
 	return err
--- a/tool/sim/sim.go
+++ b/tool/sim/sim.go
@@ -151,7 +151,10 @@
 
 // Add places a daemon and boots it.
 func (w *World) Add(role, name, site, address string, seeds, founders []string) *node {
-	n := &node{name: name, role: role, site: site, address: address, seeds: seeds, founders: founders, state: down, diskSlow: 1, disk: emptyDisk()}
+	n := &node{
+		name: name, role: role, site: site, address: address, seeds: seeds, founders: founders,
+		state: down, diskSlow: 1, disk: emptyDisk(),
+	}
 	w.nodes[address] = n
 	w.Boot(n)
 	return n
@@ -170,7 +173,10 @@
 	first := w.chance.Uint64() >> 1
 	switch n.role {
 	case "keeper":
-		k, err := keeper.New(keeper.Env{Address: n.address, Site: n.site, Founders: n.founders, FreshID: fmt.Sprintf("%s-%d-%x", n.name, n.life, first), Boot: first}, n.disk.Stored())
+		k, err := keeper.New(keeper.Env{
+			Address: n.address, Site: n.site, Founders: n.founders,
+			FreshID: fmt.Sprintf("%s-%d-%x", n.name, n.life, first), Boot: first,
+		}, n.disk.Stored())
 		if err != nil {
 			panic(fmt.Sprintf("%s refuses its own disk: %v", n.name, err))
 		}
@@ -180,7 +186,10 @@
 	case "front":
 		n.main = front.New(front.Env{Address: n.address, Site: n.site, First: first})
 	case "center":
-		c, err := center.New(center.Env{Address: n.address, Site: n.site, Founders: n.founders, FreshID: fmt.Sprintf("%s-%d-%x", n.name, n.life, first), Boot: first}, n.disk.Stored())
+		c, err := center.New(center.Env{
+			Address: n.address, Site: n.site, Founders: n.founders,
+			FreshID: fmt.Sprintf("%s-%d-%x", n.name, n.life, first), Boot: first,
+		}, n.disk.Stored())
 		if err != nil {
 			panic(fmt.Sprintf("%s refuses its own disk: %v", n.name, err))
 		}
