Send the state to a member that took all it was sent and fell behind

A member whose acks are lost takes what it is sent up to a window. If the tail then leaves that position behind, heartbeats that begin there are acked, no window can follow, and the member never caught up (TestAMemberThatTookAllItWasSent on the commit before: 17,447 bytes in 5 s, not level; now level after 113 ms of simulated time with 4 chunks). An ack in the middle of a transfer no longer ends it.

--- a/core/keeper/catchup_test.go
+++ b/core/keeper/catchup_test.go
@@ -176,6 +176,33 @@
 	c.check()
 }
 
+// TestAMemberThatTookAllItWasSent is heard no more, but hears: it is where the lines to
+// it end when the tail has long left that behind.
+func TestAMemberThatTookAllItWasSent(t *testing.T) {
+	c := newTrio(t)
+	c.grow(100)
+	third := c.host("c")
+	c.late = func(from, _, _ string) time.Duration {
+		if from == "c" {
+			return -1
+		}
+		return 0
+	}
+	c.changes(2*ledger.TailMax + 2000)
+	if missed := c.primary().k.Ledger().Position().Sequence - third.k.Ledger().Position().Sequence; missed < ledger.TailMax {
+		t.Errorf("only %d commands were not sent", missed)
+	}
+	c.late = nil
+	w := watch(c)
+	took, ok := c.level(third, 5*time.Second)
+	t.Logf("level after %s, %d chunks, %d bytes", took, w.lines[wire.Snapshot+" to c"], w.bytes["c"])
+	if !ok || w.bytes["c"] > 1<<20 {
+		t.Errorf("level after %s: %v, %d bytes\n%s", took, ok, w.bytes["c"], c.tell(30))
+	}
+	c.same(third)
+	c.check()
+}
+
 // TestAMemberThatWasAwayIsReplaced has a newcomer take the seat of one that is gone,
 // after thousands of changes.
 func TestAMemberThatWasAwayIsReplaced(t *testing.T) {
--- a/core/keeper/replicate.go
+++ b/core/keeper/replicate.go
@@ -110,13 +110,21 @@
 	if !p.synced || b.At.Sequence >= p.at.Sequence {
 		p.at = b.At
 	}
-	p.synced, p.confirmed, p.transfer = true, p.at, outgoing{}
+	p.synced, p.confirmed = true, p.at
 	if p.next.Sequence < p.at.Sequence {
 		p.next = p.at
 	}
+	if p.at.Sequence >= p.transfer.at.Sequence {
+		p.transfer = outgoing{}
+	}
 	k.peers[b.From.ID] = p
-	if p.next == p.at && p.next != k.limit() {
+	if p.next != p.at || p.next == k.limit() || p.transfer.active(now) {
+		return
+	}
+	if k.tail.Holds(p.next) {
 		k.feed(now, b.From, out)
+	} else {
+		k.begin(now, b.From, p.at, out)
 	}
 }
 
