--- a/core/keeper/catchup_test.go
+++ b/core/keeper/catchup_test.go
@@ -515,6 +515,27 @@
 	}
 }
 
+// TestALateLineTakesNothingBack has a line come that was for where the member stood when
+// its history had diverged, after it has moved on and acked more.
+func TestALateLineTakesNothingBack(t *testing.T) {
+	c := newTrio(t)
+	c.grow(5)
+	p, third := c.primary(), c.host("c")
+	after := third.k.Ledger().Position()
+	c.changes(50)
+	moved := third.k.Ledger().Position()
+	body := wire.ReplicateBody{
+		Boot: p.k.env.Boot, View: p.k.View(), From: p.k.seat, After: after,
+		Diverged: ledger.Position{Epoch: 1, Sequence: moved.Sequence + 3},
+	}
+	line := machine.Line{Wire: machine.WireSequence, Kind: wire.Replicate, From: p.address}
+	line.Body = machine.MustJSON(body)
+	c.step(third, machine.Input{Line: line})
+	if got := third.k.Ledger().Position(); got.Sequence < moved.Sequence {
+		t.Errorf("went back from %v to %v", moved, got)
+	}
+}
+
 // TestAnInstalledStateNeverGoesBack has a chunk for where the member no longer stands.
 func TestAnInstalledStateNeverGoesBack(t *testing.T) {
 	c := newTrio(t)
@@ -541,3 +562,63 @@
 		t.Errorf("took a snapshot with another digest: %v to %v", moved, got)
 	}
 }
+
+// TestRandomDaysOfGrown plays the random days on a state of many chunks, with tails that
+// are short, lines that are lost, late or doubled, and a log that is soon long.
+func TestRandomDaysOfGrown(t *testing.T) {
+	for seed := range uint64(30) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			chance := rand.New(rand.NewPCG(seed, 11))
+			c := newTrio(t)
+			if seed%3 == 0 {
+				c = newFive(t)
+			}
+			c.grow(80)
+			for _, h := range c.hosts {
+				h.disk.SnapshotEach = 32 << 10
+				h.k.tail = ledger.TailFrom(h.k.ledger.Position())
+			}
+			c.saw = func(_, to string, line machine.Line) {
+				if chance.IntN(20) == 0 {
+					c.after(time.Duration(chance.IntN(200))*stride, func() {
+						if h := c.host(to); h != nil && h.k != nil && !h.cut {
+							c.step(h, machine.Input{Line: line})
+						}
+					})
+				}
+			}
+			c.late = func(_, _, kind string) time.Duration {
+				switch {
+				case chance.IntN(50) == 0:
+					return -1
+				case chance.IntN(20) == 0:
+					return time.Duration(chance.IntN(30)) * stride
+				}
+				return 0
+			}
+			randomDay(c, seed)
+			c.saw, c.late = nil, nil
+			c.pass(3 * time.Second)
+			for _, h := range c.hosts {
+				if p := c.primary(); p != nil && h.k != nil && seated(p.k, h.k) {
+					c.same(h)
+				}
+			}
+			t.Logf("%d transfers begun, %d installed, %d members went back",
+				c.logs["snapshot_begun"], c.logs["snapshot_installed"], c.logs["rewound"])
+			if t.Failed() {
+				t.Log(c.tell(120))
+			}
+		})
+	}
+}
+
+func seated(leader, k *Keeper) bool {
+	for _, seat := range leader.View().Witnesses {
+		if seat.ID == k.ID() {
+			return true
+		}
+	}
+	return false
+}
