--- a/core/keeper/catchup_test.go
+++ b/core/keeper/catchup_test.go
@@ -189,7 +189,8 @@
 		return 0
 	}
 	c.changes(2*ledger.TailMax + 2000)
-	if missed := c.primary().k.Ledger().Position().Sequence - third.k.Ledger().Position().Sequence; missed < ledger.TailMax {
+	missed := c.primary().k.Ledger().Position().Sequence - third.k.Ledger().Position().Sequence
+	if missed < ledger.TailMax {
 		t.Errorf("only %d commands were not sent", missed)
 	}
 	c.late = nil
--- a/daemon/store/faults_test.go
+++ b/daemon/store/faults_test.go
@@ -112,9 +112,13 @@
 	if err := f.call(); err != nil {
 		return err
 	}
-	if _, ok := f.names[path]; !ok {
+	node, ok := f.names[path]
+	if !ok {
 		return fs.ErrNotExist
 	}
+	if f.room >= 0 {
+		f.room += int64(len(node.now))
+	}
 	f.change(func(names map[string]*inode) { delete(names, path) })
 	return nil
 }
--- a/daemon/store/recover.go
+++ b/daemon/store/recover.go
@@ -126,7 +126,7 @@
 	if want, _ := binary.Uvarint(frames[len(frames)-1].payload); want != count {
 		return nil, Damaged.New("data file %s: it has %d items and names %d", path, count, want)
 	}
-	s.snapshot.size = int64(len(data))
+	s.snapshot.number, s.snapshot.size = number, int64(len(data))
 	return out, nil
 }
 
--- a/daemon/store/store.go
+++ b/daemon/store/store.go
@@ -71,6 +71,7 @@
 // snapshotState is of the snapshot being written, and of the last one.
 type snapshotState struct {
 	busy   bool
+	number uint64
 	size   int64
 	failed error
 }
@@ -193,6 +194,9 @@
 		if err == nil || !diskFull(err) {
 			return err
 		}
+		if waited == 0 {
+			s.makeRoom()
+		}
 		if waited == 0 || waited-loggedAt >= roomLogEach {
 			logline.Event("disk_full", "file", path, "waitedMs", waited.Milliseconds())
 			loggedAt = waited
@@ -204,6 +208,26 @@
 	}
 }
 
+func (s *Store) makeRoom() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dropHistory()
+}
+
+// dropHistory removes the segments before the last snapshot, on which nothing rests.
+func (s *Store) dropHistory() {
+	names, err := s.files.List(s.folder)
+	if err != nil {
+		return
+	}
+	for _, n := range numbered(names, segmentPrefix) {
+		if n < s.snapshot.number {
+			// What cannot be removed now is tried again when the disk is full again.
+			_ = s.removeIfThere(segmentName(n))
+		}
+	}
+}
+
 // rotate goes on in a new segment and has the snapshot written beside it. Without
 // room for a segment it stays as it was, and a snapshot is due again later.
 func (s *Store) rotate(records iter.Seq[machine.Record]) error {
@@ -249,9 +273,10 @@
 	s.snapshot.busy = false
 	switch {
 	case err == nil:
-		s.snapshot.size = size
+		s.snapshot.number, s.snapshot.size = number, size
 	case errors.Is(err, errClosed):
 	case diskFull(err):
+		s.dropHistory()
 		logline.Event("snapshot_put_off", "number", number, "why", err.Error())
 	default:
 		s.snapshot.failed = Unusable.Wrap(err, "data file %s", s.path(snapshotName(number)))
@@ -282,7 +307,7 @@
 	}
 	s.useSegment(number, segment, end)
 	s.mu.Lock()
-	s.snapshot.size = size
+	s.snapshot.number, s.snapshot.size = number, size
 	s.mu.Unlock()
 	return nil
 }
--- a/daemon/store/store_test.go
+++ b/daemon/store/store_test.go
@@ -189,6 +189,33 @@
 	}
 }
 
+// TestAFullDiskCostsTheHistoryFirst gives room for a snapshot only once the segment
+// before the last one is gone.
+func TestAFullDiskCostsTheHistoryFirst(t *testing.T) {
+	files := newFiles()
+	s, _, err := open(files, "d")
+	if err != nil {
+		t.Fatal(err)
+	}
+	tries := 0
+	s.pause = func(time.Duration) bool {
+		tries++
+		return tries < 100
+	}
+	mustWrite(t, s, machine.Write{Commands: commands(1, 2, 3, 4, 5, 6, 7, 8), Snapshot: ledgerOf(`8`)})
+	history := len(files.names[s.path(segmentName(1))].now)
+	files.room = 10
+	mustWrite(t, s, machine.Write{Commands: commands(9)})
+	if files.names[s.path(segmentName(1))] != nil || files.room <= 0 || files.room > int64(history) {
+		t.Errorf("the history of %d bytes is still there, with room for %d", history, files.room)
+	}
+	files.disks(func(name string, disk *faultyFiles) {
+		if _, stored, err := open(disk, "d"); err != nil || told(stored) != "job/a=8 + 9" {
+			t.Errorf("%s: found %s, %v", name, told(stored), err)
+		}
+	})
+}
+
 func (s *Store) rotateWithRoom(files *faultyFiles, room int64) error {
 	files.room = room
 	defer s.background.Wait()
