--- a/core/keeper/catchup_test.go
+++ b/core/keeper/catchup_test.go
@@ -62,7 +62,8 @@
 // grow accepts jobs of 2 KB each until the state has that many.
 func (c *trio) grow(jobs int) {
 	c.t.Helper()
-	c.command(ledger.Command{Kind: ledger.KindPlan, Plan: ledger.PlanChange{Forced: true, Patch: true, Body: []byte(classes)}})
+	change := ledger.PlanChange{Forced: true, Patch: true, Body: []byte(classes)}
+	c.command(ledger.Command{Kind: ledger.KindPlan, Plan: change})
 	payload := machine.MustJSON(strings.Repeat("x", 2000))
 	for n := range jobs {
 		task := ledger.TaskSpec{ID: "t", Room: ledger.Room{Slots: 1}, Payload: payload}
@@ -89,7 +90,11 @@
 	from := c.now
 	for c.now-from < d {
 		c.pass(stride)
-		if p := c.primary(); p != nil && h.k != nil && p.k.Ledger().Position().Sequence-h.k.Ledger().Position().Sequence < 20 {
+		p := c.primary()
+		if p == nil || h.k == nil {
+			continue
+		}
+		if p.k.Ledger().Position().Sequence-h.k.Ledger().Position().Sequence < 20 {
 			return c.now - from, true
 		}
 	}
@@ -141,7 +146,8 @@
 		t.Errorf("level after %s: %v\n%s", took, ok, c.tell(30))
 	}
 	if most := missed*250 + 100<<10; w.bytes["c"] > most || w.largest > windowBytes+4096 || w.snapshots() > 0 {
-		t.Errorf("%d bytes, at most %d are right; the largest line has %d; %d lines of snapshots", w.bytes["c"], most, w.largest, w.snapshots())
+		t.Errorf("%d bytes, at most %d are right; the largest line has %d; %d lines of snapshots",
+			w.bytes["c"], most, w.largest, w.snapshots())
 	}
 	c.same(third)
 	c.check()
@@ -170,6 +176,34 @@
 	c.check()
 }
 
+// TestAMemberThatTookAllItWasSent is heard no more, but hears: it is where the lines to
+// it end when the tail has long left that behind.
+func TestAMemberThatTookAllItWasSent(t *testing.T) {
+	c := newTrio(t)
+	c.grow(100)
+	third := c.host("c")
+	c.late = func(from, _, _ string) time.Duration {
+		if from == "c" {
+			return -1
+		}
+		return 0
+	}
+	c.changes(2*ledger.TailMax + 2000)
+	missed := c.primary().k.Ledger().Position().Sequence - third.k.Ledger().Position().Sequence
+	if missed < ledger.TailMax {
+		t.Errorf("only %d commands were not sent", missed)
+	}
+	c.late = nil
+	w := watch(c)
+	took, ok := c.level(third, 5*time.Second)
+	t.Logf("level after %s, %d chunks, %d bytes", took, w.lines[wire.Snapshot+" to c"], w.bytes["c"])
+	if !ok || w.bytes["c"] > 1<<20 {
+		t.Errorf("level after %s: %v, %d bytes\n%s", took, ok, w.bytes["c"], c.tell(30))
+	}
+	c.same(third)
+	c.check()
+}
+
 // TestAMemberThatWasAwayIsReplaced has a newcomer take the seat of one that is gone,
 // after thousands of changes.
 func TestAMemberThatWasAwayIsReplaced(t *testing.T) {
@@ -195,7 +229,8 @@
 // TestAMemberThatCameBackLeads has one return behind by thousands, and takes the power
 // from the primary at different moments while it catches up.
 func TestAMemberThatCameBackLeads(t *testing.T) {
-	for _, after := range []time.Duration{0, 20 * time.Millisecond, 60 * time.Millisecond, 300 * time.Millisecond, time.Second} {
+	for _, ms := range []time.Duration{0, 20, 60, 300, 1000} {
+		after := ms * time.Millisecond
 		c := newTrio(t)
 		c.grow(10)
 		c.host("c").cut = true
@@ -320,7 +355,8 @@
 		c.pass(time.Second)
 		c.same(third)
 		c.same(old)
-		t.Logf("%d more: %d bytes to the third, %d to the old primary, %d lines of snapshots", suffix, w.bytes[third.address], w.bytes[old.address], w.snapshots())
+		t.Logf("%d more: %d bytes to the third, %d to the old primary, %d lines of snapshots",
+			suffix, w.bytes[third.address], w.bytes[old.address], w.snapshots())
 		if w.snapshots() > 0 {
 			t.Errorf("%d more: %d lines of snapshots\n%s", suffix, w.snapshots(), c.tell(40))
 		}
@@ -374,7 +410,8 @@
 		chunks := w.lines[wire.Snapshot+" to c"]
 		t.Logf("seed %d: level after %s with %d chunks, the largest line has %d bytes", seed, took, chunks, w.largest)
 		if !ok || chunks < 8 || chunks > 40 || w.largest > chunkMax+8192 {
-			t.Errorf("seed %d: level after %s: %v, %d chunks, largest %d\n%s", seed, took, ok, chunks, w.largest, c.tell(30))
+			t.Errorf("seed %d: level after %s: %v, %d chunks, largest %d\n%s",
+				seed, took, ok, chunks, w.largest, c.tell(30))
 		}
 		if n := c.logs["snapshot_damaged"]; n > 0 {
 			t.Errorf("seed %d: %d snapshots came damaged\n%s", seed, n, c.tell(30))
@@ -435,7 +472,7 @@
 	p := c.primary()
 	now := c.now - p.boot
 	begin := func(id string) (out machine.Output) {
-		p.k.begin(now, wire.Seat{ID: id, Address: id}, ledger.Position{}, &out)
+		p.k.beginTransfer(now, wire.Seat{ID: id, Address: id}, ledger.Position{}, &out)
 		return out
 	}
 	ask := func(id string, index int) (out machine.Output) {
@@ -479,6 +516,27 @@
 	}
 }
 
+// TestALateLineTakesNothingBack has a line come that was for where the member stood when
+// its history had diverged, after it has moved on and acked more.
+func TestALateLineTakesNothingBack(t *testing.T) {
+	c := newTrio(t)
+	c.grow(5)
+	p, third := c.primary(), c.host("c")
+	after := third.k.Ledger().Position()
+	c.changes(50)
+	moved := third.k.Ledger().Position()
+	body := wire.ReplicateBody{
+		Boot: p.k.env.Boot, View: p.k.View(), From: p.k.seat, After: after,
+		Diverged: ledger.Position{Epoch: 1, Sequence: moved.Sequence + 3},
+	}
+	line := machine.Line{Wire: machine.WireSequence, Kind: wire.Replicate, From: p.address}
+	line.Body = machine.MustMarshal(body)
+	c.step(third, machine.Input{Line: line})
+	if got := third.k.Ledger().Position(); got.Sequence < moved.Sequence {
+		t.Errorf("went back from %v to %v", moved, got)
+	}
+}
+
 // TestAnInstalledStateNeverGoesBack has a chunk for where the member no longer stands.
 func TestAnInstalledStateNeverGoesBack(t *testing.T) {
 	c := newTrio(t)
@@ -505,3 +563,63 @@
 		t.Errorf("took a snapshot with another digest: %v to %v", moved, got)
 	}
 }
+
+// TestRandomDaysOfGrown plays the random days on a state of many chunks, with tails that
+// are short, lines that are lost, late or doubled, and a log that is soon long.
+func TestRandomDaysOfGrown(t *testing.T) {
+	for seed := range uint64(30) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			chance := rand.New(rand.NewPCG(seed, 11))
+			c := newTrio(t)
+			if seed%3 == 0 {
+				c = newFive(t)
+			}
+			c.grow(80)
+			for _, h := range c.hosts {
+				h.disk.SnapshotEach = 32 << 10
+				h.k.tail = ledger.TailFrom(h.k.ledger.Position())
+			}
+			c.saw = func(_, to string, line machine.Line) {
+				if chance.IntN(20) == 0 {
+					c.after(time.Duration(chance.IntN(200))*stride, func() {
+						if h := c.host(to); h != nil && h.k != nil && !h.cut {
+							c.step(h, machine.Input{Line: line})
+						}
+					})
+				}
+			}
+			c.late = func(_, _, kind string) time.Duration {
+				switch {
+				case chance.IntN(50) == 0:
+					return -1
+				case chance.IntN(20) == 0:
+					return time.Duration(chance.IntN(30)) * stride
+				}
+				return 0
+			}
+			randomDay(c, seed)
+			c.saw, c.late = nil, nil
+			c.pass(3 * time.Second)
+			for _, h := range c.hosts {
+				if p := c.primary(); p != nil && h.k != nil && seated(p.k, h.k) {
+					c.same(h)
+				}
+			}
+			t.Logf("%d transfers begun, %d installed, %d members went back",
+				c.logs["snapshot_begun"], c.logs["snapshot_installed"], c.logs["rewound"])
+			if t.Failed() {
+				t.Log(c.tell(120))
+			}
+		})
+	}
+}
+
+func seated(leader, k *Keeper) bool {
+	for _, seat := range leader.View().Witnesses {
+		if seat.ID == k.ID() {
+			return true
+		}
+	}
+	return false
+}
--- a/core/keeper/replicate.go
+++ b/core/keeper/replicate.go
@@ -1,3 +1,5 @@
+// Replication in windows: what the leader sends to each peer, and what a peer makes
+// of it.
 package keeper
 
 import (
@@ -112,13 +114,21 @@
 	if !p.synced || b.At.Sequence >= p.at.Sequence {
 		p.at = b.At
 	}
-	p.synced, p.confirmed, p.transfer = true, p.at, outgoing{}
+	p.synced, p.confirmed = true, p.at
 	if p.next.Sequence < p.at.Sequence {
 		p.next = p.at
 	}
+	if p.at.Sequence >= p.transfer.at.Sequence {
+		p.transfer = outgoing{}
+	}
 	k.peers[b.From.ID] = p
-	if p.next == p.at && p.next != k.limit() {
+	if p.next != p.at || p.next == k.limit() || p.transfer.active(now) {
+		return
+	}
+	if k.tail.Holds(p.next) {
 		k.feed(now, b.From, out)
+	} else {
+		k.beginTransfer(now, b.From, p.at, out)
 	}
 }
 
@@ -158,7 +168,7 @@
 	case ok && !b.Whole:
 		k.resend(seat, common, b.At, out)
 	default:
-		k.begin(now, seat, b.At, out)
+		k.beginTransfer(now, seat, b.At, out)
 	}
 }
 
@@ -203,7 +213,8 @@
 	}
 	if b.After != position {
 		out.Send(from, wire.ReplicateAck, wire.ReplicateAckBody{
-			Boot: b.Boot, Epoch: b.View.Epoch, From: k.seat, Token: b.Token, At: position, Whole: whole, Known: k.witness.Known,
+			Boot: b.Boot, Epoch: b.View.Epoch, From: k.seat, Token: b.Token, At: position,
+			Whole: whole, Known: k.witness.Known,
 		})
 		return
 	}
--- a/core/keeper/transfer.go
+++ b/core/keeper/transfer.go
@@ -1,3 +1,4 @@
+// The sending side of a transfer of the whole state, in chunks that the peer asks for.
 package keeper
 
 import (
@@ -92,8 +93,8 @@
 	return out.Bytes(), next == len(s.keys)
 }
 
-// begin starts the transfer of the state to a peer, unless as many are under way as may.
-func (k *Keeper) begin(now time.Duration, to wire.Seat, at ledger.Position, out *machine.Output) {
+// beginTransfer starts the transfer of the state to a peer, unless as many are under way as may.
+func (k *Keeper) beginTransfer(now time.Duration, to wire.Seat, at ledger.Position, out *machine.Output) {
 	active := 0
 	for _, p := range k.peers {
 		if p.transfer.active(now) {
--- a/core/ledger/capture.go
+++ b/core/ledger/capture.go
@@ -1,3 +1,4 @@
+// Captures of the ledger at one position, for snapshots and checkpoints.
 package ledger
 
 import (
@@ -126,12 +127,14 @@
 // Ledger gives a ledger that stands where the captured one stood.
 func (c *Capture) Ledger() *Ledger {
 	l := New()
-	m := c.meta
-	l.position, l.at, l.next, l.horizon, l.decision = m.Position, m.At, m.Next, m.Horizon, m.Decision
+	l.takeMeta(c.meta)
 	l.plan, l.rules = c.plan, c.plan.Compile()
 	l.jobs, l.workers, l.emptied = maps.Clone(c.jobs), maps.Clone(c.workers), maps.Clone(c.emptied)
 	l.duties, l.daemons = maps.Clone(c.duties), maps.Clone(c.daemons)
-	l.requests.byKey, l.past.byKey = maps.Clone(c.requests), maps.Clone(c.past)
+	l.past.byKey = maps.Clone(c.past)
+	for token, r := range c.requests {
+		l.takeRequest(token, r)
+	}
 	l.index()
 	return l
 }
--- a/core/ledger/load.go
+++ b/core/ledger/load.go
@@ -1,3 +1,4 @@
+// Rebuilding a ledger from records.
 package ledger
 
 import (
@@ -93,9 +94,13 @@
 	}
 	var m meta
 	err := json.Unmarshal(r.Value, &m)
+	l.takeMeta(m)
+	return err
+}
+
+func (l *Ledger) takeMeta(m meta) {
 	l.position, l.at, l.next, l.horizon, l.decision = m.Position, m.At, m.Next, m.Horizon, m.Decision
 	maps.Copy(l.orders, m.Orders)
-	return err
 }
 
 // Ledger is the whole once all records are there.
--- a/core/ledger/memory.go
+++ b/core/ledger/memory.go
@@ -159,12 +159,16 @@
 	if err := json.Unmarshal(record.Value, &r); err != nil {
 		return err
 	}
+	l.takeRequest(record.Key, r)
+	return nil
+}
+
+func (l *Ledger) takeRequest(token string, r Request) {
 	if r.Plan {
-		l.plans.byKey[record.Key] = r
+		l.plans.byKey[token] = r
 	} else {
-		l.requests.byKey[record.Key] = r
+		l.requests.byKey[token] = r
 	}
-	return nil
 }
 
 // Past gives what is left of a job whose record is gone.
--- a/core/wire/encoding_test.go
+++ b/core/wire/encoding_test.go
@@ -14,7 +14,8 @@
 
 // bodies are one of each type that travels between processes.
 var bodies = []any{
-	Gossip{}, FoundBody{}, RegisterBody{}, ReplicateBody{}, ReplicateAckBody{}, SnapshotBody{}, SnapshotAskBody{}, CommandBody{},
+	Gossip{}, FoundBody{}, RegisterBody{}, ReplicateBody{}, ReplicateAckBody{}, SnapshotBody{},
+	SnapshotAskBody{}, CommandBody{},
 	CommandBackBody{}, FollowBody{}, NewsBody{}, BeatBody{}, BeatBackBody{},
 }
 
--- a/daemon/store/recover.go
+++ b/daemon/store/recover.go
@@ -1,3 +1,4 @@
+// Reading a data folder after a start.
 package store
 
 import (
@@ -16,8 +17,8 @@
 		return machine.Stored{}, Unusable.Wrap(err, "data folder %s", s.folder)
 	}
 	if slices.Contains(names, earlierName) {
-		return machine.Stored{}, Unusable.New("data file %s is of an earlier release and is not read; with an empty data folder "+
-			"this keeper joins the others as a new one", s.path(earlierName))
+		return machine.Stored{}, Unusable.New("data file %s is of an earlier release and is not read; "+
+			"with an empty data folder this keeper joins the others as a new one", s.path(earlierName))
 	}
 	if slices.Contains(names, temporaryName) {
 		if err := s.removeIfThere(temporaryName); err != nil {
@@ -125,7 +126,7 @@
 	if want, _ := binary.Uvarint(frames[len(frames)-1].payload); want != count {
 		return nil, Damaged.New("data file %s: it has %d items and names %d", path, count, want)
 	}
-	s.snapshot.size = int64(len(data))
+	s.snapshot.number, s.snapshot.size = number, int64(len(data))
 	return out, nil
 }
 
