Let a backup that is stopped wait for another in its place

Cause: it went at once, and the leader waited 400 ms for it as for a disk that lags. It now says in its acks that it leaves and stays at most 0.6 s, until a view without it is decided.

--- a/core/keeper/control_time_test.go
+++ b/core/keeper/control_time_test.go
@@ -54,7 +54,7 @@
 		{"primary", "frozen", (*trio).freeze, missed, missed},
 		{"primary", "planned leave", (*trio).askToStop, 100 * time.Millisecond, 150 * time.Millisecond},
 		{"backup", "killed", (*trio).kill, missed, missed},
-		{"backup", "planned leave", (*trio).askToStop, missed, missed},
+		{"backup", "planned leave", (*trio).askToStop, 100 * time.Millisecond, 150 * time.Millisecond},
 		{"third", "killed", (*trio).kill, 50 * time.Millisecond, 50 * time.Millisecond},
 	} {
 		for _, losses := range []int{1, 2} {
--- a/core/keeper/keeper.go
+++ b/core/keeper/keeper.go
@@ -47,6 +47,8 @@
 	catchUp    = 2 * time.Second
 	// retryAfter is the least time after which a rejected command may come back.
 	retryAfter = time.Second
+	// leaveWithin is how long a backup that is stopped waits for another in its place.
+	leaveWithin = 600 * time.Millisecond
 )
 
 const (
@@ -67,6 +69,7 @@
 	// copiedAt and copyToken are those of the last rest or copy sent to it.
 	copiedAt  time.Duration
 	copyToken uint64
+	leaves    bool // it is being stopped
 	stands    bool // it wants to lead itself: its acks commit nothing in this epoch
 	// mark is a sequence that was sent and not acked when this was last looked at.
 	mark   uint64
@@ -164,6 +167,7 @@
 	own         []wire.CommandBackBody
 	wall        time.Time
 	stopping    bool
+	stoppedAt   time.Duration
 	wakeAt      time.Duration
 }
 
@@ -303,11 +307,11 @@
 	case in.Line.Kind != "":
 		k.line(now, in.Line, &out)
 	case in.Stop:
-		k.stopping = true
+		k.stopping, k.stoppedAt = true, now
 	}
 	k.wakeups(now, &out)
 	k.flush(now, &out)
-	if k.stopping && !k.serving {
+	if k.stopping && !k.serving && !k.awaitsSuccessor(now) {
 		out.Stopped = true
 	}
 	return out
--- a/core/keeper/view.go
+++ b/core/keeper/view.go
@@ -236,7 +236,7 @@
 			p.mark, p.markAt = k.sent.Sequence, now
 			k.peers[s.ID] = p
 		}
-		if now-p.markAt > diskLate {
+		if now-p.markAt > diskLate || p.leaves {
 			lags = append(lags, s.ID)
 		} else if p.synced && p.at.Sequence >= k.synced && (ahead.ID == "" || p.at.Sequence > k.peers[ahead.ID].at.Sequence) {
 			ahead = s
@@ -254,7 +254,8 @@
 	if len(lags) > 0 {
 		crew := k.crew(now, lags...)
 		if able(crew) && slices.ContainsFunc(crew, func(s wire.Seat) bool {
-			return !register.Has(known.Backups, s.ID) && k.peers[s.ID].at.Sequence > k.peers[lags[0]].at.Sequence
+			ahead := k.peers[s.ID].at.Sequence > k.peers[lags[0]].at.Sequence
+			return !register.Has(known.Backups, s.ID) && (ahead || k.peers[lags[0]].leaves)
 		}) {
 			k.next(now, k.view(k.seat, crew), out)
 			return true
@@ -263,6 +264,12 @@
 	return false
 }
 
+// awaitsSuccessor says whether this is a backup that is stopped and that the leader has
+// not replaced yet.
+func (k *Keeper) awaitsSuccessor(now time.Duration) bool {
+	return k.backs() && now-k.stoppedAt < leaveWithin
+}
+
 // replace changes the witness set for a keeper that has vanished, once another
 // stands ready at a new identity. A new leader gives all a moment to answer first.
 // Newcomers that cannot be heard are passed over: members remember the dead.
@@ -550,7 +557,7 @@
 
 func (k *Keeper) willAck(to string, boot, epoch, token uint64) {
 	at := k.ledger.Position()
-	k.acks = append(k.acks, ack{to, wire.ReplicateAckBody{Boot: boot, Epoch: epoch, From: k.seat, Token: token, At: at, Good: true, Stands: k.stands == epoch, Known: k.witness.Known}, at.Sequence})
+	k.acks = append(k.acks, ack{to, wire.ReplicateAckBody{Boot: boot, Epoch: epoch, From: k.seat, Token: token, At: at, Good: true, Stands: k.stands == epoch, Leaves: k.stopping, Known: k.witness.Known}, at.Sequence})
 }
 
 // bouncedView refuses the lines of a leader whose epoch has passed, and those
@@ -598,7 +605,7 @@
 	p := k.peers[b.From.ID]
 	p.heardAt = now
 	if b.Good {
-		p.synced, p.at, p.stands = true, b.At, p.stands || b.Stands
+		p.synced, p.at, p.stands, p.leaves = true, b.At, p.stands || b.Stands, b.Leaves
 		if !b.Stands {
 			p.token = max(p.token, b.Token)
 		}
--- a/core/wire/wire.go
+++ b/core/wire/wire.go
@@ -124,6 +124,8 @@
 	// Stands says that the sender wants to lead the next epoch itself, so that in
 	// this one nothing more is committed by its ack.
 	Stands bool `json:"stands,omitempty"`
+	// Leaves says that the sender is being stopped and waits for another in its place.
+	Leaves bool `json:"leaves,omitempty"`
 	Known  View `json:"known"`
 }
 
