--- a/core/keeper/keeper.go
+++ b/core/keeper/keeper.go
@@ -48,6 +48,8 @@
 	retryAfter = time.Second
 	// catchUp is how long a line that begins anew is given to have its effect.
 	catchUp = 2 * time.Second
+	// leaveWithin is how long a backup that is stopped waits for another in its place.
+	leaveWithin = 600 * time.Millisecond
 )
 
 const (
@@ -65,6 +67,7 @@
 	synced  bool
 	token   uint64
 	stands  bool // it wants to lead itself: its acks commit nothing in this epoch
+	leaves  bool // it is being stopped
 	// mark is a sequence that was sent and not acked when this was last looked at.
 	mark   uint64
 	markAt time.Duration
@@ -176,6 +179,7 @@
 	own         []wire.CommandBackBody
 	wall        time.Time
 	stopping    bool
+	stoppedAt   time.Duration
 	wakeAt      time.Duration
 }
 
@@ -319,11 +323,11 @@
 	case in.Line.Kind != "":
 		k.line(now, in.Line, &out)
 	case in.Stop:
-		k.stopping = true
+		k.stopping, k.stoppedAt = true, now
 	}
 	k.wakeups(now, &out)
 	k.flush(now, &out)
-	if k.stopping && !k.serving {
+	if k.stopping && !k.serving && !k.awaitsSuccessor(now) {
 		out.Stopped = true
 	}
 	return out
--- a/core/keeper/replicate.go
+++ b/core/keeper/replicate.go
@@ -107,7 +107,7 @@
 // from there if all that was sent to it has come.
 func (k *Keeper) confirmed(now time.Duration, b wire.ReplicateAckBody, out *machine.Output) {
 	p := k.peers[b.From.ID]
-	p.stands = p.stands || b.Stands
+	p.stands, p.leaves = p.stands || b.Stands, b.Leaves
 	if !b.Stands {
 		p.token = max(p.token, b.Token)
 	}
@@ -240,7 +240,7 @@
 	at := k.ledger.Position()
 	body := wire.ReplicateAckBody{
 		Boot: boot, Epoch: epoch, From: k.seat, Token: token, At: at, Good: true,
-		Stands: k.stands == epoch, Known: k.witness.Known,
+		Stands: k.stands == epoch, Leaves: k.stopping, Known: k.witness.Known,
 	}
 	k.acks = append(k.acks, ack{to, body, at.Sequence})
 }
--- a/core/keeper/view.go
+++ b/core/keeper/view.go
@@ -237,7 +237,7 @@
 			p.mark, p.markAt = k.sent.Sequence, now
 			k.peers[s.ID] = p
 		}
-		if now-p.markAt > diskLate {
+		if now-p.markAt > diskLate || p.leaves {
 			lags = append(lags, s.ID)
 		} else if p.synced && p.at.Sequence >= k.synced && (ahead.ID == "" || p.at.Sequence > k.peers[ahead.ID].at.Sequence) {
 			ahead = s
@@ -255,7 +255,8 @@
 	if len(lags) > 0 {
 		crew := k.crew(now, lags...)
 		if able(crew) && slices.ContainsFunc(crew, func(s wire.Seat) bool {
-			return !register.Has(known.Backups, s.ID) && k.peers[s.ID].at.Sequence > k.peers[lags[0]].at.Sequence
+			ahead := k.peers[s.ID].at.Sequence > k.peers[lags[0]].at.Sequence
+			return !register.Has(known.Backups, s.ID) && (ahead || k.peers[lags[0]].leaves)
 		}) {
 			k.next(now, k.view(k.seat, crew), out)
 			return true
@@ -264,6 +265,12 @@
 	return false
 }
 
+// awaitsSuccessor says whether this is a backup that is stopped and that the leader has
+// not replaced yet.
+func (k *Keeper) awaitsSuccessor(now time.Duration) bool {
+	return k.backs() && now-k.stoppedAt < leaveWithin
+}
+
 // replace changes the witness set for a keeper that has vanished, once another
 // stands ready at a new identity. A new leader gives all a moment to answer first.
 // Newcomers that cannot be heard are passed over: members remember the dead.
