Simulator: processors, connections and disks that have bounds

Cause: work cost nothing in the simulator, so that it stayed clean where real processes were too busy to answer in time.

A process has a share of a core; a step, a line, a byte encoded or decoded, a command, a batch and a record cost time of it, and what comes meanwhile waits, first in, first out (QueueOrder is the place for another order and for lines that are too old to be decoded). A process sends with a bounded rate; a connection has a bounded window, and a line that is not sent within 3 s closes it, as in daemon/circuit. Disks take time for each byte, and may stall or be full.

Rate and window of the network are assumed.

Off without Env.Hardware. No existing test was changed.

--- a/tool/sim/centers.go
+++ b/tool/sim/centers.go
@@ -24,6 +24,7 @@
 	centerMain  = "render"
 	centerOther = "press"
 	commandWait = 2 * time.Second
+	pollEach    = 400 * time.Millisecond
 	// goneMost is how many machines may lose their worker for good in a day.
 	goneMost = 2
 )
@@ -41,7 +42,10 @@
 	env      Env
 	w        *World
 	sites    []string
+	size     Size
+	pollEach time.Duration
 	centers  []*node
+	proxies  []*node
 	doors    []*node
 	places   []*place
 	byID     map[string]*caller
@@ -85,7 +89,11 @@
 
 // PlayCenters runs one scenario of this composition to its end.
 func PlayCenters(e Env) Result {
-	c := &Centers{env: e, w: NewWorld(e.Seed), sites: []string{"a", "b", "c"}, byID: map[string]*caller{}, rings: map[string]*ring{}}
+	c := &Centers{env: e, w: NewWorld(e.Seed), sites: []string{"a", "b", "c"}, byID: map[string]*caller{}, rings: map[string]*ring{}, pollEach: pollEach, size: SmallSize}
+	if e.Size.Centers > 0 {
+		c.size = e.Size
+	}
+	c.w.hardware, c.w.copies = e.Hardware, c.size.Copies
 	c.w.Verbose = e.Verbose
 	c.notes = newNotes()
 	c.steps = true
@@ -133,31 +141,47 @@
 }
 
 func (c *Centers) build() {
+	size := c.size
 	var seeds []string
-	for i := range 3 {
-		seeds = append(seeds, fmt.Sprintf("10.%d.1.1:7000", i))
+	for i := range size.Centers + size.Proxies {
+		seeds = append(seeds, coreAddress(i))
 	}
-	for i, site := range c.sites {
-		c.centers = append(c.centers, c.w.Add("center", fmt.Sprintf("center-%d", i+1), site, seeds[i], seeds, seeds))
+	for i := range size.Centers {
+		c.centers = append(c.centers, c.w.Add("center", fmt.Sprintf("center-%d", i+1), c.siteOf(i), seeds[i], seeds, seeds))
 	}
-	for i, site := range c.sites {
-		c.doors = append(c.doors, c.w.Add("door", fmt.Sprintf("door-%d", i+1), site, fmt.Sprintf("10.%d.2.1:7000", i), seeds, nil))
+	for i := range size.Proxies {
+		at := size.Centers + i
+		c.proxies = append(c.proxies, c.w.Add("proxy", fmt.Sprintf("proxy-%d", i+1), c.siteOf(at), seeds[at], seeds, nil))
 	}
-	c.daemons = append(append(c.daemons, c.centers...), c.doors...)
-	for i := range 11 {
-		p := &place{number: i + 1, address: fmt.Sprintf("10.%d.3.%d", i%3, i+1), site: c.sites[i%3], rack: fmt.Sprintf("r%d", i/3), service: centerMain, total: ledger.Room{Slots: 8, MemoryMB: 64}}
-		if i%4 == 0 {
-			p.labels = []string{"ssd"}
-		}
-		if i%4 == 3 {
-			p.service = centerOther
-		}
-		p.labels = append(p.labels, p.rack)
-		p.side = c.w.Add("side", fmt.Sprintf("side-%d", i+1), p.site, p.address+":7000", seeds, nil)
-		c.daemons = append(c.daemons, p.side)
-		c.places = append(c.places, p)
-		c.w.At(2*time.Second+time.Duration(i)*10*time.Millisecond, func() { c.birth(p) })
+	for i := range size.Doors {
+		c.doors = append(c.doors, c.w.Add("door", fmt.Sprintf("door-%d", i+1), c.siteOf(i), doorAddress(i), seeds, nil))
+	}
+	c.daemons = slices.Concat(c.centers, c.proxies, c.doors)
+	for i := range size.Workers {
+		c.addPlace(i, seeds)
+	}
+}
+
+func (c *Centers) siteOf(i int) string { return c.sites[i%len(c.sites)] }
+
+func coreAddress(i int) string { return fmt.Sprintf("10.%d.1.%d:7000", i%3, i/3+1) }
+
+func doorAddress(i int) string { return fmt.Sprintf("10.%d.2.%d:7000", i%3, i/3+1) }
+
+// addPlace brings a worker's machine with its side in.
+func (c *Centers) addPlace(i int, seeds []string) {
+	p := &place{number: i + 1, address: fmt.Sprintf("10.%d.3.%d", i%3, i+1), site: c.siteOf(i), rack: fmt.Sprintf("r%d", i/3), service: centerMain, total: ledger.Room{Slots: c.size.Slots, MemoryMB: 64}}
+	if i%4 == 0 {
+		p.labels = []string{"ssd"}
+	}
+	if i%4 == 3 && !c.size.OneService {
+		p.service = centerOther
 	}
+	p.labels = append(p.labels, p.rack)
+	p.side = c.w.Add("side", fmt.Sprintf("side-%d", i+1), p.site, p.address+":7000", seeds, nil)
+	c.daemons = append(c.daemons, p.side)
+	c.places = append(c.places, p)
+	c.w.At(2*time.Second+time.Duration(i)*10*time.Millisecond, func() { c.birth(p) })
 }
 
 // door picks a door; a caller whose door is down goes on to the next.
@@ -379,7 +403,7 @@
 				}
 			}
 		}
-		c.w.After(400*time.Millisecond, func() { c.poll(one) })
+		c.w.After(c.pollEach, func() { c.poll(one) })
 	})
 }
 
@@ -514,12 +538,15 @@
 	return nil
 }
 
+// someCenter picks a center by chance.
+func (c *Centers) someCenter() *node { return c.centers[c.w.chance.IntN(len(c.centers))] }
+
 // leader is the center that serves, or would.
 func (c *Centers) leader() *node {
 	if n := c.primary(); n != nil {
 		return n
 	}
-	return c.centers[c.w.chance.IntN(3)]
+	return c.someCenter()
 }
 
 // seated says whether every witness of the newest view is a center that is up.
@@ -643,21 +670,21 @@
 			return
 		}
 		c.repairAt = c.w.Now + 20*time.Second
-		n := c.centers[c.w.chance.IntN(3)]
+		n := c.someCenter()
 		c.w.Wipe(n)
 		c.bootAfter(n, 100, 4000)
 		c.hurt(14 * time.Second)
 	},
 	"wipe-after-yes": func(c *Centers) {
 		c.afterYes(func() {
-			n := c.centers[c.w.chance.IntN(3)]
+			n := c.someCenter()
 			c.w.Wipe(n)
 			c.bootAfter(n, 100, 4000)
 		})
 	},
 	"wipe-after-yes-power-off": func(c *Centers) {
 		c.afterYes(func() {
-			gone := c.w.chance.IntN(3)
+			gone := c.w.chance.IntN(len(c.centers))
 			for i, n := range c.centers {
 				if i == gone {
 					c.w.Wipe(n)
@@ -678,14 +705,14 @@
 		c.hurt(15 * time.Second)
 	},
 	"slow-disk": func(c *Centers) {
-		n := c.centers[c.w.chance.IntN(3)]
+		n := c.someCenter()
 		c.w.say("slow disk %s", n.name)
 		n.diskSlow = 300
 		c.w.After(8*time.Second, func() { n.diskSlow = 1 })
 		c.hurt(14 * time.Second)
 	},
 	"cut": func(c *Centers) {
-		a, b := c.daemons[c.w.chance.IntN(len(c.daemons))], c.centers[c.w.chance.IntN(3)]
+		a, b := c.daemons[c.w.chance.IntN(len(c.daemons))], c.someCenter()
 		if a == b {
 			return
 		}
@@ -695,7 +722,7 @@
 	"isolate": func(c *Centers) {
 		n := c.daemons[c.w.chance.IntN(len(c.daemons))]
 		if c.w.chance.IntN(2) == 0 {
-			n = c.centers[c.w.chance.IntN(3)]
+			n = c.someCenter()
 		}
 		c.w.say("isolate %s", n.name)
 		c.w.Isolate(n.address)
--- a/tool/sim/scenario.go
+++ b/tool/sim/scenario.go
@@ -36,6 +36,10 @@
 	Prepare func(*Scenario)
 	// PrepareCenters is the same for PlayCenters.
 	PrepareCenters func(*Centers)
+	// Size is the site of PlayCenters, Hardware what its machines have. The zero
+	// values are the small site, and machines that take no time.
+	Size     Size
+	Hardware *Hardware
 }
 
 type Scenario struct {
--- a/tool/sim/sim.go
+++ b/tool/sim/sim.go
@@ -66,15 +66,20 @@
 	diskSlow                  float64
 	diskLies                  bool
 	lands                     bool
-	inbox                     []func()
+	inbox                     []work
 	stalls                    bool
-	limbo                     []machine.Send
+	limbo                     []encoded
 	wakeOrder                 uint64
 	wakeAt                    time.Duration
 	answers                   map[uint64]func(any)
 	sequence                  uint64
 	cuts                      int
 	troubles                  [][2]time.Duration
+	processor                 *processor
+	sender                    *sender
+	diskStalls                bool
+	diskFull                  bool
+	used                      Usage
 }
 
 // trouble notes when a daemon is down, frozen or cut, and when it is no more.
@@ -113,6 +118,10 @@
 	meddle   func(n *node, s machine.Send) bool
 	alter    func(n *node, s machine.Send) machine.Send
 	onPlan   func(n *node, sequence uint64)
+	// hardware bounds what the processes can do; without, work costs nothing.
+	hardware *Hardware
+	// copies is how many backups a center's view shall have.
+	copies int
 }
 
 func NewWorld(seed uint64) *World {
@@ -172,7 +181,7 @@
 
 // Boot starts a daemon's process on what its disk holds.
 func (w *World) Boot(n *node) {
-	if n.state != down {
+	if n.state != down || n.diskFull {
 		return
 	}
 	n.life++
@@ -193,11 +202,14 @@
 	case "front":
 		n.main = front.New(front.Env{Address: n.address, Site: n.site, First: first})
 	case "center":
-		c, err := center.New(center.Env{Address: n.address, Site: n.site, Founders: n.founders, FreshID: fmt.Sprintf("%s-%d-%x", n.name, n.life, first), Boot: first}, w.records(n))
+		c, err := center.New(center.Env{Address: n.address, Site: n.site, Founders: n.founders, FreshID: fmt.Sprintf("%s-%d-%x", n.name, n.life, first), Boot: first, Copies: w.copies}, w.records(n))
 		if err != nil {
 			panic(fmt.Sprintf("%s refuses its own disk: %v", n.name, err))
 		}
 		n.main, id = c, c.ID()
+	case "proxy":
+		id = fmt.Sprintf("%s-%d-%x", n.name, n.life, first)
+		n.main = center.NewProxy(wire.Seat{ID: id, Address: n.address, Site: n.site}, n.seeds)
 	case "door":
 		n.main = relay.New(relay.Env{Address: n.address, Keepers: n.seeds, First: first})
 	case "side":
@@ -210,13 +222,21 @@
 			Self:  wire.Node{ID: id, Role: role, Site: n.site, Address: n.address, Incarnation: int64((w.Now + w.wallSkew + 1000*time.Hour) / time.Millisecond)},
 			Seeds: n.seeds, Seed: first,
 		})
-		w.step(n, machine.Input{}, true)
 	}
-	w.step(n, machine.Input{}, false)
+	n.processor = w.newProcessor(n)
+	w.occupy(n, work{do: func() {
+		if n.processor != nil {
+			n.processor.load(len(n.disk))
+		}
+		if n.member != nil {
+			w.step(n, machine.Input{}, true)
+		}
+		w.step(n, machine.Input{}, false)
+	}})
 }
 
 // memberRole is what a daemon is called among the members; doors and sides are none.
-var memberRole = map[string]string{"keeper": "keeper", "scheduler": "scheduler", "front": "front", "center": "keeper"}
+var memberRole = map[string]string{"keeper": "keeper", "scheduler": "scheduler", "front": "front", "center": "keeper", "proxy": "proxy"}
 
 // began is the time of day at which every simulation begins.
 var began = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -226,13 +246,16 @@
 func (n *node) local(now time.Duration) time.Duration { return now - n.boot + time.Microsecond }
 
 // into runs something in a daemon, later if it is frozen, never if it is down.
-func (w *World) into(n *node, life uint64, do func()) {
+func (w *World) into(n *node, life uint64, do func()) { w.intoAs(n, life, work{do: do}) }
+
+// intoAs is into for a thing of a kind.
+func (w *World) intoAs(n *node, life uint64, one work) {
 	switch {
 	case n.life != life || n.state == down:
 	case n.state == frozen:
-		n.inbox = append(n.inbox, do)
+		n.inbox = append(n.inbox, one)
 	default:
-		do()
+		w.occupy(n, one)
 	}
 }
 
@@ -244,7 +267,29 @@
 	if n.role == "center" {
 		in.Wall = w.wall()
 	}
+	before := n.position()
 	out := m.Step(n.local(w.Now), in)
+	if p := n.processor; p != nil {
+		p.charge(in, int(max(n.position(), before)-before), out)
+		lines := make([]encoded, 0, len(out.Sends))
+		for _, s := range out.Sends {
+			lines = append(lines, w.encode(n, s))
+		}
+		p.outputs = append(p.outputs, func() { w.emit(n, out, lines, toMember) })
+	} else {
+		w.emit(n, out, nil, toMember)
+	}
+	if s, ok := n.main.(interface{ Sequence() uint64 }); ok && w.onPlan != nil && !toMember {
+		w.onPlan(n, s.Sequence())
+	}
+	w.wake(n)
+	if out.Stopped && !toMember && n.processor == nil {
+		w.Kill(n)
+	}
+}
+
+// emit does what a step returned. Lines are encoded already where that was paid for.
+func (w *World) emit(n *node, out machine.Output, lines []encoded, toMember bool) {
 	for _, e := range out.Events {
 		w.Logs[e.Name]++
 		w.say("%s %s %v", n.name, e.Name, e.Fields)
@@ -252,11 +297,15 @@
 	for _, a := range out.Audits {
 		w.say("%s decided %s", n.name, a.Entry)
 	}
-	for _, s := range out.Sends {
+	for i, s := range out.Sends {
+		one := encoded{send: s}
+		if lines != nil {
+			one = lines[i]
+		}
 		if n.stalls {
-			n.limbo = append(n.limbo, s)
+			n.limbo = append(n.limbo, one)
 		} else {
-			w.send(n, s)
+			w.send(n, one)
 		}
 	}
 	for _, b := range out.Writes {
@@ -268,11 +317,7 @@
 			back(a.Body)
 		}
 	}
-	if s, ok := n.main.(interface{ Sequence() uint64 }); ok && w.onPlan != nil && !toMember {
-		w.onPlan(n, s.Sequence())
-	}
-	w.wake(n)
-	if out.Stopped && !toMember {
+	if out.Stopped && !toMember && n.processor != nil {
 		w.Kill(n)
 	}
 }
@@ -299,12 +344,17 @@
 		if n.wakeOrder != order {
 			return
 		}
-		w.into(n, life, func() {
+		do := func() {
 			if n.member != nil && n.member.Wakeup() <= n.local(w.Now) {
 				w.step(n, machine.Input{}, true)
 			}
 			w.step(n, machine.Input{}, false)
-		})
+		}
+		if n.processor != nil && n.life == life && n.state == up {
+			n.processor.wakeup(do)
+		} else {
+			w.into(n, life, do)
+		}
 	})
 }
 
@@ -351,14 +401,33 @@
 	}
 }
 
-func (w *World) send(n *node, s machine.Send) {
+// encoded is a line to send, with its body once it has been encoded.
+type encoded struct {
+	send machine.Send
+	body json.RawMessage
+}
+
+// encode writes a line's body, and has the processor pay for it.
+func (w *World) encode(n *node, s machine.Send) encoded {
+	if w.alter != nil {
+		s = w.alter(n, s)
+	}
+	one := encoded{s, machine.MustJSON(s.Body)}
+	n.processor.encode(s, len(one.body))
+	return one
+}
+
+func (w *World) send(n *node, one encoded) {
+	s, body := one.send, one.body
 	if w.meddle != nil && w.meddle(n, s) {
 		return
 	}
-	if w.alter != nil {
-		s = w.alter(n, s)
+	if body == nil {
+		if w.alter != nil {
+			s = w.alter(n, s)
+		}
+		body = machine.MustJSON(s.Body)
 	}
-	body := machine.MustJSON(s.Body)
 	line := machine.Line{Wire: machine.WireSequence, Kind: s.Kind, From: n.address, Body: body}
 	life := n.life
 	if s.To == "" || s.To == n.address {
@@ -371,37 +440,28 @@
 	if !ok || w.isCut(n.address, s.To) {
 		return
 	}
+	if w.hardware != nil && w.hardware.Links.Window > 0 {
+		w.queueLine(n, to, line)
+		return
+	}
 	pair := [2]string{n.address, s.To}
 	at := max(w.Now+w.latency(n.site, to.site), w.last[pair]+time.Nanosecond)
 	w.last[pair] = at
 	w.At(at, func() {
-		if w.isCut(n.address, to.address) {
-			return
+		if !w.isCut(n.address, to.address) {
+			w.deliver(to, line, nil)
 		}
-		w.into(to, to.life, func() {
-			toMember := line.Kind == wire.Shuffle || line.Kind == wire.ShuffleBack
-			if !toMember || to.member != nil {
-				w.step(to, machine.Input{Line: line}, toMember)
-			}
-		})
 	})
 }
 
-func (w *World) write(n *node, b machine.Write) {
-	life := n.life
-	took := time.Duration(float64(time.Millisecond+time.Duration(w.chance.Int64N(int64(2*time.Millisecond)))) * n.diskSlow)
-	w.After(took, func() {
-		if n.life == life && n.state == down && n.lands {
-			n.apply(b)
-		}
-		if n.life != life || n.state == down {
-			return
-		}
-		if !n.diskLies {
-			n.apply(b)
+// deliver hands a line to a process; taken is told when it is done with it.
+func (w *World) deliver(to *node, line machine.Line, taken func()) {
+	w.intoAs(to, to.life, work{kind: line.Kind, taken: taken, do: func() {
+		toMember := line.Kind == wire.Shuffle || line.Kind == wire.ShuffleBack
+		if !toMember || to.member != nil {
+			w.step(to, machine.Input{Line: line}, toMember)
 		}
-		w.into(n, life, func() { w.step(n, machine.Input{Wrote: b.Done}, false) })
-	})
+	}})
 }
 
 func (n *node) apply(b machine.Write) {
@@ -428,6 +488,11 @@
 		w.say("kill %s", n.name)
 	}
 	n.state, n.inbox, n.answers, n.stalls, n.limbo = down, nil, nil, false, nil
+	if n.processor != nil {
+		n.used = n.used.add(n.processor.used)
+		n.processor = nil
+	}
+	n.sender = nil
 	w.trouble(n)
 }
 
@@ -475,11 +540,17 @@
 	w.trouble(n)
 	inbox, limbo := n.inbox, n.limbo
 	n.inbox, n.limbo = nil, nil
-	for _, s := range limbo {
-		w.send(n, s)
+	for _, one := range limbo {
+		w.send(n, one)
+	}
+	if n.processor != nil {
+		n.processor.resume()
+	}
+	if n.sender != nil {
+		n.sender.pump()
 	}
-	for _, do := range inbox {
-		do()
+	for _, one := range inbox {
+		w.occupy(n, one)
 	}
 }
 
