--- a/tool/sim/centers.go
+++ b/tool/sim/centers.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"sort"
 	"time"
@@ -57,6 +58,11 @@
 	planned  uint64
 	asks     int
 	emptying bool
+	// played counts the faults by name.
+	played   map[string]int
+	replaced int
+	// clockSlack is by how much clocks of the day may differ on this day.
+	clockSlack time.Duration
 }
 
 func millis(ms int64) plan.Span { return plan.Span{Duration: time.Duration(ms) * time.Millisecond} }
@@ -87,14 +93,14 @@
 	return machine.MustJSON(p)
 }
 
-// PlayCenters runs one scenario of this composition to its end.
-func PlayCenters(e Env) Result {
-	c := &Centers{env: e, w: NewWorld(e.Seed), sites: []string{"a", "b", "c"}, byID: map[string]*caller{}, rings: map[string]*ring{}, pollEach: pollEach, size: SmallSize}
+// newCenters builds the site of a day.
+func newCenters(e Env) *Centers {
+	c := &Centers{env: e, w: NewWorld(e.Seed), sites: []string{"a", "b", "c"}, size: SmallSize, pollEach: pollEach}
+	c.byID, c.rings, c.played = map[string]*caller{}, map[string]*ring{}, map[string]int{}
 	if e.Size.Centers > 0 {
 		c.size = e.Size
 	}
-	c.w.hardware, c.w.copies = e.Hardware, c.size.Copies
-	c.w.Verbose = e.Verbose
+	c.w.Verbose, c.w.hardware, c.w.copies = e.Verbose, e.Hardware, c.size.Copies
 	c.notes = newNotes()
 	c.steps = true
 	c.end = e.For + cmp.Or(e.Settle, settle)
@@ -102,6 +108,12 @@
 		c.restart[class], c.share[class] = true, 1<<20
 	}
 	c.build()
+	return c
+}
+
+// PlayCenters runs one scenario of this composition to its end.
+func PlayCenters(e Env) Result {
+	c := newCenters(e)
 	if e.PrepareCenters != nil {
 		e.PrepareCenters(c)
 	}
@@ -815,14 +827,14 @@
 	at := 12 * time.Second
 	for len(c.env.Faults) > 0 && at < c.env.For-5*time.Second {
 		kind := c.env.Faults[c.w.chance.IntN(len(c.env.Faults))]
-		c.w.At(at, func() { c.w.say("fault %s", kind); CenterKinds[kind](c) })
+		c.w.At(at, func() { c.play(kind) })
 		at += time.Duration(1500+c.w.chance.IntN(5000)) * time.Millisecond
 	}
 	if last := c.env.Last; last != "" || len(c.env.Faults) > 0 {
 		if last == "" {
 			last = []string{"power-off", "wipe-after-yes-power-off", "kill-leader-twice"}[c.env.Seed%3]
 		}
-		c.w.At(c.env.For, func() { c.w.say("last fault %s", last); CenterKinds[last](c) })
+		c.w.At(c.env.For, func() { c.w.say("last"); c.play(last) })
 	}
 	c.w.At(c.env.For+serveBound, func() {
 		for i, class := range []string{"lookup", "batch", "long", "lookup", "batch", "print"} {
@@ -893,12 +905,23 @@
 			res.Views = max(res.Views, m.Keeper().View().Epoch)
 		}
 	}
-	res.Broken, res.Judged, res.Excused = c.broken, c.judged, c.excused
+	res.Broken, res.Judged, res.Excused, res.Played = c.broken, c.judged, c.excused, c.played
 	if res.Accepted == 0 || res.Runs == 0 {
 		res.Broken = append(res.Broken, Violation{"not-served-again", "nothing was accepted or run in the whole scenario"})
 	}
 	return res
 }
 
-// ParseCenterFaults reads a list of kinds of this composition.
-func ParseCenterFaults(text string) ([]string, error) { return parseKinds(text, CenterKindNames()) }
+// ParseCenterFaults reads a list of kinds of this composition. ControlDay is the name of all faults of the control days together.
+func ParseCenterFaults(text string) ([]string, error) {
+	switch text {
+	case "all":
+		return CenterKindNames(), nil
+	case ControlDay:
+		return ControlKindNames(), nil
+	}
+	return parseKinds(text, slices.Concat(CenterKindNames(), slices.Sorted(maps.Keys(ControlKinds))))
+}
+
+// ControlDay names the mixed faults of the control days.
+const ControlDay = "control"
--- a/tool/sim/processor.go
+++ b/tool/sim/processor.go
@@ -84,19 +84,25 @@
 }
 
 // add is what two lives of a process have used.
-func (u Usage) add(o Usage) Usage {
-	u.Steps += o.Steps
-	u.Reading += o.Reading
-	u.Sending += o.Sending
-	u.Ledger += o.Ledger
-	u.Storage += o.Storage
-	u.Loading += o.Loading
-	u.Requests += o.Requests
-	u.Lines += o.Lines
-	u.Bytes += o.Bytes
-	u.Sent += o.Sent
-	u.Commands += o.Commands
-	u.Records += o.Records
+func (u Usage) add(o Usage) Usage { return u.plus(o, 1) }
+
+// since is what was used after an earlier look.
+func (u Usage) since(o Usage) Usage { return u.plus(o, -1) }
+
+func (u Usage) plus(o Usage, sign int) Usage {
+	times := time.Duration(sign)
+	u.Steps += times * o.Steps
+	u.Reading += times * o.Reading
+	u.Sending += times * o.Sending
+	u.Ledger += times * o.Ledger
+	u.Storage += times * o.Storage
+	u.Loading += times * o.Loading
+	u.Requests += times * o.Requests
+	u.Lines += sign * o.Lines
+	u.Bytes += sign * o.Bytes
+	u.Sent += sign * o.Sent
+	u.Commands += sign * o.Commands
+	u.Records += sign * o.Records
 	return u
 }
 
--- a/tool/sim/scenario.go
+++ b/tool/sim/scenario.go
@@ -83,6 +83,8 @@
 	LostMs    map[string][]float64
 	Judged    map[string]int
 	Excused   map[string]int
+	// Played counts the faults by name.
+	Played map[string]int
 }
 
 const settle = 75 * time.Second
