--- /dev/null
+++ b/tool/sim/center_operators.go
@@ -0,0 +1,124 @@
+// Operators of the composition of centers: cancelling, emptying sites, changing and
+// reading plans.
+package sim
+
+import (
+	"fmt"
+	"time"
+
+	"sorrelloom/core/code"
+	"sorrelloom/core/ledger"
+)
+
+// operate sends an operator's command until it has an answer; took hears when it
+// first stood at a door where it could be heard.
+func (c *Centers) operate(cmd ledger.Command, took func(heardAt time.Duration, a ledger.Answer)) {
+	turn := c.w.chance.IntN(3)
+	var heardAt time.Duration
+	answered := false
+	var listen, try func()
+	listen = func() {
+		if answered || heardAt > 0 || c.w.Now >= c.end {
+			return
+		}
+		if c.hears(c.door(turn)) {
+			heardAt = c.w.Now
+			return
+		}
+		c.w.After(20*time.Millisecond, listen)
+	}
+	c.w.After(2*time.Millisecond, listen)
+	try = func() {
+		turn++
+		c.carry("operator", turn, cmd, func(a ledger.Answer, ok bool) {
+			if !ok || a.Code == code.NoAnswer || refused(a) {
+				if c.w.Now < c.end {
+					c.w.After(200*time.Millisecond, try)
+				}
+				return
+			}
+			answered = true
+			if heardAt == 0 {
+				heardAt = c.w.Now
+			}
+			took(heardAt, a)
+		})
+	}
+	try()
+}
+
+func (c *Centers) cancel(one *caller) {
+	c.operate(ledger.Command{Kind: ledger.KindCancel, Name: one.spec.ID, Host: centerHost, Path: one.asks.Path, Brief: true}, func(heardAt time.Duration, a ledger.Answer) {
+		if a.Code.Good() {
+			one.cancelAt = heardAt
+		} else if one.acceptedAt == 0 && one.bounced == 0 && c.w.Now < c.end {
+			c.w.After(500*time.Millisecond, func() { c.cancel(one) })
+		}
+	})
+}
+
+func (c *Centers) token() string {
+	c.asks++
+	return fmt.Sprintf("ask-%d", c.asks)
+}
+
+func (c *Centers) site(name string, keep time.Duration) {
+	c.operate(ledger.Command{Kind: ledger.KindSite, Name: name, On: true, Token: c.token(), Asked: ledger.AskedUnknown}, func(heardAt time.Duration, a ledger.Answer) {
+		if !a.Code.Good() {
+			c.emptying = false
+			return
+		}
+		e := &emptied{site: name, from: heardAt}
+		c.empties = append(c.empties, e)
+		c.w.After(keep, func() {
+			e.to, c.emptying = c.w.Now, false
+			c.operate(ledger.Command{Kind: ledger.KindSite, Name: name, Token: c.token(), Asked: ledger.AskedUnknown}, func(time.Duration, ledger.Answer) {})
+		})
+	})
+}
+
+// change puts a plan in force on top of the last that was acknowledged.
+func (c *Centers) change() {
+	base := c.planned
+	body := centerPlan(100 + int(base))
+	c.operate(ledger.Command{Kind: ledger.KindPlan, Token: c.token(), Asked: ledger.AskedUnknown, Plan: ledger.PlanChange{Base: base, Body: body}}, func(_ time.Duration, a ledger.Answer) {
+		if a.Code.Good() {
+			c.planned = max(c.planned, base+1)
+		} else if a.Code != code.StalePlan {
+			c.fault("plan-went-back", "a plan is refused: %s %s", a.Code, a.Why)
+		}
+	})
+}
+
+// readPlan reads the plan in force again and again; none older than the last that
+// was acknowledged before asking may be answered.
+func (c *Centers) readPlan() {
+	if c.w.Now >= c.end {
+		return
+	}
+	known := c.planned
+	c.carry("operator", c.w.chance.IntN(3), ledger.Command{Kind: ledger.KindReadPlan}, func(a ledger.Answer, ok bool) {
+		if ok && a.Code.Good() && known > 0 {
+			c.count("plan-went-back")
+			if a.Plan == nil || a.Plan.Sequence < known {
+				c.fault("plan-went-back", "at %s plan %d is read, %d was acknowledged before", secs(c.w.Now), a.Sequence, known)
+			}
+		}
+	})
+	c.w.After(300*time.Millisecond, c.readPlan)
+}
+
+func (c *Centers) operators() {
+	for i, at := 0, 13*time.Second; at < c.env.For-8*time.Second; i, at = i+1, at+time.Duration(3000+c.w.chance.IntN(2000))*time.Millisecond {
+		c.w.At(at, func() {
+			switch i % 3 {
+			case 0:
+				c.change()
+			case 1:
+				CenterKinds["empty-site"](c)
+			case 2:
+				CenterKinds["worker-leave"](c)
+			}
+		})
+	}
+}
