--- a/tool/sim/actors.go
+++ b/tool/sim/actors.go
@@ -293,20 +293,8 @@
 		s.asks++
 		ask.Token = fmt.Sprintf("ask-%d", s.asks)
 	}
-	var heardAt time.Duration
-	answered := false
-	var listen, try func()
-	listen = func() {
-		if answered || heardAt > 0 || s.w.Now >= s.end {
-			return
-		}
-		if s.hears(s.frontFor(turn)) {
-			heardAt = s.w.Now
-			return
-		}
-		s.w.After(20*time.Millisecond, listen)
-	}
-	s.w.After(2*time.Millisecond, listen)
+	heard := s.listen(s.w, func() bool { return s.hears(s.frontFor(turn)) })
+	var try func()
 	try = func() {
 		turn++
 		s.w.Call("operator", s.sites[turn%len(s.sites)], s.frontFor(turn), ask, 5*time.Second, func(r front.Reply, ok bool) {
@@ -316,11 +304,7 @@
 				}
 				return
 			}
-			answered = true
-			if heardAt == 0 {
-				heardAt = s.w.Now
-			}
-			took(heardAt, r)
+			took(heard.answer(s.w.Now), r)
 		})
 	}
 	try()
--- a/tool/sim/center_break.go
+++ b/tool/sim/center_break.go
@@ -8,9 +8,7 @@
 	"sorrelloom/core/ledger"
 )
 
-func (c *Centers) slow(d time.Duration) {
-	c.faulty = append(c.faulty, [2]time.Duration{c.w.Now - 2*time.Second, c.w.Now + d})
-}
+func (c *Centers) slow(d time.Duration) { c.slowAt(c.w.Now, d) }
 
 func (c *Centers) hurt(d time.Duration) {
 	c.slow(d)
--- a/tool/sim/center_faults.go
+++ b/tool/sim/center_faults.go
@@ -91,9 +91,7 @@
 	},
 	"slow-disk": func(c *Centers) {
 		n := c.someCenter()
-		c.w.say("slow disk %s", n.name)
-		n.diskSlow = 300
-		c.w.After(8*time.Second, func() { n.diskSlow = 1 })
+		c.w.slowDisk(n, 8*time.Second)
 		c.hurt(14 * time.Second)
 	},
 	"cut": func(c *Centers) {
@@ -109,9 +107,7 @@
 		if c.w.chance.IntN(2) == 0 {
 			n = c.someCenter()
 		}
-		c.w.say("isolate %s", n.name)
-		c.w.Isolate(n.address)
-		c.w.After(8*time.Second, func() { c.w.say("reconnect %s", n.name); c.w.Reconnect(n.address) })
+		c.w.isolateFor(n, 8*time.Second)
 		c.hurt(15 * time.Second)
 	},
 	"worker-crash": func(c *Centers) {
@@ -168,12 +164,7 @@
 }
 
 func (c *Centers) breakThings() {
-	at := 12 * time.Second
-	for len(c.env.Faults) > 0 && at < c.env.For-5*time.Second {
-		kind := c.env.Faults[c.w.chance.IntN(len(c.env.Faults))]
-		c.w.At(at, func() { c.play(kind) })
-		at += time.Duration(1500+c.w.chance.IntN(5000)) * time.Millisecond
-	}
+	c.w.drawFaults(c.env, c.play)
 	if last := c.env.Last; last != "" || len(c.env.Faults) > 0 {
 		if last == "" {
 			last = []string{"power-off", "wipe-after-yes-power-off", "kill-leader-twice"}[c.env.Seed%3]
--- a/tool/sim/center_operators.go
+++ b/tool/sim/center_operators.go
@@ -14,20 +14,8 @@
 // first stood at a door where it could be heard.
 func (c *Centers) operate(cmd ledger.Command, took func(heardAt time.Duration, a ledger.Answer)) {
 	turn := c.w.chance.IntN(3)
-	var heardAt time.Duration
-	answered := false
-	var listen, try func()
-	listen = func() {
-		if answered || heardAt > 0 || c.w.Now >= c.end {
-			return
-		}
-		if c.hears(c.door(turn)) {
-			heardAt = c.w.Now
-			return
-		}
-		c.w.After(20*time.Millisecond, listen)
-	}
-	c.w.After(2*time.Millisecond, listen)
+	heard := c.listen(c.w, func() bool { return c.hears(c.door(turn)) })
+	var try func()
 	try = func() {
 		turn++
 		c.carry("operator", turn, cmd, func(a ledger.Answer, ok bool) {
@@ -37,11 +25,7 @@
 				}
 				return
 			}
-			answered = true
-			if heardAt == 0 {
-				heardAt = c.w.Now
-			}
-			took(heardAt, a)
+			took(heard.answer(c.w.Now), a)
 		})
 	}
 	try()
--- a/tool/sim/centers.go
+++ b/tool/sim/centers.go
@@ -9,9 +9,7 @@
 	"slices"
 	"time"
 
-	"sorrelloom/core/center"
 	"sorrelloom/core/ledger"
-	"sorrelloom/core/wire"
 )
 
 const (
@@ -137,14 +135,7 @@
 	c.w.At(2*time.Second+time.Duration(i)*10*time.Millisecond, func() { c.birth(p) })
 }
 
-func (c *Centers) primary() *node {
-	for _, n := range c.centers {
-		if m, ok := n.main.(*center.Center); ok && n.state == up && m.Keeper().Serving() {
-			return n
-		}
-	}
-	return nil
-}
+func (c *Centers) primary() *node { return primaryOf(c.centers) }
 
 // someCenter picks a center by chance.
 func (c *Centers) someCenter() *node { return c.centers[c.w.chance.IntN(len(c.centers))] }
@@ -158,33 +149,6 @@
 }
 
 // seated says whether every witness of the newest view is a center that is up.
-func (c *Centers) seated() bool {
-	var newest wire.View
-	alive := map[string]bool{}
-	for _, n := range c.centers {
-		if m, ok := n.main.(*center.Center); ok && n.state == up {
-			alive[m.ID()] = true
-			if v := m.Keeper().View(); v.Epoch > newest.Epoch {
-				newest = v
-			}
-		}
-	}
-	for _, w := range newest.Witnesses {
-		if !alive[w.ID] {
-			return false
-		}
-	}
-	return newest.Epoch > 0
-}
+func (c *Centers) seated() bool { return seatedIn(c.centers) }
 
-func (c *Centers) watch() {
-	const each = 50 * time.Millisecond
-	if c.primary() == nil {
-		if k := len(c.idle); k > 0 && c.idle[k-1][1] >= c.w.Now {
-			c.idle[k-1][1] = c.w.Now + each
-		} else {
-			c.idle = append(c.idle, [2]time.Duration{c.w.Now, c.w.Now + each})
-		}
-	}
-	c.w.After(each, c.watch)
-}
+func (c *Centers) watch() { c.watchIdle(c.w, c.primary) }
--- a/tool/sim/processor.go
+++ b/tool/sim/processor.go
@@ -6,7 +6,6 @@
 import (
 	"time"
 
-	"sorrelloom/core/center"
 	"sorrelloom/core/machine"
 	"sorrelloom/core/wire"
 )
@@ -281,8 +280,8 @@
 
 // position is how many commands the ledger of a process has taken.
 func (n *node) position() uint64 {
-	if c, ok := n.main.(*center.Center); ok {
-		return c.Keeper().Ledger().Position().Sequence
+	if k := n.keeper(); k != nil {
+		return k.Ledger().Position().Sequence
 	}
 	return 0
 }
--- a/tool/sim/scenario.go
+++ b/tool/sim/scenario.go
@@ -16,7 +16,6 @@
 	"sorrelloom/core/ledger"
 	"sorrelloom/core/machine"
 	"sorrelloom/core/plan"
-	"sorrelloom/core/wire"
 	"sorrelloom/tool/deploy"
 	"sorrelloom/tool/worker"
 )
@@ -133,17 +132,7 @@
 }
 
 // watch notes the times in which no keeper says that it serves.
-func (s *Scenario) watch() {
-	const each = 50 * time.Millisecond
-	if s.primary() == nil {
-		if k := len(s.idle); k > 0 && s.idle[k-1][1] >= s.w.Now {
-			s.idle[k-1][1] = s.w.Now + each
-		} else {
-			s.idle = append(s.idle, [2]time.Duration{s.w.Now, s.w.Now + each})
-		}
-	}
-	s.w.After(each, s.watch)
-}
+func (s *Scenario) watch() { s.watchIdle(s.w, s.primary) }
 
 func (s *Scenario) build() {
 	address := func(i int) string { return fmt.Sprintf("10.%d.0.%d:7000", i%3, i) }
@@ -494,9 +483,7 @@
 	},
 	"slow-disk": func(s *Scenario) {
 		n := s.keepers[s.w.chance.IntN(len(s.keepers))]
-		s.w.say("slow disk %s", n.name)
-		n.diskSlow = 300
-		s.w.After(8*time.Second, func() { n.diskSlow = 1 })
+		s.w.slowDisk(n, 8*time.Second)
 		s.hurt(14 * time.Second)
 	},
 	"clock-jump": func(s *Scenario) {
@@ -521,9 +508,7 @@
 	},
 	"split": func(s *Scenario) {
 		n := s.keepers[s.w.chance.IntN(len(s.keepers))]
-		s.w.say("isolate %s", n.name)
-		s.w.Isolate(n.address)
-		s.w.After(8*time.Second, func() { s.w.say("reconnect %s", n.name); s.w.Reconnect(n.address) })
+		s.w.isolateFor(n, 8*time.Second)
 		s.hurt(14 * time.Second)
 	},
 	"site-lost": (*Scenario).loseSite,
@@ -710,9 +695,7 @@
 }
 
 // slow notes a time in which speed is not judged.
-func (s *Scenario) slow(d time.Duration) {
-	s.faulty = append(s.faulty, [2]time.Duration{s.w.Now - 2*time.Second, s.w.Now + d})
-}
+func (s *Scenario) slow(d time.Duration) { s.slowAt(s.w.Now, d) }
 
 // hurt is slow for a fault of the daemons themselves.
 func (s *Scenario) hurt(d time.Duration) {
@@ -722,44 +705,14 @@
 
 // seated says whether every witness of the newest view is a keeper that is up:
 // only then may another disk be lost, since of three one may be missing.
-func (s *Scenario) seated() bool {
-	var newest wire.View
-	alive := map[string]bool{}
-	for _, n := range s.keepers {
-		k, ok := n.main.(*keeper.Keeper)
-		if ok && n.state == up {
-			alive[k.ID()] = true
-			if k.View().Epoch > newest.Epoch {
-				newest = k.View()
-			}
-		}
-	}
-	for _, w := range newest.Witnesses {
-		if !alive[w.ID] {
-			return false
-		}
-	}
-	return newest.Epoch > 0
-}
+func (s *Scenario) seated() bool { return seatedIn(s.keepers) }
 
-func (s *Scenario) primary() *node {
-	for _, n := range s.keepers {
-		if k, ok := n.main.(*keeper.Keeper); ok && n.state == up && k.Serving() {
-			return n
-		}
-	}
-	return nil
-}
+func (s *Scenario) primary() *node { return primaryOf(s.keepers) }
 
 // breakThings puts the chosen faults on the agenda, then one last fault, and
 // probes from 12 seconds after it on.
 func (s *Scenario) breakThings() {
-	at := 12 * time.Second
-	for len(s.env.Faults) > 0 && at < s.env.For-5*time.Second {
-		kind := s.env.Faults[s.w.chance.IntN(len(s.env.Faults))]
-		s.w.At(at, func() { s.w.say("fault %s", kind); Kinds[kind](s) })
-		at += time.Duration(1500+s.w.chance.IntN(5000)) * time.Millisecond
-	}
+	s.w.drawFaults(s.env, func(kind string) { s.w.say("fault %s", kind); Kinds[kind](s) })
 	if last := s.env.Last; last != "" || len(s.env.Faults) > 0 {
 		if last == "" {
 			last = s.env.Faults[s.w.chance.IntN(len(s.env.Faults))]
