--- a/tool/cmd/simulate/grown.go
+++ b/tool/cmd/simulate/grown.go
@@ -26,8 +26,11 @@
 				e.Verbose = func(text string) { fmt.Println(text) }
 			}
 			g := sim.PlayGrown(e, scale, fault)
-			fmt.Printf("seed=%d scale=%.2f fault=%s before=%.0f/s leader=%.3f records=%d views=%d copied=%d away=%s in_time=%v unsafe=%v\n  starts each second: %v\n",
-				seed, scale, fault, g.Before, g.LeaderShare.Total().Seconds()/sim.GrownLook.Seconds(), g.Records, g.Views, g.Logs["copied"], g.Away, g.InTime(), g.Unsafe, g.Seconds)
+			leader := g.LeaderShare.Total().Seconds() / sim.GrownLook.Seconds()
+			fmt.Printf("seed=%d scale=%.2f fault=%s before=%.0f/s leader=%.3f records=%d views=%d copied=%d",
+				seed, scale, fault, g.Before, leader, g.Records, g.Views, g.Logs["copied"])
+			fmt.Printf(" away=%s in_time=%v unsafe=%v\n", g.Away, g.InTime(), g.Unsafe)
+			fmt.Printf("  starts each second: %v\n", g.Seconds)
 			if !g.InTime() || len(g.Unsafe) > 0 {
 				failed++
 			}
--- a/tool/cmd/simulate/main.go
+++ b/tool/cmd/simulate/main.go
@@ -31,9 +31,14 @@
 	line := fs.String("line", "", "play one line of the brief, by name, or all, and say what was judged; -faults is not used")
 	composition := fs.String("composition", "fleet", "fleet: keepers, schedulers and fronts; center: centers, doors and sides, with faults: "+strings.Join(sim.CenterKindNames(), " ")+
 		"; or "+sim.ControlDay+": "+strings.Join(sim.ControlKindNames(), " "))
-	site := fs.String("site", "small", "size of the composition center: small (loss of one core machine), middle or grown (loss of two)")
-	bounded := fs.Bool("bounded", false, "processors, connections and disks have bounds; always so with -faults "+sim.ControlDay)
-	grownFault := fs.String("grown", "", "play grown days of 43 s with this fault, all or none; only -from, -to and -scale count then")
+	site := fs.String("site", "small", "size of the composition center: small, which bears the loss of one core machine, "+
+		"or middle or grown, of two")
+	bounded := fs.Bool("bounded", false, "processors, connections and disks have bounds; always so with -faults "+
+		sim.ControlDay)
+	share := fs.Float64("share", sim.CoreShare, "part of a core that each process has, with -bounded or -faults "+
+		sim.ControlDay)
+	grownFault := fs.String("grown", "", "play grown days of 43 s with this fault, all or none; "+
+		"only -from, -to and -scale count then")
 	scale := fs.Float64("scale", 0.9, "part of a grown day's traffic")
 	verbose := fs.Bool("verbose", false, "print every event")
 	if err := ff.Parse(fs, os.Args[1:]); err != nil {
@@ -79,6 +84,10 @@
 	var hardware *sim.Hardware
 	if *bounded || *faults == sim.ControlDay {
 		hardware = sim.GrownHardware()
+		hardware.Share = *share
+	}
+	if *share <= 0 || *share > 1 {
+		return bad("-share %g is no part of a core", *share)
 	}
 	if fs.NArg() > 0 {
 		return bad("unexpected words: %v", fs.Args())
@@ -117,8 +126,9 @@
 		}
 		if len(r.Broken) > 0 {
 			failed++
-			fmt.Printf("  again: simulate -composition %s -site %s -bounded=%v -deployment %s -faults %s -for %s -from %d -to %d\n",
-				*composition, *site, hardware != nil, d.Name, *faults, *day, seed, seed)
+			fmt.Printf("  again: simulate -composition %s -site %s -bounded=%v -share %g -deployment %s", *composition,
+				*site, hardware != nil, *share, d.Name)
+			fmt.Printf(" -faults %s -for %s -from %d -to %d\n", *faults, *day, seed, seed)
 		}
 	}
 	for _, check := range checks {
--- a/tool/sim/control_faults.go
+++ b/tool/sim/control_faults.go
@@ -164,8 +164,8 @@
 
 // controlOthers are the kinds of CenterKinds that are mixed in on control days.
 var controlOthers = []string{
-	"kill-leader", "kill-leader-twice", "kill-centers", "power-off", "freeze", "isolate", "slow-disk", "wipe-after-yes-power-off",
-	"worker-cut", "worker-crash",
+	"kill-leader", "kill-leader-twice", "kill-centers", "power-off", "freeze", "isolate", "slow-disk",
+	"wipe-after-yes-power-off", "worker-cut", "worker-crash",
 }
 
 // ControlKindNames lists the faults of the control days in order.
--- a/tool/sim/control_test.go
+++ b/tool/sim/control_test.go
@@ -12,7 +12,9 @@
 func controlDays(size Size, seeds ...uint64) []Env {
 	var days []Env
 	for _, seed := range seeds {
-		days = append(days, Env{Seed: seed, Faults: ControlKindNames(), For: 45 * time.Second, Size: size, Hardware: GrownHardware()})
+		day := Env{Seed: seed, Faults: ControlKindNames(), For: 45 * time.Second}
+		day.Size, day.Hardware = size, GrownHardware()
+		days = append(days, day)
 	}
 	return days
 }
@@ -30,7 +32,8 @@
 			site = "middle"
 		}
 		for _, b := range r.Broken {
-			t.Errorf("%s: %s\n  again: simulate -composition center -site %s -faults control -for %s -from %d -to %d", b.Check, b.Why, site, days[i].For, r.Seed, r.Seed)
+			t.Errorf("%s: %s\n  again: simulate -composition center -site %s -faults control -for %s -from %d -to %d",
+				b.Check, b.Why, site, days[i].For, r.Seed, r.Seed)
 		}
 	}
 	for _, kind := range ControlKindNames() {
@@ -47,7 +50,8 @@
 	day.For = 25 * time.Second
 	results := playAll([]Env{day, day}, PlayCenters)
 	if results[0].Trace != results[1].Trace || results[0].Lines != results[1].Lines {
-		t.Errorf("two runs of one seed differ: %x %d, %x %d", results[0].Trace, results[0].Lines, results[1].Trace, results[1].Lines)
+		t.Errorf("two runs of one seed differ: %x %d, %x %d",
+			results[0].Trace, results[0].Lines, results[1].Trace, results[1].Lines)
 	}
 }
 
--- a/tool/sim/grown.go
+++ b/tool/sim/grown.go
@@ -3,6 +3,7 @@
 package sim
 
 import (
+	"encoding/json"
 	"fmt"
 	"slices"
 	"strings"
@@ -56,7 +57,15 @@
 // the size that was measured, 6 MB for 8,000 records.
 const grownPayload = 3300
 
-var payloadText = strings.Repeat("x", grownPayload)
+// jobPayload is a job's payload with a text that only takes room.
+type jobPayload struct {
+	RunMs []int64 `json:"runMs"`
+	Text  string  `json:"text"`
+}
+
+func payload(runMs int64, length int) json.RawMessage {
+	return machine.MustJSON(jobPayload{RunMs: []int64{runMs}, Text: strings.Repeat("x", length)})
+}
 
 const (
 	grownBegin    = 10 * time.Second
@@ -132,7 +141,7 @@
 		c.w.At(earlierBegin+time.Duration(i)*earlierEach, func() {
 			due := ledger.Repeat{Count: 1, FirstAt: c.w.wall().Add(time.Hour).Truncate(time.Second), Every: millis(1000)}
 			one := c.job("batch", fmt.Sprintf("earlier-%d", i), []ledger.StepSpec{{Count: earlierTasks}}, []int64{100}, due)
-			one.asks.Payload = machine.MustJSON(map[string]any{"runMs": []int64{100}, "text": strings.Repeat("x", earlierPayload)})
+			one.asks.Payload = payload(100, earlierPayload)
 			c.submit(one)
 			c.w.After(200*time.Millisecond, func() { c.cancel(one) })
 		})
@@ -177,8 +186,8 @@
 
 // neverChecks are those that judge what has happened, not what is still to come.
 var neverChecks = []string{
-	"job-forgotten", "twice-at-once", "again-after-good", "before-dependency", "wrong-worker", "over-room", "defects-spent",
-	"finished-with-open-task", "plan-went-back", "refused-and-run",
+	"job-forgotten", "twice-at-once", "again-after-good", "before-dependency", "wrong-worker", "over-room",
+	"defects-spent", "finished-with-open-task", "plan-went-back", "refused-and-run",
 }
 
 // count fills in the levels before and after the fault.
@@ -203,7 +212,7 @@
 			c.w.At(at+time.Duration(c.w.chance.Int64N(int64(gap))), func() {
 				steps := []ledger.StepSpec{{Count: s.tasks}}
 				one := c.job(s.class, fmt.Sprintf("%s-%d", s.class, number), steps, []int64{s.runMs}, ledger.Repeat{})
-				one.asks.Payload = machine.MustJSON(map[string]any{"runMs": []int64{s.runMs}, "text": payloadText})
+				one.asks.Payload = payload(s.runMs, grownPayload)
 				c.submit(one)
 			})
 		}
--- a/tool/sim/grown_test.go
+++ b/tool/sim/grown_test.go
@@ -40,9 +40,11 @@
 // kept, whatever becomes of the leader or of all core processes at once.
 func TestGrownDayIsServedAgain(t *testing.T) {
 	for _, g := range grownDays(slices.Sorted(maps.Keys(GrownFaults)), 1) {
-		t.Logf("%s: %.0f starts a second before, %d records, %d views, starts from the fault on %v, %v", g.Fault, g.Before, g.Records, g.Views, g.Seconds[grownFault/time.Second:], g.Logs)
+		t.Logf("%s: %.0f starts a second before, %d records, %d views, starts from the fault on %v, %v",
+			g.Fault, g.Before, g.Records, g.Views, g.Seconds[grownFault/time.Second:], g.Logs)
 		if !g.InTime() {
-			t.Errorf("%s: less than %.0f starts a second until %s after the fault, want %s at most", g.Fault, grownLevel*g.Before, g.Away, grownAgainBy)
+			t.Errorf("%s: less than %.0f starts a second until %s after the fault, want %s at most",
+				g.Fault, grownLevel*g.Before, g.Away, grownAgainBy)
 		}
 		for _, b := range g.Unsafe {
 			t.Errorf("%s: %s: %s", g.Fault, b.Check, b.Why)
--- a/tool/sim/hardware.go
+++ b/tool/sim/hardware.go
@@ -3,8 +3,8 @@
 
 import "time"
 
-// coreShare is the part of a core that a core machine has on a grown day.
-const coreShare = 0.48
+// CoreShare is the part of a core that a core machine has on a grown day.
+const CoreShare = 0.48
 
 // The cost of a copy was measured on a ledger of 6,599 records: 2.8 µs a record to
 // gather them, 13 ns a byte to encode and 20 ns a byte to decode them, 7.2 µs a record
@@ -40,5 +40,5 @@
 
 // GrownHardware is what each machine of a grown day has.
 func GrownHardware() *Hardware {
-	return &Hardware{Share: coreShare, Costs: measuredCosts, Links: assumedLinks, Disks: assumedDisks}
+	return &Hardware{Share: CoreShare, Costs: measuredCosts, Links: assumedLinks, Disks: assumedDisks}
 }
--- a/tool/sim/hardware_test.go
+++ b/tool/sim/hardware_test.go
@@ -47,7 +47,8 @@
 }
 
 func slowReader(each time.Duration) *Hardware {
-	return &Hardware{Share: 0.5, Costs: Costs{ReadLine: each}, Links: Links{Rate: 1_000_000, Window: 100_000, WriteWait: 3 * time.Second, QueueMax: 100}}
+	links := Links{Rate: 1_000_000, Window: 100_000, WriteWait: 3 * time.Second, QueueMax: 100}
+	return &Hardware{Share: 0.5, Costs: Costs{ReadLine: each}, Links: links}
 }
 
 func TestABusyProcessorTakesLinesOneAfterTheOther(t *testing.T) {
@@ -112,7 +113,8 @@
 	w.sendText(from, "large", 500_000)
 	w.sendText(from, "small", 10)
 	w.Run(5 * time.Second)
-	if !slices.Equal(got.kinds, []string{"large", "small"}) || got.at[0] < 500*time.Millisecond || got.at[0] > 600*time.Millisecond {
+	least, most := 500*time.Millisecond, 600*time.Millisecond
+	if !slices.Equal(got.kinds, []string{"large", "small"}) || got.at[0] < least || got.at[0] > most {
 		t.Errorf("got %v at %v, want the large line after 0.5 s", got.kinds, got.at)
 	}
 }
