Simulator: queues that read ahead, and lines that replace older ones

A host that takes lines off its connections at once, drops old requests and keeps only the newest report of a worker can be played by QueueOrder alone: Rank, StaleAfter, ReadsAhead and Replaces.

--- a/tool/sim/hardware_test.go
+++ b/tool/sim/hardware_test.go
@@ -86,6 +86,34 @@
 	}
 }
 
+func TestALineTakesThePlaceOfAWaitingOne(t *testing.T) {
+	hardware := slowReader(100 * time.Millisecond)
+	hardware.Order.Replaces = func(line machine.Line) string {
+		return map[string]string{wire.Beat: "worker"}[line.Kind]
+	}
+	w, _, to, got := pair(hardware)
+	for _, from := range []string{"a", "a", "a", "c"} {
+		w.deliver(to, machine.Line{Wire: 1, Kind: wire.Beat, From: from}, nil)
+	}
+	w.Run(2 * time.Second)
+	if len(got.kinds) != 3 {
+		t.Errorf("%d reports are taken, want 3: the one at work, the newest of a, and that of c", len(got.kinds))
+	}
+}
+
+func TestAProcessThatReadsAheadHoldsNobodyUp(t *testing.T) {
+	hardware := slowReader(500 * time.Millisecond)
+	hardware.Order.ReadsAhead = true
+	w, from, to, _ := pair(hardware)
+	for range 4 {
+		w.sendText(from, "x", 60_000)
+	}
+	w.Run(time.Second)
+	if waits := len(to.processor.queue); waits != 3 || from.sender.peers[0].inFlight > 0 {
+		t.Errorf("%d lines wait, want 3; %d bytes are on their way", waits, from.sender.peers[0].inFlight)
+	}
+}
+
 func TestAPeerThatDoesNotReadHoldsTheWriterUp(t *testing.T) {
 	w, from, to, got := pair(slowReader(time.Millisecond))
 	w.Freeze(to)
--- a/tool/sim/processor.go
+++ b/tool/sim/processor.go
@@ -4,6 +4,7 @@
 package sim
 
 import (
+	"slices"
 	"time"
 
 	"sorrelloom/core/machine"
@@ -46,11 +47,20 @@
 	// StaleAfter is how old a line of a kind may be when it is taken; an older one is
 	// dropped before it is decoded. Zero is any age.
 	StaleAfter func(kind string) time.Duration
+	// ReadsAhead says that connections are read whether or not the processor is busy, so
+	// that lines wait in its queue; else one line of each connection waits there, and the
+	// connection holds its writer up.
+	ReadsAhead bool
+	// Replaces gives the key under which a line takes the place of a waiting one of the
+	// same kind and sender; an empty one never does.
+	Replaces func(line machine.Line) string
 }
 
 // work is one thing that a process has to do.
 type work struct {
 	kind  string
+	from  string
+	key   string // see QueueOrder.Replaces
 	at    time.Duration
 	do    func()
 	taken func() // told when the processor is done with it
@@ -135,10 +145,35 @@
 
 func (p *processor) add(one work) {
 	one.at = p.w.Now
-	p.queue = append(p.queue, one)
+	if one.taken != nil && p.hardware.Order.ReadsAhead {
+		defer one.taken()
+		one.taken = nil
+	}
+	if !p.replace(one) {
+		p.queue = append(p.queue, one)
+	}
 	p.next()
 }
 
+// replace puts a line in the place of one that waits and says the same, if there is one.
+func (p *processor) replace(one work) bool {
+	if one.key == "" {
+		return false
+	}
+	at := slices.IndexFunc(p.queue, func(o work) bool {
+		return o.kind == one.kind && o.from == one.from && o.key == one.key
+	})
+	if at < 0 {
+		return false
+	}
+	old := p.queue[at]
+	p.queue[at] = one
+	if old.taken != nil {
+		old.taken()
+	}
+	return true
+}
+
 // wakeup puts a wakeup in the queue, unless one waits there.
 func (p *processor) wakeup(do func()) {
 	if p.waking {
--- a/tool/sim/sim.go
+++ b/tool/sim/sim.go
@@ -465,7 +465,11 @@
 
 // deliver hands a line to a process; taken is told when it is done with it.
 func (w *World) deliver(to *node, line machine.Line, taken func()) {
-	w.intoAs(to, to.life, work{kind: line.Kind, taken: taken, do: func() {
+	key := ""
+	if w.hardware != nil && w.hardware.Order.Replaces != nil {
+		key = w.hardware.Order.Replaces(line)
+	}
+	w.intoAs(to, to.life, work{kind: line.Kind, from: line.From, key: key, taken: taken, do: func() {
 		toMember := line.Kind == wire.Shuffle || line.Kind == wire.ShuffleBack
 		if !toMember || to.member != nil {
 			w.step(to, machine.Input{Line: line}, toMember)
