--- a/tool/sim/hardware.go
+++ b/tool/sim/hardware.go
@@ -18,9 +18,9 @@
 var measuredCosts = Costs{
 	Step:         12 * time.Microsecond,
 	ReadLine:     72 * time.Microsecond,
-	ReadByte:     40 * time.Microsecond,
+	ReadKilobyte: 40 * time.Microsecond,
 	SendLine:     8 * time.Microsecond,
-	SendByte:     13 * time.Microsecond,
+	SendKilobyte: 13 * time.Microsecond,
 	Report:       90 * time.Microsecond,
 	Command:      120 * time.Microsecond,
 	Batch:        240 * time.Microsecond,
--- a/tool/sim/processor.go
+++ b/tool/sim/processor.go
@@ -15,9 +15,9 @@
 type Costs struct {
 	Step         time.Duration // one step of a machine, whatever it is given
 	ReadLine     time.Duration // one line read from a connection
-	ReadByte     time.Duration // its body decoded, for each thousand bytes
+	ReadKilobyte time.Duration // each thousand bytes of its body decoded
 	SendLine     time.Duration // one line written to a connection
-	SendByte     time.Duration // its body encoded, for each thousand bytes
+	SendKilobyte time.Duration // each thousand bytes of its body encoded
 	Report       time.Duration // one worker's report taken by the dispatcher
 	Command      time.Duration // one command applied to the ledger
 	Batch        time.Duration // one batch synced
@@ -266,7 +266,7 @@
 	if in.Line.Kind != "" {
 		p.used.Lines++
 		p.used.Bytes += len(in.Line.Body)
-		p.used.Reading += c.ReadLine + perThousand(c.ReadByte, len(in.Line.Body))
+		p.used.Reading += c.ReadLine + perThousand(c.ReadKilobyte, len(in.Line.Body))
 	}
 	switch in.Line.Kind {
 	case wire.Beat:
@@ -297,7 +297,7 @@
 // encode pays for a line that is sent. It is paid in the step that sends it.
 func (p *processor) encode(s machine.Send, size int) {
 	c := p.hardware.Costs
-	cost := c.SendLine + perThousand(c.SendByte, size)
+	cost := c.SendLine + perThousand(c.SendKilobyte, size)
 	if b, ok := s.Body.(wire.CopyBody); ok {
 		cost += time.Duration(len(b.Records)) * c.GatherRecord
 	}
