Simulator: ask a disk what it holds in one place

The storage work keeps a log and a state on the disk; what the processor model needs to know of it stands in disk.go now.

--- a/tool/sim/disk.go
+++ b/tool/sim/disk.go
@@ -28,6 +28,16 @@
 	return time.Duration(float64(took) * n.diskSlow)
 }
 
+// stored is how many records a process's disk holds.
+func (n *node) stored() int { return len(n.disk) }
+
+func recordsIn(out machine.Output) (count int) {
+	for _, b := range out.Writes {
+		count += len(b.Records)
+	}
+	return count
+}
+
 func bytesIn(b machine.Write) (size int) {
 	for _, r := range b.Records {
 		size += len(r.Key) + len(r.Value)
--- a/tool/sim/grown.go
+++ b/tool/sim/grown.go
@@ -169,7 +169,7 @@
 	c.w.At(grownFault-GrownLook, func() { g.LeaderShare = c.leader().usage() })
 	c.w.At(grownFault, func() {
 		n := c.leader()
-		g.LeaderShare, g.Records = n.usage().since(g.LeaderShare), len(n.disk)
+		g.LeaderShare, g.Records = n.usage().since(g.LeaderShare), n.stored()
 		if do := GrownFaults[fault]; do != nil {
 			c.hurt(grownAgainBy)
 			do(c)
--- a/tool/sim/processor.go
+++ b/tool/sim/processor.go
@@ -287,13 +287,6 @@
 	p.cost += p.used.Total() - before.Total()
 }
 
-func recordsIn(out machine.Output) (count int) {
-	for _, b := range out.Writes {
-		count += len(b.Records)
-	}
-	return count
-}
-
 // encode pays for a line that is sent. It is paid in the step that sends it.
 func (p *processor) encode(s machine.Send, size int) {
 	c := p.hardware.Costs
--- a/tool/sim/sim.go
+++ b/tool/sim/sim.go
@@ -229,7 +229,7 @@
 	n.processor = w.newProcessor(n)
 	w.occupy(n, work{do: func() {
 		if n.processor != nil {
-			n.processor.load(len(n.disk))
+			n.processor.load(n.stored())
 		}
 		if n.member != nil {
 			w.step(n, machine.Input{}, true)
