--- a/tool/cmd/simulate/main.go
+++ b/tool/cmd/simulate/main.go
@@ -29,7 +29,18 @@
 	faults := fs.String("faults", "all", "comma-separated kinds, all, or none: "+strings.Join(sim.KindNames(), " "))
 	day := fs.Duration("for", 60*time.Second, "how long jobs and faults come, in virtual time")
 	line := fs.String("line", "", "play one line of the brief, by name, or all, and say what was judged; -faults is not used")
-	composition := fs.String("composition", "fleet", "fleet: keepers, schedulers and fronts; center: centers, doors and sides, with faults: "+strings.Join(sim.CenterKindNames(), " "))
+	composition := fs.String("composition", "fleet", "fleet: keepers, schedulers and fronts; center: centers, doors and sides, with faults: "+strings.Join(sim.CenterKindNames(), " ")+
+		"; or "+sim.ControlDay+": "+strings.Join(sim.ControlKindNames(), " "))
+	site := fs.String("site", "small", "size of the composition center: small, which bears the loss of one core machine, "+
+		"or middle or grown, of two")
+	bounded := fs.Bool("bounded", false, "processors, connections and disks have bounds; always so with -faults "+
+		sim.ControlDay)
+	share := fs.Float64("share", sim.CoreShare, "part of a core that each process has, with -bounded or -faults "+
+		sim.ControlDay)
+	rate := fs.Int("rate", sim.GrownHardware().Links.Rate, "bytes a second that each process can send, as -share")
+	grownFault := fs.String("grown", "", "play grown days of 43 s with this fault, all or none; "+
+		"only -from, -to, -scale, -share and -rate count then")
+	scale := fs.Float64("scale", 0.9, "part of a grown day's traffic")
 	verbose := fs.Bool("verbose", false, "print every event")
 	if err := ff.Parse(fs, os.Args[1:]); err != nil {
 		if errors.Is(err, flag.ErrHelp) {
@@ -52,6 +63,14 @@
 	if *day < 20*time.Second || *day > time.Hour {
 		return bad("-for %s: from 20s to 1h", *day)
 	}
+	if *share <= 0 || *share > 1 || *rate <= 0 {
+		return bad("-share %g -rate %d: a part of a core, and bytes a second", *share, *rate)
+	}
+	machines := sim.GrownHardware()
+	machines.Share, machines.Links.Rate = *share, *rate
+	if *grownFault != "" {
+		return grown(*grownFault, *scale, machines, *from, *to, *verbose, bad)
+	}
 	play, parse, checks := sim.Play, sim.ParseFaults, sim.Checks
 	switch *composition {
 	case "fleet":
@@ -64,6 +83,14 @@
 	if err != nil {
 		return bad("%v", err)
 	}
+	size, ok := sim.Sizes[*site]
+	if !ok || size != sim.SmallSize && *composition != "center" {
+		return bad("-site %q: small, or middle or grown with -composition center", *site)
+	}
+	var hardware *sim.Hardware
+	if *bounded || *faults == sim.ControlDay {
+		hardware = machines
+	}
 	if fs.NArg() > 0 {
 		return bad("unexpected words: %v", fs.Args())
 	}
@@ -74,9 +101,9 @@
 		return lines(*line, sim.Env{Deployment: d, For: *day}, *from, int(*to-*from)+1, bad)
 	}
 	failed := 0
-	judged, excused := map[string]int{}, map[string]int{}
+	judged, excused, played := map[string]int{}, map[string]int{}, map[string]int{}
 	for seed := *from; seed <= *to; seed++ {
-		e := sim.Env{Seed: seed, Deployment: d, Faults: kinds, For: *day}
+		e := sim.Env{Seed: seed, Deployment: d, Faults: kinds, For: *day, Size: size, Hardware: hardware}
 		if *verbose {
 			e.Verbose = func(text string) { fmt.Println(text) }
 		}
@@ -89,6 +116,9 @@
 		for why, count := range r.Excused {
 			excused[why] += count
 		}
+		for kind, count := range r.Played {
+			played[kind] += count
+		}
 		for i, b := range r.Broken {
 			if i == 12 {
 				fmt.Printf("  and %d more\n", len(r.Broken)-i)
@@ -98,7 +128,9 @@
 		}
 		if len(r.Broken) > 0 {
 			failed++
-			fmt.Printf("  again: simulate -composition %s -deployment %s -faults %s -for %s -from %d -to %d\n", *composition, d.Name, *faults, *day, seed, seed)
+			fmt.Printf("  again: simulate -composition %s -site %s -bounded=%v -share %g -rate %d -deployment %s",
+				*composition, *site, hardware != nil, *share, *rate, d.Name)
+			fmt.Printf(" -faults %s -for %s -from %d -to %d\n", *faults, *day, seed, seed)
 		}
 	}
 	for _, check := range checks {
@@ -107,6 +139,9 @@
 	for _, why := range slices.Sorted(maps.Keys(excused)) {
 		fmt.Printf("excused %s times=%d\n", why, excused[why])
 	}
+	for _, kind := range slices.Sorted(maps.Keys(played)) {
+		fmt.Printf("played fault=%s times=%d\n", kind, played[kind])
+	}
 	fmt.Printf("seeds=%d failed=%d\n", *to-*from+1, failed)
 	if failed > 0 {
 		return 1
--- a/tool/sim/sim.go
+++ b/tool/sim/sim.go
@@ -7,6 +7,7 @@
 	"container/heap"
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -64,15 +65,21 @@
 	diskSlow                  float64
 	diskLies                  bool
 	lands                     bool
-	inbox                     []func()
+	inbox                     []work
 	stalls                    bool
-	limbo                     []machine.Send
+	limbo                     []encoded
 	wakeOrder                 uint64
 	wakeAt                    time.Duration
 	answers                   map[uint64]func(any)
 	sequence                  uint64
 	cuts                      int
 	troubles                  [][2]time.Duration
+	processor                 *processor
+	sender                    *sender
+	diskStalls                bool
+	diskFull                  bool
+	wallSkew                  time.Duration
+	used                      Usage
 }
 
 // trouble notes when a daemon is down, frozen or cut, and when it is no more.
@@ -111,11 +118,16 @@
 	meddle   func(n *node, s machine.Send) bool
 	alter    func(n *node, s machine.Send) machine.Send
 	onPlan   func(n *node, sequence uint64)
+	held     map[[2]string][]machine.Line
+	// hardware bounds what the processes can do; without, work costs nothing.
+	hardware *Hardware
+	// copies is how many backups a center's view shall have.
+	copies int
 }
 
 func NewWorld(seed uint64) *World {
 	return &World{Seed: seed, chance: rand.New(rand.NewPCG(seed, 77)), nodes: map[string]*node{}, cuts: map[[2]string]bool{},
-		last: map[[2]string]time.Duration{}, Logs: map[string]int{}}
+		last: map[[2]string]time.Duration{}, Logs: map[string]int{}, held: map[[2]string][]machine.Line{}}
 }
 
 // At puts something on the agenda.
@@ -162,7 +174,7 @@
 
 // Boot starts a daemon's process on what its disk holds.
 func (w *World) Boot(n *node) {
-	if n.state != down {
+	if n.state != down || n.diskFull {
 		return
 	}
 	n.life++
@@ -188,12 +200,15 @@
 	case "center":
 		c, err := center.New(center.Env{
 			Address: n.address, Site: n.site, Founders: n.founders,
-			FreshID: fmt.Sprintf("%s-%d-%x", n.name, n.life, first), Boot: first,
+			FreshID: fmt.Sprintf("%s-%d-%x", n.name, n.life, first), Boot: first, Copies: w.copies,
 		}, n.disk.Stored())
 		if err != nil {
 			panic(fmt.Sprintf("%s refuses its own disk: %v", n.name, err))
 		}
 		n.main, id = c, c.ID()
+	case "proxy":
+		id = fmt.Sprintf("%s-%d-%x", n.name, n.life, first)
+		n.main = center.NewProxy(wire.Seat{ID: id, Address: n.address, Site: n.site}, n.seeds)
 	case "door":
 		n.main = relay.New(relay.Env{Address: n.address, Keepers: n.seeds, First: first})
 	case "side":
@@ -203,16 +218,24 @@
 	w.say("boot %s %s", n.name, id)
 	if role := memberRole[n.role]; role != "" {
 		n.member = member.New(member.Env{
-			Self:  wire.Node{ID: id, Role: role, Site: n.site, Address: n.address, Incarnation: int64((w.Now + w.wallSkew + 1000*time.Hour) / time.Millisecond)},
+			Self:  wire.Node{ID: id, Role: role, Site: n.site, Address: n.address, Incarnation: int64((w.Now + w.wallSkew + n.wallSkew + 1000*time.Hour) / time.Millisecond)},
 			Seeds: n.seeds, Seed: first,
 		})
-		w.step(n, machine.Input{}, true)
 	}
-	w.step(n, machine.Input{}, false)
+	n.processor = w.newProcessor(n)
+	w.occupy(n, work{do: func() {
+		if n.processor != nil {
+			n.processor.load(n.stored())
+		}
+		if n.member != nil {
+			w.step(n, machine.Input{}, true)
+		}
+		w.step(n, machine.Input{}, false)
+	}})
 }
 
 // memberRole is what a daemon is called among the members; doors and sides are none.
-var memberRole = map[string]string{"keeper": "keeper", "scheduler": "scheduler", "front": "front", "center": "keeper"}
+var memberRole = map[string]string{"keeper": "keeper", "scheduler": "scheduler", "front": "front", "center": "keeper", "proxy": "proxy"}
 
 // began is the time of day at which every simulation begins.
 var began = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -222,13 +245,16 @@
 func (n *node) local(now time.Duration) time.Duration { return now - n.boot + time.Microsecond }
 
 // into runs something in a daemon, later if it is frozen, never if it is down.
-func (w *World) into(n *node, life uint64, do func()) {
+func (w *World) into(n *node, life uint64, do func()) { w.intoAs(n, life, work{do: do}) }
+
+// intoAs is into for a thing of a kind.
+func (w *World) intoAs(n *node, life uint64, one work) {
 	switch {
 	case n.life != life || n.state == down:
 	case n.state == frozen:
-		n.inbox = append(n.inbox, do)
+		n.inbox = append(n.inbox, one)
 	default:
-		do()
+		w.occupy(n, one)
 	}
 }
 
@@ -238,9 +264,31 @@
 		m = n.member
 	}
 	if n.role == "center" {
-		in.Wall = w.wall()
+		in.Wall = w.wall().Add(n.wallSkew)
 	}
+	before := n.position()
 	out := m.Step(n.local(w.Now), in)
+	if p := n.processor; p != nil {
+		p.charge(in, int(max(n.position(), before)-before), out)
+		lines := make([]encoded, 0, len(out.Sends))
+		for _, s := range out.Sends {
+			lines = append(lines, w.encode(n, s))
+		}
+		p.outputs = append(p.outputs, func() { w.emit(n, out, lines, toMember) })
+	} else {
+		w.emit(n, out, nil, toMember)
+	}
+	if s, ok := n.main.(interface{ Sequence() uint64 }); ok && w.onPlan != nil && !toMember {
+		w.onPlan(n, s.Sequence())
+	}
+	w.wake(n)
+	if out.Stopped && !toMember && n.processor == nil {
+		w.Kill(n)
+	}
+}
+
+// emit does what a step returned. Lines are encoded already where that was paid for.
+func (w *World) emit(n *node, out machine.Output, lines []encoded, toMember bool) {
 	for _, e := range out.Events {
 		w.Logs[e.Name]++
 		w.say("%s %s %v", n.name, e.Name, e.Fields)
@@ -248,11 +296,15 @@
 	for _, a := range out.Audits {
 		w.say("%s decided %s", n.name, a.Entry)
 	}
-	for _, s := range out.Sends {
+	for i, s := range out.Sends {
+		one := encoded{send: s}
+		if lines != nil {
+			one = lines[i]
+		}
 		if n.stalls {
-			n.limbo = append(n.limbo, s)
+			n.limbo = append(n.limbo, one)
 		} else {
-			w.send(n, s)
+			w.send(n, one)
 		}
 	}
 	for _, b := range out.Writes {
@@ -264,11 +316,7 @@
 			back(a.Body)
 		}
 	}
-	if s, ok := n.main.(interface{ Sequence() uint64 }); ok && w.onPlan != nil && !toMember {
-		w.onPlan(n, s.Sequence())
-	}
-	w.wake(n)
-	if out.Stopped && !toMember {
+	if out.Stopped && !toMember && n.processor != nil {
 		w.Kill(n)
 	}
 }
@@ -295,12 +343,17 @@
 		if n.wakeOrder != order {
 			return
 		}
-		w.into(n, life, func() {
+		do := func() {
 			if n.member != nil && n.member.Wakeup() <= n.local(w.Now) {
 				w.step(n, machine.Input{}, true)
 			}
 			w.step(n, machine.Input{}, false)
-		})
+		}
+		if n.processor != nil && n.life == life && n.state == up {
+			n.processor.wakeup(do)
+		} else {
+			w.into(n, life, do)
+		}
 	})
 }
 
@@ -338,6 +391,9 @@
 	}
 }
 
+// addresses lists all processes in a fixed order.
+func (w *World) addresses() []string { return slices.Sorted(maps.Keys(w.nodes)) }
+
 func (w *World) each(address string, f func(a, b string)) {
 	for other := range w.nodes {
 		if other != address {
@@ -347,14 +403,33 @@
 	}
 }
 
-func (w *World) send(n *node, s machine.Send) {
+// encoded is a line to send, with its body once it has been encoded.
+type encoded struct {
+	send machine.Send
+	body []byte
+}
+
+// encode writes a line's body, and has the processor pay for it.
+func (w *World) encode(n *node, s machine.Send) encoded {
+	if w.alter != nil {
+		s = w.alter(n, s)
+	}
+	one := encoded{s, machine.MustMarshal(s.Body)}
+	n.processor.encode(s, len(one.body))
+	return one
+}
+
+func (w *World) send(n *node, one encoded) {
+	s, body := one.send, one.body
 	if w.meddle != nil && w.meddle(n, s) {
 		return
 	}
-	if w.alter != nil {
-		s = w.alter(n, s)
+	if body == nil {
+		if w.alter != nil {
+			s = w.alter(n, s)
+		}
+		body = machine.MustMarshal(s.Body)
 	}
-	body := machine.MustMarshal(s.Body)
 	line := machine.Line{Wire: machine.WireSequence, Kind: s.Kind, From: n.address, Body: body}
 	life := n.life
 	if s.To == "" || s.To == n.address {
@@ -367,19 +442,20 @@
 	if !ok || w.isCut(n.address, s.To) {
 		return
 	}
+	if w.holds(n.address, s.To, line) {
+		return
+	}
+	if w.hardware != nil && w.hardware.Links.Window > 0 {
+		w.queueLine(n, to, line)
+		return
+	}
 	pair := [2]string{n.address, s.To}
 	at := max(w.Now+w.latency(n.site, to.site), w.last[pair]+time.Nanosecond)
 	w.last[pair] = at
 	w.At(at, func() {
-		if w.isCut(n.address, to.address) {
-			return
+		if !w.isCut(n.address, to.address) {
+			w.deliver(to, line, nil)
 		}
-		w.into(to, to.life, func() {
-			toMember := line.Kind == wire.Shuffle || line.Kind == wire.ShuffleBack
-			if !toMember || to.member != nil {
-				w.step(to, machine.Input{Line: line}, toMember)
-			}
-		})
 	})
 }
 
@@ -388,21 +464,18 @@
 
 func emptyDisk() machine.Disk { return machine.Disk{SnapshotEach: snapshotEach} }
 
-func (w *World) write(n *node, b machine.Write) {
-	life := n.life
-	took := time.Duration(float64(time.Millisecond+time.Duration(w.chance.Int64N(int64(2*time.Millisecond)))) * n.diskSlow)
-	w.After(took, func() {
-		if n.life == life && n.state == down && n.lands {
-			n.disk.Apply(b)
-		}
-		if n.life != life || n.state == down {
-			return
-		}
-		if !n.diskLies {
-			n.disk.Apply(b)
+// deliver hands a line to a process; taken is told when it is done with it.
+func (w *World) deliver(to *node, line machine.Line, taken func()) {
+	key := ""
+	if w.hardware != nil && w.hardware.Order.Replaces != nil {
+		key = w.hardware.Order.Replaces(line)
+	}
+	w.intoAs(to, to.life, work{kind: line.Kind, from: line.From, key: key, taken: taken, do: func() {
+		toMember := line.Kind == wire.Shuffle || line.Kind == wire.ShuffleBack
+		if !toMember || to.member != nil {
+			w.step(to, machine.Input{Line: line}, toMember)
 		}
-		w.into(n, life, func() { w.step(n, machine.Input{Wrote: b.Done, SnapshotDue: n.disk.SnapshotDue()}, false) })
-	})
+	}})
 }
 
 // Kill ends a process; writes that were not synced are gone, as with power.
@@ -411,6 +484,11 @@
 		w.say("kill %s", n.name)
 	}
 	n.state, n.inbox, n.answers, n.stalls, n.limbo = down, nil, nil, false, nil
+	if n.processor != nil {
+		n.used = n.used.add(n.processor.used)
+		n.processor = nil
+	}
+	n.sender = nil
 	w.trouble(n)
 }
 
@@ -458,11 +536,17 @@
 	w.trouble(n)
 	inbox, limbo := n.inbox, n.limbo
 	n.inbox, n.limbo = nil, nil
-	for _, s := range limbo {
-		w.send(n, s)
+	for _, one := range limbo {
+		w.send(n, one)
+	}
+	if n.processor != nil {
+		n.processor.resume()
+	}
+	if n.sender != nil {
+		n.sender.pump()
 	}
-	for _, do := range inbox {
-		do()
+	for _, one := range inbox {
+		w.occupy(n, one)
 	}
 }
 
