--- a/core/center/center_test.go
+++ b/core/center/center_test.go
@@ -2,9 +2,7 @@
 package center
 
 import (
-	"encoding/json"
 	"fmt"
-	"slices"
 	"testing"
 	"time"
 
@@ -15,7 +13,7 @@
 
 type node struct {
 	center *Center
-	disk   map[[2]string]json.RawMessage
+	disk   machine.Disk
 	boot   time.Duration
 	up     bool
 }
@@ -35,7 +33,7 @@
 func newNet(t *testing.T) *net {
 	n := &net{t: t, nodes: map[string]*node{}, addr: []string{"a:1", "b:1", "c:1"}, replies: map[uint64]wire.BeatBackBody{}, answers: map[uint64]wire.CommandBackBody{}}
 	for _, at := range n.addr {
-		n.nodes[at] = &node{disk: map[[2]string]json.RawMessage{}}
+		n.nodes[at] = &node{}
 		n.start(at)
 	}
 	return n
@@ -44,17 +42,7 @@
 func (n *net) start(at string) {
 	n.boots++
 	d := n.nodes[at]
-	var records []machine.Record
-	for key, value := range d.disk {
-		records = append(records, machine.Record{Bucket: key[0], Key: key[1], Value: value})
-	}
-	slices.SortFunc(records, func(a, b machine.Record) int {
-		if a.Bucket != b.Bucket {
-			return map[bool]int{true: -1, false: 1}[a.Bucket < b.Bucket]
-		}
-		return map[bool]int{true: -1, false: 1}[a.Key < b.Key]
-	})
-	c, err := New(Env{Address: at, Site: at, Founders: n.addr, FreshID: fmt.Sprintf("%s-%d", at, n.boots), Boot: n.boots}, records)
+	c, err := New(Env{Address: at, Site: at, Founders: n.addr, FreshID: fmt.Sprintf("%s-%d", at, n.boots), Boot: n.boots}, d.disk.Stored())
 	if err != nil {
 		n.t.Fatal(err)
 	}
@@ -70,7 +58,7 @@
 	c := d.center
 	out := c.Step(n.now-d.boot, in)
 	for _, s := range out.Sends {
-		body := machine.MustJSON(s.Body)
+		body := machine.MustMarshal(s.Body)
 		n.queue = append(n.queue, func() { n.deliver(at, s.To, machine.Line{Wire: 1, Kind: s.Kind, From: at, Body: body}) })
 	}
 	for _, w := range out.Writes {
@@ -78,19 +66,7 @@
 			if d.center != c || !d.up {
 				return
 			}
-			for _, bucket := range w.Wipe {
-				for key := range d.disk {
-					if key[0] == bucket {
-						delete(d.disk, key)
-					}
-				}
-			}
-			for _, r := range w.Records {
-				key := [2]string{r.Bucket, r.Key}
-				if delete(d.disk, key); len(r.Value) > 0 {
-					d.disk[key] = r.Value
-				}
-			}
+			d.disk.Apply(w)
 			n.step(at, machine.Input{Wrote: w.Done})
 		})
 	}
@@ -100,12 +76,12 @@
 	switch line.Kind {
 	case wire.BeatBack:
 		var b wire.BeatBackBody
-		if json.Unmarshal(line.Body, &b) == nil {
+		if machine.Unmarshal(line.Body, &b) == nil {
 			n.replies[b.ID] = b
 		}
 	case wire.CommandBack:
 		var b wire.CommandBackBody
-		if json.Unmarshal(line.Body, &b) == nil {
+		if machine.Unmarshal(line.Body, &b) == nil {
 			n.answers[b.ID] = b
 		}
 	default:
@@ -138,7 +114,7 @@
 
 func (n *net) command(cmd ledger.Command) ledger.Answer {
 	n.id++
-	line := machine.Line{Wire: 1, Kind: wire.Command, From: "door", Body: machine.MustJSON(wire.CommandBody{ID: n.id, Command: cmd})}
+	line := machine.Line{Wire: 1, Kind: wire.Command, From: "door", Body: machine.MustMarshal(wire.CommandBody{ID: n.id, Command: cmd})}
 	n.step(n.leader(), machine.Input{Line: line})
 	n.run(50 * time.Millisecond)
 	b, ok := n.answers[n.id]
@@ -150,7 +126,7 @@
 
 func (n *net) beat(b ledger.Beat) wire.BeatBackBody {
 	n.id++
-	line := machine.Line{Wire: 1, Kind: wire.Beat, From: "side", Body: machine.MustJSON(wire.BeatBody{ID: n.id, Hold: 200 * time.Millisecond, Beat: b})}
+	line := machine.Line{Wire: 1, Kind: wire.Beat, From: "side", Body: machine.MustMarshal(wire.BeatBody{ID: n.id, Hold: 200 * time.Millisecond, Beat: b})}
 	n.step(n.leader(), machine.Input{Line: line})
 	n.run(300 * time.Millisecond)
 	return n.replies[n.id]
--- a/core/keeper/keeper.go
+++ b/core/keeper/keeper.go
@@ -45,6 +45,8 @@
 	dueEach    = 50 * time.Millisecond
 	gather     = 4 * time.Millisecond
 	catchUp    = 2 * time.Second
+	// retryAfter is the least time after which a rejected command may come back.
+	retryAfter = time.Second
 )
 
 const (
@@ -54,9 +56,6 @@
 	keyStands   = "stands"
 )
 
-// Buckets are all that a keeper's data file holds.
-var Buckets = append([]string{bucketSelf}, ledger.Buckets...)
-
 type peer struct {
 	heardAt  time.Duration
 	at       ledger.Position
@@ -78,6 +77,7 @@
 	body     wire.CommandBackBody
 	sequence uint64
 	token    uint64
+	takenAt  time.Duration
 }
 
 type ack struct {
@@ -123,7 +123,12 @@
 	synced    uint64
 	token     uint64
 
-	serving   bool
+	serving bool
+	// resuming says that this process keeps the lead from the view before, and serves
+	// on once the new backups have everything; terms counts the times it began anew.
+	resuming  bool
+	terms     uint64
+	waiting   []waitingCommand
 	startAt   time.Duration
 	leadingAt time.Duration
 	beganAt   time.Duration
@@ -133,32 +138,40 @@
 	peers     map[string]peer
 	answers   []pending
 	acks      []ack
-	records   []machine.Record
-	wipe      bool
-	sends     []machine.Send
-	writing   map[uint64]after
-	nextWrite uint64
-	wroteAt   time.Duration
-	followers map[string]follower
-	copies    map[string]wire.NewsBody
-	told      uint64
-	entries   []ledger.Entry
-	found     map[string]finding
-	nodes     []wire.Node
-	flushedAt time.Duration
-	own       []wire.CommandBackBody
-	wall      time.Time
-	stopping  bool
-	wakeAt    time.Duration
-}
-
-// New rebuilds a keeper from its data file. Without an identity on the disk it
-// is a new keeper, whatever stood at its address before.
-func New(env Env, records []machine.Record) (*Keeper, error) {
-	k := &Keeper{env: env, peers: map[string]peer{}, writing: map[uint64]after{}, followers: map[string]follower{}, copies: map[string]wire.NewsBody{}, found: map[string]finding{}}
+	// records, commands and replaced are for the next batch: the keeper's own
+	// records, what was applied, and whether that is of another history.
+	records  []machine.Record
+	commands []json.RawMessage
+	replaced bool
+	// snapshotDue says that the log on the disk has grown long.
+	snapshotDue bool
+	sends       []machine.Send
+	writing     map[uint64]after
+	nextWrite   uint64
+	wroteAt     time.Duration
+	followers   map[string]follower
+	copies      map[string]wire.NewsBody
+	told        uint64
+	entries     []ledger.Entry
+	found       map[string]finding
+	nodes       []wire.Node
+	flushedAt   time.Duration
+	own         []wire.CommandBackBody
+	wall        time.Time
+	stopping    bool
+	wakeAt      time.Duration
+}
+
+// New rebuilds a keeper from its disk. Without an identity there it is a new
+// keeper, whatever stood at its address before.
+func New(env Env, stored machine.Stored) (*Keeper, error) {
+	k := &Keeper{
+		env: env, peers: map[string]peer{}, writing: map[uint64]after{}, followers: map[string]follower{},
+		copies: map[string]wire.NewsBody{}, found: map[string]finding{},
+	}
 	k.seat = wire.Seat{Address: env.Address, Site: env.Site}
 	var rest []machine.Record
-	for _, r := range records {
+	for _, r := range stored.Records {
 		var err error
 		switch {
 		case r.Bucket != bucketSelf:
@@ -175,16 +188,12 @@
 			return nil, fmt.Errorf("record %s/%s: %w", r.Bucket, r.Key, err)
 		}
 	}
-	l, err := ledger.Load(rest)
-	if err != nil {
+	if err := k.recover(rest, stored); err != nil {
 		return nil, err
 	}
-	k.ledger = l
-	k.reset()
-	k.synced = k.ledger.Position().Sequence
 	if k.seat.ID == "" {
-		if len(rest) > 0 || k.witness.Known.Epoch > 0 {
-			return nil, fmt.Errorf("the data file has records but no identity")
+		if len(rest) > 0 || len(stored.Commands) > 0 || k.witness.Known.Epoch > 0 {
+			return nil, fmt.Errorf("the data folder has records but no identity")
 		}
 		k.seat.ID = env.FreshID
 		k.put(keyIdentity, k.seat.ID)
@@ -213,7 +222,7 @@
 	return nil
 }
 
-// reset forgets the tail: a copy begins where the ledger stands.
+// reset forgets the tail: it begins where the ledger stands.
 func (k *Keeper) reset() {
 	k.tail, k.sent = ledger.TailFrom(k.ledger.Position()), k.ledger.Position()
 }
@@ -276,6 +285,7 @@
 	if !in.Wall.IsZero() {
 		k.wall = in.Wall
 	}
+	k.snapshotDue = k.snapshotDue || in.SnapshotDue
 	switch {
 	case in.Wrote > 0:
 		k.wrote(now, in.Wrote, &out)
@@ -322,7 +332,7 @@
 // take decodes a line's body; a damaged one is logged and dropped.
 func take[B any](line machine.Line, out *machine.Output, do func(B)) {
 	var b B
-	if err := json.Unmarshal(line.Body, &b); err != nil {
+	if err := machine.Unmarshal(line.Body, &b); err != nil {
 		out.Log("line_damaged", "kind", line.Kind, "from", line.From, "why", err.Error())
 		return
 	}
@@ -340,16 +350,22 @@
 	return k.serving
 }
 
+// command takes a command if its answer can be of use to the sender.
 func (k *Keeper) command(now time.Duration, from string, b wire.CommandBody, out *machine.Output) {
 	// A stopping leader takes no more: with a new command always under way, the next
 	// backup would never stand where the leader does, and nothing be handed over.
 	if !k.proven(now) || k.stopping {
-		k.back(from, k.notPrimary(b.ID), out)
+		if !k.await(now, from, b) {
+			k.back(from, k.notPrimary(b.ID), out)
+		}
 		return
 	}
-	if len(k.answers) > inFlight {
+	if k.outOfTime(now, b) || b.Resent && k.awaitsCommit(from, b.ID) {
+		return
+	}
+	if why, full := k.full(now, b); full {
 		k.back(from, wire.CommandBackBody{ID: b.ID, Answer: ledger.Answer{
-			Code: code.InboxFull, Why: "too many writes are under way", RetryAfter: time.Second,
+			Code: code.InboxFull, Why: why, RetryAfter: max(retryAfter, k.waited(now)),
 		}}, out)
 		return
 	}
@@ -357,27 +373,86 @@
 		out.Send(from, wire.CommandBack, wire.CommandBackBody{ID: b.ID, Answer: ledger.Answer{Code: code.Malformed, Why: "only the primary itself takes a duty"}})
 		return
 	}
-	var answer ledger.Answer
-	if ledger.Reads(b.Command.Kind) {
-		answer = k.ledger.Read(b.Command)
-	} else {
-		answer = k.apply(now, b.Command)
-	}
-	body := wire.CommandBackBody{ID: b.ID, At: k.ledger.Position().Sequence, Answer: answer}
+	body := wire.CommandBackBody{ID: b.ID, Answer: k.carryOut(now, b.Command)}
+	body.At = k.ledger.Position().Sequence
 	if b.Command.Kind == ledger.KindProve {
+		k.receive(now, from, b.ID, out)
+		body.Answer.Time, body.Answer.Proven = k.ledgerTime(now), body.At
 		body.Keepers = k.Keepers()
 	}
-	k.answers = append(k.answers, pending{from, body, k.ledger.Position().Sequence, k.token + 1})
+	k.answers = append(k.answers, pending{from, body, body.At, k.token + 1, now})
+}
+
+// carryOut reads from the ledger or changes it.
+func (k *Keeper) carryOut(now time.Duration, cmd ledger.Command) ledger.Answer {
+	if ledger.Reads(cmd.Kind) {
+		return k.ledger.Read(cmd)
+	}
+	return k.apply(now, cmd)
+}
+
+// receive tells a sender at once that its question for a proof has arrived. The
+// proof itself waits for the disks. The code is one that proves nothing, for
+// senders that do not know the field.
+func (k *Keeper) receive(now time.Duration, from string, id uint64, out *machine.Output) {
+	if from == "" {
+		return
+	}
+	received := ledger.Answer{Code: code.NoAuthority, Why: "the question has arrived; its answer waits for the disks"}
+	out.Send(from, wire.CommandBack, wire.CommandBackBody{ID: id, Received: true, Answer: received})
 }
 
+// outOfTime says whether nobody waits for the command's answer any more: what it
+// spent in queues on its way is seen by the ledger's time.
+func (k *Keeper) outOfTime(now time.Duration, b wire.CommandBody) bool {
+	return b.Deadline > 0 && k.ledgerTime(now) >= b.Deadline
+}
+
+// awaitsCommit says whether an earlier copy of a command is among those that wait
+// for their commit; its answer serves both.
+func (k *Keeper) awaitsCommit(from string, id uint64) bool {
+	return slices.ContainsFunc(k.answers, func(a pending) bool { return a.to == from && a.body.ID == id })
+}
+
+// full says why a command is not admitted: too much waits for its commit, or it has
+// waited for longer than the command has time.
+func (k *Keeper) full(now time.Duration, b wire.CommandBody) (why string, full bool) {
+	if len(k.answers) > inFlight {
+		return "too many writes are under way", true
+	}
+	left := b.Left
+	if b.Deadline > 0 {
+		left = min(left, b.Deadline-k.ledgerTime(now))
+	}
+	return "what is under way takes longer than this request has time", b.Left > 0 && k.waited(now) >= left
+}
+
+// waited is how long the oldest command has waited for its commit. As commits are
+// in order, a new one is not expected to take less.
+func (k *Keeper) waited(now time.Duration) time.Duration {
+	if len(k.answers) == 0 {
+		return 0
+	}
+	return now - k.answers[0].takenAt
+}
+
+// ledgerTime is the ledger's time by this leader's clock.
+func (k *Keeper) ledgerTime(now time.Duration) time.Duration { return k.leadingAt + now - k.beganAt }
+
 func (k *Keeper) apply(now time.Duration, cmd ledger.Command) ledger.Answer {
 	cmd.Position = ledger.Position{Epoch: k.witness.Known.Epoch, Sequence: k.ledger.Position().Sequence + 1}
-	cmd.At = k.leadingAt + now - k.beganAt
+	cmd.At = k.ledgerTime(now)
 	if cmd.Kind == ledger.KindAccept && cmd.Accept.Repeat.Count > 0 {
 		cmd.Wall = k.wall
 	}
+	return k.applyLogged(ledger.Encode(cmd))
+}
+
+// applyLogged applies a command, keeps it for the replicas and has it logged.
+func (k *Keeper) applyLogged(cmd ledger.Logged) ledger.Answer {
 	k.tail.Add(cmd)
-	return k.ledger.Apply(cmd)
+	k.commands = append(k.commands, cmd.Encoded)
+	return k.ledger.Apply(cmd.Command)
 }
 
 func (k *Keeper) notPrimary(id uint64) wire.CommandBackBody {
@@ -412,24 +487,25 @@
 	if k.entries = append(k.entries, k.ledger.TakeEntries()...); !k.serving && len(k.entries) > 2*entryMax {
 		k.entries = slices.Clone(k.entries[len(k.entries)-entryMax:])
 	}
-	k.records = append(k.records, k.ledger.TakeDirty()...)
-	if len(k.records) == 0 && len(k.sends) == 0 {
-		k.settle(out)
-		return
-	}
-	if len(k.records) == 0 {
+	if len(k.records) == 0 && len(k.commands) == 0 && !k.replaced {
 		out.Sends = append(out.Sends, k.sends...)
 		k.sends = nil
 		k.settle(out)
 		return
 	}
+	k.write(now, out)
+}
+
+// write issues the next batch, with a snapshot if one is due.
+func (k *Keeper) write(now time.Duration, out *machine.Output) {
 	k.nextWrite++
-	w := machine.Write{Done: k.nextWrite, Records: k.records}
-	if k.wipe {
-		w.Wipe = ledger.Buckets
+	w := machine.Write{Done: k.nextWrite, Records: k.records, Commands: k.commands}
+	if k.snapshotDue || k.replaced {
+		w.Snapshot, w.Replace = k.ledger.Capture().Records(), k.replaced
 	}
 	k.writing[k.nextWrite] = after{k.sends, k.ledger.Position().Sequence, k.stands}
-	k.records, k.sends, k.wipe, k.wroteAt = nil, nil, false, now
+	k.records, k.commands, k.sends, k.wroteAt = nil, nil, nil, now
+	k.snapshotDue, k.replaced = false, false
 	out.Writes = append(out.Writes, w)
 }
 
@@ -442,11 +518,15 @@
 	commands, _ := k.tail.Since(k.sent)
 	k.token++
 	k.beatAt = now
+	var receivers []string
 	for _, seat := range k.witness.Known.Witnesses {
 		if seat.ID != k.seat.ID {
-			out.Send(seat.Address, wire.Replicate, wire.ReplicateBody{Boot: k.env.Boot, View: k.witness.Known, From: k.seat, Token: k.token, After: k.sent, Commands: slices.Clone(commands)})
+			receivers = append(receivers, seat.Address)
 		}
 	}
+	out.Broadcast(receivers, wire.Replicate, wire.ReplicateBody{
+		Boot: k.env.Boot, View: k.witness.Known, From: k.seat, Token: k.token, After: k.sent, Commands: commands,
+	})
 	k.sent = position
 }
 
@@ -548,12 +628,7 @@
 	body := wire.NewsBody{Epoch: k.witness.Known.Epoch, After: f.at, At: f.at}
 	commands, ok := k.tail.Since(f.at)
 	if ok {
-		for _, c := range commands {
-			if c.Sequence <= k.committed {
-				body.Commands = append(body.Commands, c)
-				body.At = c.Position
-			}
-		}
+		body.Commands, body.At = k.committedOf(f.at, commands)
 	} else {
 		whole, waits := k.copies[address]
 		if !waits {
@@ -570,6 +645,17 @@
 	out.Send(address, wire.News, body)
 }
 
+// committedOf gives those of the commands after a position that are committed, and
+// where they end.
+func (k *Keeper) committedOf(at ledger.Position, commands []json.RawMessage) ([]json.RawMessage, ledger.Position) {
+	count := min(len(commands), int(k.committed-min(k.committed, at.Sequence)))
+	if count == 0 {
+		return nil, at
+	}
+	end, _ := k.tail.At(at.Sequence + uint64(count))
+	return commands[:count:count], end
+}
+
 func (k *Keeper) follow(now time.Duration, from string, b wire.FollowBody, out *machine.Output) {
 	if !k.proven(now) {
 		body := wire.NewsBody{Bounced: true, At: b.At, After: b.At}
--- a/core/keeper/keeper_test.go
+++ b/core/keeper/keeper_test.go
@@ -5,11 +5,9 @@
 package keeper
 
 import (
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"sort"
 	"strings"
 	"testing"
 	"time"
@@ -28,11 +26,15 @@
 	k       *Keeper
 	life    int
 	boot    time.Duration
-	disk    map[[2]string]json.RawMessage
+	disk    *machine.Disk
 	cut     bool
 	slow    time.Duration
 }
 
+// newDisk is an empty disk with room for so little log that days of a few seconds
+// have several snapshots.
+func newDisk() *machine.Disk { return &machine.Disk{SnapshotEach: 4096} }
+
 // trio is a cluster of three founders and whoever is added later.
 type trio struct {
 	t        *testing.T
@@ -52,6 +54,8 @@
 	// late is by how much a line comes later; a negative one never comes.
 	late  func(from, to, kind string) time.Duration
 	sends map[string]int
+	// rejected counts the writes that a host sent elsewhere.
+	rejected map[string]int
 }
 
 func newTrio(t *testing.T) *trio {
@@ -67,11 +71,11 @@
 }
 
 func emptyTrio(t *testing.T) *trio {
-	return &trio{t: t, agenda: map[time.Duration][]func(){}, founders: []string{"a", "b", "c"}, answered: map[uint64]uint64{}, logs: map[string]int{}, sites: map[string]string{}, sends: map[string]int{}}
+	return &trio{t: t, agenda: map[time.Duration][]func(){}, founders: []string{"a", "b", "c"}, answered: map[uint64]uint64{}, logs: map[string]int{}, sites: map[string]string{}, sends: map[string]int{}, rejected: map[string]int{}}
 }
 
 func (c *trio) add(address string) *host {
-	h := &host{address: address, disk: map[[2]string]json.RawMessage{}}
+	h := &host{address: address, disk: newDisk()}
 	c.hosts = append(c.hosts, h)
 	c.start(h)
 	return h
@@ -92,18 +96,11 @@
 	}
 	h.life++
 	h.boot = c.now
-	var records []machine.Record
-	for key, value := range h.disk {
-		records = append(records, machine.Record{Bucket: key[0], Key: key[1], Value: value})
-	}
-	sort.Slice(records, func(i, j int) bool {
-		return records[i].Bucket+"/"+records[i].Key < records[j].Bucket+"/"+records[j].Key
-	})
 	env := Env{Address: h.address, Site: c.site(h.address), Copies: c.copies, FreshID: fmt.Sprintf("%s-%d", h.address, h.life), Boot: uint64(h.life)<<16 + uint64(h.address[0])}
 	if slices.Contains(c.founders, h.address) || len(c.proxies) > 0 {
 		env.Founders = c.founders
 	}
-	k, err := New(env, records)
+	k, err := New(env, h.disk.Stored())
 	if err != nil {
 		c.t.Fatalf("%s refuses its own disk: %v", h.address, err)
 	}
@@ -131,7 +128,7 @@
 func (c *trio) wipe(h *host) {
 	c.kill(h)
 	c.say("wipe %s", h.address)
-	h.disk = map[[2]string]json.RawMessage{}
+	h.disk = newDisk()
 }
 
 func (c *trio) say(format string, args ...any) {
@@ -153,7 +150,7 @@
 	for _, s := range out.Sends {
 		if slices.Contains(c.proxies, s.To) && s.Kind == wire.Found {
 			body := wire.FoundBody{Seat: wire.Seat{ID: s.To, Address: s.To, Site: c.site(s.To)}, Empty: true, Proxy: true}
-			line := machine.Line{Wire: machine.WireSequence, Kind: wire.FoundBack, From: s.To, Body: machine.MustJSON(body)}
+			line := machine.Line{Wire: machine.WireSequence, Kind: wire.FoundBack, From: s.To, Body: machine.MustMarshal(body)}
 			c.after(2*stride, func() {
 				if h.k != nil && h.life == life {
 					c.step(h, machine.Input{Line: line})
@@ -169,7 +166,7 @@
 		if to == nil || h.cut {
 			continue
 		}
-		line := machine.Line{Wire: machine.WireSequence, Kind: s.Kind, From: h.address, Body: machine.MustJSON(s.Body)}
+		line := machine.Line{Wire: machine.WireSequence, Kind: s.Kind, From: h.address, Body: machine.MustMarshal(s.Body)}
 		c.logs["line "+s.Kind+" to "+s.To]++
 		c.sends[s.Kind]++
 		var late time.Duration
@@ -189,21 +186,8 @@
 			if h.life != life {
 				return
 			}
-			for _, bucket := range w.Wipe {
-				for key := range h.disk {
-					if key[0] == bucket {
-						delete(h.disk, key)
-					}
-				}
-			}
-			for _, r := range w.Records {
-				if len(r.Value) == 0 {
-					delete(h.disk, [2]string{r.Bucket, r.Key})
-				} else {
-					h.disk[[2]string{r.Bucket, r.Key}] = r.Value
-				}
-			}
-			c.step(h, machine.Input{Wrote: w.Done})
+			h.disk.Apply(w)
+			c.step(h, machine.Input{Wrote: w.Done, SnapshotDue: h.disk.SnapshotDue()})
 		})
 	}
 	if out.Stopped {
@@ -219,13 +203,16 @@
 		}
 		c.asked++
 		cmd := ledger.Command{Kind: ledger.KindPlan, Plan: ledger.PlanChange{Forced: true, Patch: true, Body: fmt.Appendf(nil, `{"limits":{"keep":"%dm"}}`, 10+c.asked)}}
-		line := machine.Line{Wire: machine.WireSequence, Kind: wire.Command, From: "writer", Body: machine.MustJSON(wire.CommandBody{ID: c.asked, Command: cmd})}
+		line := machine.Line{Wire: machine.WireSequence, Kind: wire.Command, From: "writer", Body: machine.MustMarshal(wire.CommandBody{ID: c.asked, Command: cmd})}
 		c.step(h, machine.Input{Line: line})
 	}
 }
 
 func (c *trio) answer(h *host, s machine.Send) {
 	b, ok := s.Body.(wire.CommandBackBody)
+	if ok && b.Answer.Code == code.NotPrimary {
+		c.rejected[h.address]++
+	}
 	if !ok || h.cut || b.Answer.Code == code.NotPrimary {
 		return
 	}
@@ -272,7 +259,7 @@
 	}
 	for _, h := range c.hosts {
 		if h.k != nil && !h.cut {
-			c.step(h, machine.Input{Line: machine.Line{Wire: machine.WireSequence, Kind: wire.Nodes, Body: machine.MustJSON(wire.Gossip{Nodes: nodes})}})
+			c.step(h, machine.Input{Line: machine.Line{Wire: machine.WireSequence, Kind: wire.Nodes, Body: machine.MustMarshal(wire.Gossip{Nodes: nodes})}})
 		}
 	}
 }
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -28,7 +28,7 @@
 func (c *town) send(from string, out machine.Output) {
 	for _, s := range out.Sends {
 		if to := c.members[s.To]; to != nil {
-			line := machine.Line{Wire: 1, Kind: s.Kind, From: from, Body: machine.MustJSON(s.Body)}
+			line := machine.Line{Wire: 1, Kind: s.Kind, From: from, Body: machine.MustMarshal(s.Body)}
 			c.send(s.To, to.Step(c.now, machine.Input{Line: line}))
 		}
 	}
@@ -110,7 +110,7 @@
 			hear = append(hear, wire.Node{ID: name, Role: "scheduler", Site: site, Address: name})
 		}
 		line := func(kind, from string, body any) machine.Input {
-			return machine.Input{Line: machine.Line{Wire: 1, Kind: kind, From: from, Body: machine.MustJSON(body)}}
+			return machine.Input{Line: machine.Line{Wire: 1, Kind: kind, From: from, Body: machine.MustMarshal(body)}}
 		}
 		asked.Step(time.Second, line(wire.ShuffleBack, "x", wire.Gossip{Nodes: hear}))
 		self := wire.Node{ID: "new", Role: "keeper", Site: "a", Address: "new"}
