--- a/core/keeper/control_found_test.go
+++ b/core/keeper/control_found_test.go
@@ -166,7 +166,9 @@
 				c.pass(time.Duration(moment) * stride)
 				c.losePower(row.all, losses)
 				c.slow = nil
-				c.firstStart = slices.ContainsFunc(c.founders, func(address string) bool { return len(c.host(address).disk.Stored().Records) == 0 })
+				c.firstStart = slices.ContainsFunc(c.founders, func(address string) bool {
+					return len(c.host(address).disk.Stored().Records) == 0
+				})
 				c.pass(time.Duration(chance.IntN(100)) * stride)
 				for _, at := range chance.Perm(len(c.hosts)) {
 					c.start(c.hosts[at])
--- a/core/keeper/control_loss_test.go
+++ b/core/keeper/control_loss_test.go
@@ -429,7 +429,8 @@
 	answered := len(c.answered)
 	c.pass(5 * time.Second)
 	if votes > 0 || len(c.answered) != answered {
-		t.Errorf("%d votes of an empty disk, %d answers with one old disk of three\n%s", votes, len(c.answered)-answered, c.tell(40))
+		t.Errorf("%d votes of an empty disk, %d answers with one old disk of three\n%s",
+			votes, len(c.answered)-answered, c.tell(40))
 	}
 	c.host("a").cut = false
 	c.settled("the cut is mended", serveAgain)
--- a/core/keeper/control_test.go
+++ b/core/keeper/control_test.go
@@ -44,7 +44,10 @@
 		c.asked++
 		c.asks[c.asked] = c.newest()
 		body := wire.CommandBody{ID: c.asked, Command: ledger.Command{Kind: ledger.KindReadPlan}}
-		c.step(h, machine.Input{Line: machine.Line{Wire: machine.WireSequence, Kind: wire.Command, From: "reader", Body: machine.MustMarshal(body)}})
+		line := machine.Line{
+			Wire: machine.WireSequence, Kind: wire.Command, From: "reader", Body: machine.MustMarshal(body),
+		}
+		c.step(h, machine.Input{Line: line})
 	}
 }
 
@@ -58,7 +61,8 @@
 		c.onRead(h, b)
 	}
 	if want := c.asks[b.ID]; b.Answer.Sequence < want {
-		c.t.Errorf("%s handed out plan %d at %s; plan %d had been answered before it was asked", h.address, b.Answer.Sequence, c.now, want)
+		c.t.Errorf("%s handed out plan %d at %s; plan %d had been answered before it was asked",
+			h.address, b.Answer.Sequence, c.now, want)
 	}
 }
 
