--- a/tool/sim/disk.go
+++ b/tool/sim/disk.go
@@ -31,13 +31,6 @@
 // stored is how many records a process's disk holds.
 func (n *node) stored() int { return len(n.disk.Stored().Records) }
 
-func recordsIn(out machine.Output) (count int) {
-	for _, b := range out.Writes {
-		count += len(b.Records) + len(b.Commands)
-	}
-	return count
-}
-
 func bytesIn(b machine.Write) (size int) {
 	for _, r := range b.Records {
 		size += len(r.Key) + len(r.Value)
