--- a/core/center/renewal_test.go
+++ b/core/center/renewal_test.go
@@ -183,7 +183,8 @@
 	if back := n.replies[id].Answer; !back.Code.Good() {
 		t.Fatalf("%+v", back)
 	}
-	if left, want := cutoff-now, testLease-(n.now-heard); left > want+10*time.Millisecond || left < want-10*time.Millisecond {
+	if left, want := cutoff-now, testLease-(n.now-heard); left > want+10*time.Millisecond ||
+		left < want-10*time.Millisecond {
 		t.Errorf("%s after its last report the worker has %s left, not %s", n.now-heard, left, want)
 	}
 	l := n.nodes[n.leader()].center.Keeper().Ledger()
--- a/core/center/storm_test.go
+++ b/core/center/storm_test.go
@@ -33,7 +33,9 @@
 	for i := range count {
 		s := &side{net: n, address: fmt.Sprintf("side-%d:1", i), runFor: runFor, until: map[ledger.Attempt]time.Duration{}}
 		s.agent = agent.New(agent.Env{Address: s.address, Site: "x", Keepers: n.addr, First: uint64(i) << 32})
-		s.call = agent.Call{Worker: fmt.Sprintf("w%03d", i), Address: s.address, Service: "s", Site: "x", Free: ledger.Room{Slots: 20}}
+		s.call = agent.Call{
+			Worker: fmt.Sprintf("w%03d", i), Address: s.address, Service: "s", Site: "x", Free: ledger.Room{Slots: 20},
+		}
 		s.nextAt = n.now + time.Duration(i%20)*5*time.Millisecond
 		n.sides[s.address], n.allSides = s, append(n.allSides, s)
 	}
--- a/core/dispatch/rebuild_test.go
+++ b/core/dispatch/rebuild_test.go
@@ -27,7 +27,9 @@
 	}
 	for i := range manyTasks / 1000 {
 		steps := []ledger.StepSpec{{Count: 1000, Room: ledger.Room{Slots: 1}}}
-		w.Must(ledger.Command{Kind: ledger.KindAccept, Accept: ledger.JobSpec{ID: fmt.Sprintf("j%d", i), Service: "tickets", Class: "batch", Steps: steps}})
+		w.Must(ledger.Command{Kind: ledger.KindAccept, Accept: ledger.JobSpec{
+			ID: fmt.Sprintf("j%d", i), Service: "tickets", Class: "batch", Steps: steps,
+		}})
 	}
 	w.Job("quick", "quick", "a")
 	return w
@@ -48,7 +50,8 @@
 		if steps++; steps == 1 {
 			held := dispatch.Held{Tasks: map[dispatch.Ref]bool{}}
 			for worker, waits := range d.Inboxes() {
-				if choice, ok := d.Next(w.Ledger, worker, held, dispatch.Pull{Quick: true}); ok && waits > 0 && choice.Refs[0].Job == "quick" {
+				if choice, ok := d.Next(w.Ledger, worker, held, dispatch.Pull{Quick: true}); ok && waits > 0 &&
+					choice.Refs[0].Job == "quick" {
 					held.Tasks[choice.Refs[0]] = true
 				}
 			}
@@ -114,7 +117,9 @@
 	w.Worker("w0", 8)
 	steps := []ledger.StepSpec{{Count: 1000, Room: ledger.Room{Slots: 1}, Labels: []string{"ssd"}}}
 	for i := range manyTasks / 1000 {
-		w.Must(ledger.Command{Kind: ledger.KindAccept, Accept: ledger.JobSpec{ID: fmt.Sprintf("j%d", i), Service: "tickets", Class: "batch", Steps: steps}})
+		w.Must(ledger.Command{Kind: ledger.KindAccept, Accept: ledger.JobSpec{
+			ID: fmt.Sprintf("j%d", i), Service: "tickets", Class: "batch", Steps: steps,
+		}})
 	}
 	d := dispatch.New()
 	for d.Update(w.Ledger, w.Ledger.TakeChanges()); d.Rebuilding(); {
--- a/core/ledger/renewal_test.go
+++ b/core/ledger/renewal_test.go
@@ -142,10 +142,15 @@
 			worker := fmt.Sprintf("w%d", chance.IntN(2))
 			switch chance.IntN(9) {
 			case 0:
-				both(ledger.Command{Kind: ledger.KindAccept, Accept: ledgertest.Spec(fmt.Sprintf("j%d", step), "quick", "a", "b<a", "x[g]", "y[g]")})
+				both(ledger.Command{
+					Kind:   ledger.KindAccept,
+					Accept: ledgertest.Spec(fmt.Sprintf("j%d", step), "quick", "a", "b<a", "x[g]", "y[g]"),
+				})
 			case 1, 2:
 				job, task := fmt.Sprintf("j%d", chance.IntN(step+1)), []string{"a", "b"}[chance.IntN(2)]
-				grant := ledger.Grant{Duty: ledgertest.Duty, Epoch: 1, Picks: []ledger.Pick{{Job: job, Task: task, Worker: worker, Beat: numbers[worker]}}}
+				grant := ledger.Grant{Duty: ledgertest.Duty, Epoch: 1, Picks: []ledger.Pick{
+					{Job: job, Task: task, Worker: worker, Beat: numbers[worker]},
+				}}
 				both(ledger.Command{Kind: ledger.KindGrant, Grant: grant})
 				attempts = append(attempts, ledger.Attempt{Job: job, Task: task, Try: 1 + chance.IntN(2)})
 			case 3:
@@ -158,7 +163,10 @@
 				}
 			default:
 				numbers[worker]++
-				b := ledger.Beat{Worker: worker, Incarnation: 1, Number: numbers[worker], Site: "a", Service: "tickets", Free: room(8), Total: room(8)}
+				b := ledger.Beat{
+					Worker: worker, Incarnation: 1, Number: numbers[worker], Site: "a", Service: "tickets",
+					Free: room(8), Total: room(8),
+				}
 				for _, turn := range whole.Ledger.TurnsOn(worker) {
 					if chance.IntN(8) > 0 {
 						b.Running = append(b.Running, turn.Attempt)
@@ -174,7 +182,9 @@
 				var changes bool
 				if cmd.Beat, changes = brief.Ledger.Reduce(b); !changes {
 					calm++
-					cmd = ledger.Command{Kind: ledger.KindRenew, Renew: []ledger.Renewal{{Worker: worker, Incarnation: 1, Number: b.Number}}}
+					cmd = ledger.Command{Kind: ledger.KindRenew, Renew: []ledger.Renewal{
+						{Worker: worker, Incarnation: 1, Number: b.Number},
+					}}
 				} else if cmd.Beat.Reduced {
 					reduced++
 				}
@@ -202,7 +212,10 @@
 	w.Must(ledger.Command{Kind: ledger.KindBeat, Beat: reportOf(1)})
 	before, _ := w.Ledger.Worker("w")
 	w.Pass(2 * time.Second)
-	renewals := []ledger.Renewal{{Worker: "w", Incarnation: 1, Number: 5, Ago: 300 * time.Millisecond}, {Worker: "unknown", Incarnation: 1, Number: 1}}
+	renewals := []ledger.Renewal{
+		{Worker: "w", Incarnation: 1, Number: 5, Ago: 300 * time.Millisecond},
+		{Worker: "unknown", Incarnation: 1, Number: 1},
+	}
 	w.Must(ledger.Command{Kind: ledger.KindRenew, Renew: renewals})
 	after, _ := w.Ledger.Worker("w")
 	if after.SeenAt != w.At-300*time.Millisecond || after.CutoffAt != after.SeenAt+6*time.Second || after.Number != 5 {
@@ -211,8 +224,11 @@
 	if _, known := w.Ledger.Worker("unknown"); known {
 		t.Error("a renewal made a worker")
 	}
-	w.Must(ledger.Command{Kind: ledger.KindRenew, Renew: []ledger.Renewal{{Worker: "w", Incarnation: 1, Number: 4, Ago: 4 * time.Second}}})
-	if again, _ := w.Ledger.Worker("w"); again.SeenAt != after.SeenAt || again.CutoffAt != after.CutoffAt || again.Number != 5 {
+	w.Must(ledger.Command{Kind: ledger.KindRenew, Renew: []ledger.Renewal{
+		{Worker: "w", Incarnation: 1, Number: 4, Ago: 4 * time.Second},
+	}})
+	if again, _ := w.Ledger.Worker("w"); again.SeenAt != after.SeenAt || again.CutoffAt != after.CutoffAt ||
+		again.Number != 5 {
 		t.Errorf("a renewal that is late took back %+v to %+v", after, again)
 	}
 	same(t, w.Ledger)
@@ -230,7 +246,9 @@
 	w.Must(ledger.Command{Kind: ledger.KindBeat, Beat: reportOf(8)})
 	same(t, w.Ledger)
 	w.Job("j", "quick", "a")
-	grant := ledger.Grant{Duty: ledgertest.Duty, Epoch: 1, Picks: []ledger.Pick{{Job: "j", Task: "a", Worker: "w", Beat: 12}}}
+	grant := ledger.Grant{Duty: ledgertest.Duty, Epoch: 1, Picks: []ledger.Pick{
+		{Job: "j", Task: "a", Worker: "w", Beat: 12},
+	}}
 	w.Must(ledger.Command{Kind: ledger.KindGrant, Grant: grant})
 	if turn := w.Ledger.TurnsOn("w")[0].Turn; turn.Beat != 12 {
 		t.Errorf("the turn was granted on report %d", turn.Beat)
--- a/tool/cmd/simulate/grown.go
+++ b/tool/cmd/simulate/grown.go
@@ -10,7 +10,10 @@
 
 // grown plays grown days with one fault, or each, and ends with 1 if one of them is not
 // served again in time.
-func grown(fault string, scale float64, hardware *sim.Hardware, from, to uint64, verbose bool, bad func(string, ...any) int) int {
+func grown(
+	fault string, scale float64, hardware *sim.Hardware, from, to uint64, verbose bool,
+	bad func(string, ...any) int,
+) int {
 	faults := slices.Sorted(maps.Keys(sim.GrownFaults))
 	switch {
 	case fault == "none" || slices.Contains(faults, fault):
--- a/tool/sim/center_break.go
+++ b/tool/sim/center_break.go
@@ -72,6 +72,7 @@
 		do()
 		c.hurt(14 * time.Second)
 	}
-	c.submit(c.job("batch", fmt.Sprintf("armed-%d", c.w.Now/time.Millisecond), []ledger.StepSpec{{Count: 1}}, []int64{100}, ledger.Repeat{}))
+	c.submit(c.job("batch", fmt.Sprintf("armed-%d", c.w.Now/time.Millisecond),
+		[]ledger.StepSpec{{Count: 1}}, []int64{100}, ledger.Repeat{}))
 	c.hurt(14 * time.Second)
 }
--- a/tool/sim/center_callers.go
+++ b/tool/sim/center_callers.go
@@ -18,7 +18,9 @@
 // carry hands a command to a door's relay.
 func (c *Centers) carry(who string, turn int, cmd ledger.Command, back func(ledger.Answer, bool)) {
 	d := c.door(turn)
-	c.w.Ask(who, d.site, d.address, machine.Ask{Kind: relay.AskCommand, Value: cmd, Wait: commandWait}, commandWait+time.Second, func(v any) {
+	c.w.Ask(who, d.site, d.address, machine.Ask{
+		Kind: relay.AskCommand, Value: cmd, Wait: commandWait,
+	}, commandWait+time.Second, func(v any) {
 		c.w.trace(who, d.address, cmd.Kind, v.(ledger.Answer).Code.String())
 	}, func(v any, ok bool) {
 		a, is := v.(ledger.Answer)
@@ -44,7 +46,9 @@
 			c.w.After(after, func() { c.submit(one) })
 		}
 	}
-	c.carry("caller", one.turn, ledger.Command{Kind: ledger.KindAccept, Host: centerHost, Path: one.asks.Path, Brief: true, Accept: one.asks}, func(a ledger.Answer, ok bool) {
+	c.carry("caller", one.turn, ledger.Command{
+		Kind: ledger.KindAccept, Host: centerHost, Path: one.asks.Path, Brief: true, Accept: one.asks,
+	}, func(a ledger.Answer, ok bool) {
 		switch {
 		case !ok:
 			one.unclear = true
@@ -84,7 +88,9 @@
 		return
 	}
 	one.turn++
-	c.carry("caller", one.turn, ledger.Command{Kind: ledger.KindRead, Name: one.spec.ID, Host: centerHost, Path: one.asks.Path}, func(a ledger.Answer, ok bool) {
+	c.carry("caller", one.turn, ledger.Command{
+		Kind: ledger.KindRead, Name: one.spec.ID, Host: centerHost, Path: one.asks.Path,
+	}, func(a ledger.Answer, ok bool) {
 		if ok && (a.Code.Good() || a.Code == code.UnknownJob) {
 			one.asked++
 		}
--- a/tool/sim/center_faults.go
+++ b/tool/sim/center_faults.go
@@ -127,7 +127,8 @@
 	},
 	"worker-cut": func(c *Centers) {
 		if b := c.worker(); b != nil {
-			c.cut(b.place.address, b.place.side.address, c.w.chance.IntN(2) == 0, time.Duration(1000+c.w.chance.IntN(14000))*time.Millisecond)
+			c.cut(b.place.address, b.place.side.address, c.w.chance.IntN(2) == 0,
+				time.Duration(1000+c.w.chance.IntN(14000))*time.Millisecond)
 			c.slow(16 * time.Second)
 		}
 	},
@@ -154,7 +155,8 @@
 		for i := range 120 {
 			name := fmt.Sprintf("crowd%d-%d", c.w.Now/time.Millisecond, i)
 			if i%3 == 0 {
-				c.submit(c.job("batch", name, []ledger.StepSpec{{Count: 4}, {Count: 1, After: []int{0}}}, []int64{400, 50}, ledger.Repeat{}))
+				c.submit(c.job("batch", name,
+					[]ledger.StepSpec{{Count: 4}, {Count: 1, After: []int{0}}}, []int64{400, 50}, ledger.Repeat{}))
 			} else {
 				c.submit(c.job("lookup", name, []ledger.StepSpec{{Count: 1}}, []int64{60}, ledger.Repeat{}))
 			}
@@ -191,7 +193,8 @@
 	return out
 }
 
-// ParseCenterFaults reads a list of kinds of this composition. ControlDay is the name of all faults of the control days together.
+// ParseCenterFaults reads a list of kinds of this composition.
+// ControlDay is the name of all faults of the control days together.
 func ParseCenterFaults(text string) ([]string, error) {
 	switch text {
 	case "all":
--- a/tool/sim/center_jobs.go
+++ b/tool/sim/center_jobs.go
@@ -21,8 +21,13 @@
 		}
 	}
 	payload := machine.MustJSON(map[string]any{"runMs": ms})
-	one := &caller{turn: c.w.chance.IntN(64), asks: ledger.JobSpec{ID: id, Host: centerHost, Path: "/" + class + "/" + id, Payload: payload, Steps: steps, Repeat: repeat}}
-	one.spec = ledger.JobSpec{ID: id, Service: service, Class: class, Tasks: written(steps, max(1, repeat.Count), map[string]int{"long": 5}[class])}
+	one := &caller{turn: c.w.chance.IntN(64), asks: ledger.JobSpec{
+		ID: id, Host: centerHost, Path: "/" + class + "/" + id, Payload: payload, Steps: steps, Repeat: repeat,
+	}}
+	one.spec = ledger.JobSpec{
+		ID: id, Service: service, Class: class,
+		Tasks: written(steps, max(1, repeat.Count), map[string]int{"long": 5}[class]),
+	}
 	c.callers, c.byID[id] = append(c.callers, one), one
 	return one
 }
@@ -44,7 +49,10 @@
 				gang = fmt.Sprintf("%d.%d", t, s)
 			}
 			for n := range step.Count {
-				out = append(out, ledger.TaskSpec{ID: fmt.Sprintf("%d.%d.%d", t, s, n), After: after, Room: step.Room, Labels: step.Labels, Gang: gang, AllowedDefects: defects, Placing: step.Placing, Time: t, Step: s})
+				out = append(out, ledger.TaskSpec{
+					ID: fmt.Sprintf("%d.%d.%d", t, s, n), After: after, Room: step.Room, Labels: step.Labels, Gang: gang,
+					AllowedDefects: defects, Placing: step.Placing, Time: t, Step: s,
+				})
 			}
 		}
 	}
@@ -104,34 +112,54 @@
 		steps, ms := []ledger.StepSpec{{Count: 2}, {Count: 1, After: []int{0}}}, []int64{250, 250}
 		switch i % 5 {
 		case 1:
-			steps = []ledger.StepSpec{{Count: 3, Gang: true, Placing: ledger.Placing{SameRack: true, Progress: true}}, {Count: 1, After: []int{0}}}
+			steps = []ledger.StepSpec{
+				{Count: 3, Gang: true, Placing: ledger.Placing{SameRack: true, Progress: true}},
+				{Count: 1, After: []int{0}},
+			}
 			ms = []int64{900, 100}
 		case 2:
 			steps = []ledger.StepSpec{{Count: 4, Placing: ledger.Placing{PerWorker: 1}}, {Count: 2, Labels: []string{"ssd"}}}
 			ms = []int64{800, 200}
 		case 3:
-			steps = []ledger.StepSpec{{Count: 1, Placing: ledger.Placing{NearRack: "r1"}}, {Count: 2, Gang: true, After: []int{0}}, {Count: 2, After: []int{0, 1}, Placing: ledger.Placing{Copies: true}}}
+			steps = []ledger.StepSpec{
+				{Count: 1, Placing: ledger.Placing{NearRack: "r1"}},
+				{Count: 2, Gang: true, After: []int{0}},
+				{Count: 2, After: []int{0, 1}, Placing: ledger.Placing{Copies: true}},
+			}
 			ms = []int64{100, 400, 200}
 		}
 		give(c.job("batch", fmt.Sprintf("batch-%d", i), steps, ms, ledger.Repeat{}), i)
 	})
 	each(0.5, func(i int) {
-		steps := []ledger.StepSpec{{Count: 2, Room: ledger.Room{Slots: 2, MemoryMB: 12}, Placing: ledger.Placing{Progress: true, Guess: millis(4000)}}}
+		steps := []ledger.StepSpec{{
+			Count: 2, Room: ledger.Room{Slots: 2, MemoryMB: 12},
+			Placing: ledger.Placing{Progress: true, Guess: millis(4000)},
+		}}
 		if i%3 == 0 {
 			steps[0].Copies = true
 		}
 		give(c.job("long", fmt.Sprintf("long-%d", i), steps, []int64{4000}, ledger.Repeat{}), i)
 	})
 	each(0.6, func(i int) {
-		give(c.job("print", fmt.Sprintf("print-%d", i), []ledger.StepSpec{{Count: 2, Room: ledger.Room{Slots: 3, MemoryMB: 30}}, {Count: 1, After: []int{0}}}, []int64{600, 100}, ledger.Repeat{}), i)
+		give(c.job("print", fmt.Sprintf("print-%d", i), []ledger.StepSpec{
+			{Count: 2, Room: ledger.Room{Slots: 3, MemoryMB: 30}},
+			{Count: 1, After: []int{0}},
+		}, []int64{600, 100}, ledger.Repeat{}), i)
 	})
 	each(0.25, func(i int) {
-		repeat := ledger.Repeat{Count: 4, FirstAt: c.w.wall().Add(time.Duration(c.w.chance.IntN(3000)) * time.Millisecond).Truncate(time.Millisecond), Every: millis(1200)}
-		give(c.job("batch", fmt.Sprintf("repeated-%d", i), []ledger.StepSpec{{Count: 2}, {Count: 1, After: []int{0}}}, []int64{150, 50}, repeat), i)
+		repeat := ledger.Repeat{
+			Count:   4,
+			FirstAt: c.w.wall().Add(time.Duration(c.w.chance.IntN(3000)) * time.Millisecond).Truncate(time.Millisecond),
+			Every:   millis(1200),
+		}
+		give(c.job("batch", fmt.Sprintf("repeated-%d", i),
+			[]ledger.StepSpec{{Count: 2}, {Count: 1, After: []int{0}}}, []int64{150, 50}, repeat), i)
 	})
 	for i := range 2 {
 		c.w.At(8*time.Second, func() {
-			one := c.job("long", fmt.Sprintf("lasting-%d", i), []ledger.StepSpec{{Count: 2, Placing: ledger.Placing{Lasting: true, Progress: i == 0}}}, []int64{1 << 30}, ledger.Repeat{})
+			one := c.job("long", fmt.Sprintf("lasting-%d", i), []ledger.StepSpec{
+				{Count: 2, Placing: ledger.Placing{Lasting: true, Progress: i == 0}},
+			}, []int64{1 << 30}, ledger.Repeat{})
 			c.submit(one)
 			c.w.At(c.env.For-3*time.Second, func() { c.cancel(one) })
 		})
--- a/tool/sim/center_operators.go
+++ b/tool/sim/center_operators.go
@@ -32,7 +32,9 @@
 }
 
 func (c *Centers) cancel(one *caller) {
-	c.operate(ledger.Command{Kind: ledger.KindCancel, Name: one.spec.ID, Host: centerHost, Path: one.asks.Path, Brief: true}, func(heardAt time.Duration, a ledger.Answer) {
+	c.operate(ledger.Command{
+		Kind: ledger.KindCancel, Name: one.spec.ID, Host: centerHost, Path: one.asks.Path, Brief: true,
+	}, func(heardAt time.Duration, a ledger.Answer) {
 		if a.Code.Good() {
 			one.cancelAt = heardAt
 		} else if one.acceptedAt == 0 && one.bounced == 0 && c.w.Now < c.end {
@@ -47,7 +49,9 @@
 }
 
 func (c *Centers) site(name string, keep time.Duration) {
-	c.operate(ledger.Command{Kind: ledger.KindSite, Name: name, On: true, Token: c.token(), Asked: ledger.AskedUnknown}, func(heardAt time.Duration, a ledger.Answer) {
+	c.operate(ledger.Command{
+		Kind: ledger.KindSite, Name: name, On: true, Token: c.token(), Asked: ledger.AskedUnknown,
+	}, func(heardAt time.Duration, a ledger.Answer) {
 		if !a.Code.Good() {
 			c.emptying = false
 			return
@@ -56,7 +60,9 @@
 		c.empties = append(c.empties, e)
 		c.w.After(keep, func() {
 			e.to, c.emptying = c.w.Now, false
-			c.operate(ledger.Command{Kind: ledger.KindSite, Name: name, Token: c.token(), Asked: ledger.AskedUnknown}, func(time.Duration, ledger.Answer) {})
+			c.operate(ledger.Command{
+				Kind: ledger.KindSite, Name: name, Token: c.token(), Asked: ledger.AskedUnknown,
+			}, func(time.Duration, ledger.Answer) {})
 		})
 	})
 }
@@ -65,7 +71,10 @@
 func (c *Centers) change() {
 	base := c.planned
 	body := centerPlan(100 + int(base))
-	c.operate(ledger.Command{Kind: ledger.KindPlan, Token: c.token(), Asked: ledger.AskedUnknown, Plan: ledger.PlanChange{Base: base, Body: body}}, func(_ time.Duration, a ledger.Answer) {
+	c.operate(ledger.Command{
+		Kind: ledger.KindPlan, Token: c.token(), Asked: ledger.AskedUnknown,
+		Plan: ledger.PlanChange{Base: base, Body: body},
+	}, func(_ time.Duration, a ledger.Answer) {
 		if a.Code.Good() {
 			c.planned = max(c.planned, base+1)
 		} else if a.Code != code.StalePlan {
@@ -93,7 +102,8 @@
 }
 
 func (c *Centers) operators() {
-	for i, at := 0, 13*time.Second; at < c.env.For-8*time.Second; i, at = i+1, at+time.Duration(3000+c.w.chance.IntN(2000))*time.Millisecond {
+	for i, at := 0, 13*time.Second; at < c.env.For-8*time.Second; i, at = i+1,
+		at+time.Duration(3000+c.w.chance.IntN(2000))*time.Millisecond {
 		c.w.At(at, func() {
 			switch i % 3 {
 			case 0:
--- a/tool/sim/center_plan.go
+++ b/tool/sim/center_plan.go
@@ -21,17 +21,22 @@
 			"batch":  {Priority: 990, Share: 33, AllowedDefects: 3, Silence: plan.Restart},
 			"long":   {Priority: priority, Share: 33, AllowedDefects: 5, Silence: plan.Restart},
 		}},
-		centerOther: {AnyLabel: true, Classes: map[string]plan.Class{"print": {Priority: 990, Share: 100, AllowedDefects: 3, Silence: plan.Restart}}},
+		centerOther: {AnyLabel: true, Classes: map[string]plan.Class{
+			"print": {Priority: 990, Share: 100, AllowedDefects: 3, Silence: plan.Restart},
+		}},
 	}
 	for _, class := range []string{"lookup", "batch", "long", "print"} {
 		service := centerMain
 		if class == "print" {
 			service = centerOther
 		}
-		p.Entries = append(p.Entries, plan.Entry{Name: class, Host: centerHost, Prefix: "/" + class, Service: service, Class: class})
+		p.Entries = append(p.Entries, plan.Entry{
+			Name: class, Host: centerHost, Prefix: "/" + class, Service: service, Class: class,
+		})
 	}
 	p.Limits.EndsAtCutoff = true
-	p.Limits.Lease, p.Limits.Margin, p.Limits.StartBy, p.Limits.Silent = millis(6000), millis(480), millis(3800), millis(1500)
+	p.Limits.Lease, p.Limits.Margin, p.Limits.StartBy, p.Limits.Silent =
+		millis(6000), millis(480), millis(3800), millis(1500)
 	p.Limits.RunLimit, p.Limits.MaxLosses, p.Limits.MaxTasks = millis(24*3600*1000), 1_000_000, 10_000
 	return machine.MustJSON(p)
 }
--- a/tool/sim/center_result.go
+++ b/tool/sim/center_result.go
@@ -12,9 +12,12 @@
 
 // CenterChecks names every check of this composition.
 var CenterChecks = []string{
-	"job-forgotten", "twice-at-once", "again-after-good", "before-dependency", "before-due", "wrong-worker", "over-room", "crowded-worker", "defects-spent",
-	"gang-alone", "start-while-draining", "start-in-emptied-site", "start-after-cancel", "finished-with-open-task", "plan-went-back",
-	"quick-behind-batch", "long-unfinished", "not-served-again", "bounce-without-time", "refused-and-run", "saved-of-another",
+	"job-forgotten", "twice-at-once", "again-after-good", "before-dependency", "before-due",
+	"wrong-worker", "over-room", "crowded-worker", "defects-spent",
+	"gang-alone", "start-while-draining", "start-in-emptied-site", "start-after-cancel",
+	"finished-with-open-task", "plan-went-back",
+	"quick-behind-batch", "long-unfinished", "not-served-again", "bounce-without-time",
+	"refused-and-run", "saved-of-another",
 }
 
 // explain says why what is still open waits, for who reads the events of a day.
@@ -36,7 +39,9 @@
 }
 
 func (c *Centers) finish() Result {
-	res := Result{Seed: c.env.Seed, Trace: c.w.Trace, Lines: c.w.Lines, Jobs: len(c.callers), LastFault: c.lastAt, Logs: c.w.Logs}
+	res := Result{
+		Seed: c.env.Seed, Trace: c.w.Trace, Lines: c.w.Lines, Jobs: len(c.callers), LastFault: c.lastAt, Logs: c.w.Logs,
+	}
 	for _, p := range c.places {
 		if b := p.now; b != nil && b.up {
 			for _, a := range b.attempts() {
@@ -72,7 +77,8 @@
 		if one.gaveUpAt > 0 {
 			c.count("refused-and-run")
 			if at, ran := first[one.spec.ID]; ran {
-				c.fault("refused-and-run", "%s was refused with %s at %s and runs at %s", one.spec.ID, one.bounced, secs(one.gaveUpAt), secs(at))
+				c.fault("refused-and-run", "%s was refused with %s at %s and runs at %s",
+					one.spec.ID, one.bounced, secs(one.gaveUpAt), secs(at))
 			}
 		}
 		if at, ok := first[one.spec.ID]; ok && one.spec.Class == "lookup" {
