--- a/core/dispatch/rebuild.go
+++ b/core/dispatch/rebuild.go
@@ -13,8 +13,8 @@
 const (
 	// rebuildMost is how many tasks one step takes, unplacedMost how many of those
 	// for whom no worker was found it puts into the inbox of one that can take them.
-	rebuildMost  = 256
-	unplacedMost = 2048
+	rebuildMost  = 8192
+	unplacedMost = 8192
 )
 
 // rebuild is what is left to do: the jobs, and the next task of the first of them.
