--- a/core/state/validate.go
+++ b/core/state/validate.go
@@ -33,7 +33,7 @@
 	if r.isSet() {
 		return r.result()
 	}
-	if spec.Steps == nil {
+	if len(spec.Steps) == 0 {
 		spec.Tasks = resolveDependencies(spec)
 	}
 	for i := range spec.Tasks {
--- a/daemon/audit/verify.go
+++ b/daemon/audit/verify.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 
 	"sorrelloom/core/state"
 )
@@ -76,32 +78,27 @@
 }
 
 // findGaps follows the decisions from the last to the first one, and finds those that
-// another one names as its predecessor and that are in none of the logs.
+// another one names as its predecessor and that are in none of the logs. It only ever goes
+// back: a decision that names itself or a later one is a finding, and the one before it that
+// is there comes next.
 func (m *mergedLog) findGaps(report *Report) {
-	for index := report.LastIndex; index > report.FirstIndex; {
-		previous, ok := m.previous[index]
-		if !ok {
-			return
+	indexes := slices.Sorted(maps.Keys(m.previous))
+	for at := len(indexes) - 1; at > 0; {
+		index := indexes[at]
+		previous := m.previous[index]
+		if previous >= index {
+			report.addf("", noEntry, "the decision of sequence %d names %d as the one before it", index, previous)
+			at--
+			continue
 		}
-		if _, ok := m.previous[previous]; !ok {
-			present := m.lastBefore(previous)
+		next, present := slices.BinarySearch(indexes, previous)
+		if !present {
+			next--
 			if previous > report.FirstIndex {
 				report.addf("", noEntry, "the decision of sequence %d is missing; the one before it that is there is %d",
-					previous, present)
+					previous, indexes[next])
 			}
-			previous = present
-		}
-		index = previous
-	}
-}
-
-// lastBefore returns the largest index below another one, or 0.
-func (m *mergedLog) lastBefore(index uint64) uint64 {
-	last := uint64(0)
-	for candidate := range m.previous {
-		if candidate < index {
-			last = max(last, candidate)
 		}
+		at = next
 	}
-	return last
 }
--- a/daemon/storage/recovery.go
+++ b/daemon/storage/recovery.go
@@ -42,7 +42,10 @@
 		if err != nil {
 			return unusable(path, err)
 		}
-		if frames, end := readFrames(data); number > 1 || len(frames) > 1 || containsFrame(data[end:]) {
+		reader := newFrameReader(data)
+		frames, end := reader.readAll()
+		hasBatches := len(frames) > 1 || len(frames) == 0 && len(data) > maxSegmentHeaderSize
+		if number > 1 || hasBatches || reader.containsFrameFrom(end) {
 			return corrupted(path, errors.New("it has batches, but there is no snapshot"))
 		}
 	}
@@ -111,7 +114,7 @@
 }
 
 func (s *Store) decodeSnapshot(number uint64, data []byte) ([]machine.Record, error) {
-	frames, end := readFrames(data)
+	frames, end := newFrameReader(data).readAll()
 	if err := checkSnapshot(number, frames, len(data)-end); err != nil {
 		return nil, err
 	}
@@ -164,16 +167,18 @@
 // loadSegment returns the items of a segment. Only the last segment may end in a torn
 // frame: all others were complete before the next one was created. A torn frame that a
 // whole one follows is damage, since a batch is only written once the one before it is
-// durable.
+// durable. So is a header that is not whole in a file that goes on behind it: without its
+// salt no frame could be known.
 func (s *Store) loadSegment(number uint64, isLast bool) ([]item, error) {
 	path := s.path(segmentName(number))
 	data, err := s.fileSystem.Read(path)
 	if err != nil {
 		return nil, corrupted(path, err)
 	}
-	frames, end := readFrames(data)
-	torn := data[end:]
-	if len(torn) > 0 && (!isLast || containsFrame(torn)) {
+	reader := newFrameReader(data)
+	frames, end := reader.readAll()
+	damagedHeader := len(frames) == 0 && len(data) > maxSegmentHeaderSize
+	if end < len(data) && (!isLast || damagedHeader || reader.containsFrameFrom(end)) {
 		return nil, corrupted(path, fmt.Errorf("no whole frame begins at byte %d", end))
 	}
 	if len(frames) > 0 || !isLast {
@@ -187,14 +192,14 @@
 	}
 	s.bytesSinceSnapshot += int64(end)
 	if isLast {
-		err = s.continueSegment(number, int64(end))
+		err = s.continueSegment(number, reader.salt, int64(end))
 	}
 	return items, err
 }
 
 // continueSegment opens the last segment and removes what follows its last whole frame.
 // A segment without even its header is created again.
-func (s *Store) continueSegment(number uint64, end int64) error {
+func (s *Store) continueSegment(number uint64, salt segmentSalt, end int64) error {
 	path := s.path(segmentName(number))
 	if end == 0 {
 		created, err := s.createSegment(number)
@@ -215,7 +220,7 @@
 		opened.Close()
 		return unusable(path, err)
 	}
-	s.segment = segment{number, opened, end}
+	s.segment = segment{number, salt, opened, end}
 	return nil
 }
 
@@ -234,7 +239,7 @@
 	if err != nil {
 		return nil
 	}
-	frames, end := readFrames(data)
+	frames, end := newFrameReader(data).readAll()
 	items, err := readAllItems(frames)
 	if err != nil || end < len(data) {
 		return nil
--- a/daemon/storage/recovery_test.go
+++ b/daemon/storage/recovery_test.go
@@ -38,7 +38,8 @@
 		{"a bit in a snapshot", snapshot, flip(40)},
 		{"a snapshot without its foot", snapshot, func(b []byte) []byte { return b[:len(b)-frameHeaderSize-1] }},
 		{"a segment's first bit", segment, flip(0)},
-		{"a bit in a batch that others follow", segment, flip(frameHeaderSize + 4)},
+		{"a bit in a segment's salt", segment, flip(frameHeaderSize + 4)},
+		{"a bit in a batch that others follow", segment, flip(len(segmentHeader(3, 1)) + frameHeaderSize + 4)},
 		{"no segment", segment, nil},
 	} {
 		dir := newDir(t)
--- a/daemon/storage/segment.go
+++ b/daemon/storage/segment.go
@@ -1,8 +1,11 @@
 package storage
 
+import "math/rand/v2"
+
 // segment is the last segment of the log, which batches are appended to.
 type segment struct {
 	number uint64
+	salt   segmentSalt
 	file   file
 	// end is the end of the last whole frame.
 	end int64
@@ -14,7 +17,8 @@
 	if err != nil {
 		return segment{}, err
 	}
-	header := headerFrame(number)
+	salt := segmentSalt(rand.Uint64())
+	header := segmentHeader(number, salt)
 	if _, err = created.WriteAt(header, 0); err == nil {
 		err = created.Sync()
 	}
@@ -25,7 +29,7 @@
 		created.Close()
 		return segment{}, err
 	}
-	return segment{number, created, int64(len(header))}, nil
+	return segment{number, salt, created, int64(len(header))}, nil
 }
 
 // switchSegment appends to another segment from now on.
@@ -43,6 +47,7 @@
 // repeated: what the disk then holds is unknown.
 func (s *Store) append(encoded []byte) error {
 	path := s.path(segmentName(s.segment.number))
+	place(encoded, s.segment.salt, s.segment.end)
 	err := s.retryWhileDiskFull(path, func() error { return s.writeAtEnd(encoded) })
 	if err == nil {
 		err = s.segment.file.Sync()
