--- a/daemon/transport/fuzz_test.go
+++ b/daemon/transport/fuzz_test.go
@@ -10,7 +10,8 @@
 // FuzzReadFrame reads frames of any content, as another process could send them.
 func FuzzReadFrame(f *testing.F) {
 	var whole bytes.Buffer
-	if err := WriteFrame(&whole, machine.Message{Version: 1, Kind: "command", From: "a:1", Body: []byte{0xa0}}); err != nil {
+	message := machine.Message{Version: 1, Kind: "command", From: "a:1", Body: []byte{0xa0}}
+	if err := WriteFrame(&whole, message); err != nil {
 		f.Fatal(err)
 	}
 	f.Add(whole.Bytes())
