Look for stalled tasks, count waiting jobs, and say who lags, is slow or gets less work

- The platform's waitingCount is of accepted jobs of which no task has begun.
We counted tasks without a lease: four times as many for a job of four tasks, and none for a job whose tasks were leased to a worker that never began them.
TestWaitingCountIsOfJobs.
- The scheduler asks the state each second for tasks that no rule holds back and that nobody has taken for 3 s (6 s after the last run of one that runs on), while under half of the room is used and there is room twice over.
Each is logged (task_stalled), counted and queued anew from the state.

--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -47,6 +47,34 @@
 	// typicalSeconds is a moving average of the run times of each class.
 	typicalSeconds map[serviceClass]float64
 	majorities     map[string]healthMajority
+	// changes are the workers whose account has changed its verdict, for the log.
+	changes []HealthChange
+}
+
+// HealthChange says that a worker's ended attempts make it unhealthy or slow, or no more.
+// Such a worker gets less work as long as at least half of its service's workers are better.
+type HealthChange struct {
+	Worker      string
+	Impaired    bool
+	FailureRate float64
+	Slowdown    float64
+}
+
+// TakeHealthChanges returns the changes since the last call.
+func (d *Dispatcher) TakeHealthChanges() []HealthChange {
+	changes := d.health.changes
+	d.health.changes = nil
+	return changes
+}
+
+// ImpairedWorkers counts the workers that are unhealthy or slow by their ended attempts.
+func (d *Dispatcher) ImpairedWorkers() (count int) {
+	for _, health := range d.health.workers {
+		if health.impaired() {
+			count++
+		}
+	}
+	return count
 }
 
 type workerHealth struct {
@@ -76,6 +104,8 @@
 
 func (h workerHealth) slow() bool { return h.slowdown > slowThreshold }
 
+func (h workerHealth) impaired() bool { return h.unhealthy() || h.slow() }
+
 // observeEnd takes the end of an attempt into the account of its worker. Ends that
 // are no fault of the worker change nothing.
 func (t *healthTracker) observeEnd(store *state.Store, job state.Job, i int, attempt runningAttempt) {
@@ -100,6 +130,11 @@
 	default:
 		return
 	}
+	if health.impaired() != t.workers[attempt.worker].impaired() {
+		t.changes = append(t.changes, HealthChange{
+			Worker: attempt.worker, Impaired: health.impaired(), FailureRate: health.failureRate, Slowdown: health.slowdown,
+		})
+	}
 	t.workers[attempt.worker] = health
 }
 
@@ -121,7 +156,7 @@
 // deprioritized reports whether a worker is to get less: it is unhealthy or slow,
 // and at least half of its service's live workers are neither.
 func (t *healthTracker) deprioritized(store *state.Store, worker state.Worker) bool {
-	if health := t.workers[worker.ID()]; !health.unhealthy() && !health.slow() {
+	if !t.workers[worker.ID()].impaired() {
 		return false
 	}
 	majority, ok := t.majorities[worker.Service]
@@ -139,7 +174,7 @@
 			continue
 		}
 		total++
-		if health := t.workers[worker.ID()]; !health.unhealthy() && !health.slow() {
+		if !t.workers[worker.ID()].impaired() {
 			healthy++
 		}
 	}
--- /dev/null
+++ b/core/dispatch/requeue.go
@@ -0,0 +1,20 @@
+package dispatch
+
+import "sorrelloom/core/state"
+
+// Requeue takes a task that nobody has taken for long out of its queue, and queues it anew
+// from the state. For a member of a gang, that of the whole gang is.
+func (d *Dispatcher) Requeue(store *state.Store, ref TaskRef) {
+	job, ok := store.Job(ref.Job)
+	if !ok || ref.Index >= len(job.Tasks) {
+		return
+	}
+	if gang := job.Spec.Tasks[ref.Index].Gang; gang != "" {
+		delete(d.gangTriedAt, gangRef{ref.Job, gang})
+		for !isGangHead(job, ref.Index) {
+			ref.Index--
+		}
+	}
+	d.dequeue(ref)
+	d.updateTask(store, ref)
+}
--- a/core/replica/leader.go
+++ b/core/replica/leader.go
@@ -27,7 +27,7 @@
 		r.prepareToServe(now, out)
 		return
 	}
-	r.tickIfDue(now)
+	r.tickIfDue(now, out)
 	if r.needsNewBackups(now) {
 		r.proposeWhenReady(now, r.nextView(r.self, r.pickBackups(now)), out)
 		return
@@ -80,12 +80,13 @@
 }
 
 // tickIfDue has the state do what is due by its time.
-func (r *Replica) tickIfDue(now time.Duration) {
+func (r *Replica) tickIfDue(now time.Duration, out *machine.Output) {
 	if now < r.leadership.nextTickAt || r.stopping {
 		return
 	}
 	r.leadership.nextTickAt = now + tickInterval
 	r.trackConfirmation(now)
+	r.watchLag(now, out)
 	servingSince := r.Time(r.leadership.confirmedSince)
 	if r.log.store.TickDue(r.Time(now), servingSince) {
 		r.apply(now, state.Command{Kind: state.KindTick, ServingSince: servingSince})
--- a/core/replica/progress.go
+++ b/core/replica/progress.go
@@ -23,6 +23,10 @@
 	// awaitedIndex was sent and not acknowledged when last looked at, since awaitedSince.
 	awaitedIndex uint64
 	awaitedSince time.Duration
+	// slowLoggedAt is the awaitedSince of the wait that was logged last.
+	slowLoggedAt time.Duration
+	// lagging says that the peer was logged as being far behind.
+	lagging bool
 	// sentUpTo is where the messages sent to the peer end; windowStart is where it last
 	// said that it is. Commands between them are in flight.
 	sentUpTo    state.LogPosition
@@ -103,7 +107,10 @@
 // beginEpoch forgets what was confirmed in the previous epoch.
 func (m progressMap) beginEpoch() {
 	for _, p := range m {
-		*p = progress{heardAt: p.heardAt, match: p.match, awaitedIndex: p.awaitedIndex, awaitedSince: p.awaitedSince}
+		*p = progress{
+			heardAt: p.heardAt, match: p.match, awaitedIndex: p.awaitedIndex, awaitedSince: p.awaitedSince,
+			slowLoggedAt: p.slowLoggedAt, lagging: p.lagging,
+		}
 	}
 }
 
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -61,6 +61,7 @@
 	nextPreemption time.Duration
 	stopsSentAt    map[state.Attempt]time.Duration
 	scans          scanSchedule
+	stalled        stalledWatch
 	idle           map[string]idleMark
 
 	nextRegistration time.Duration
@@ -142,6 +143,8 @@
 		s.register(now, &out)
 	}
 	s.renewLeases(now, &out)
+	s.requeueStalled(now, &out)
+	s.logHealthChanges(&out)
 	s.markChangedWorkers(changes)
 	if len(changes)+len(results) > 0 || in.Message.Kind == wire.KindHeartbeat {
 		s.scans.requestSoon(now)
@@ -181,6 +184,22 @@
 	return nil
 }
 
+// logHealthChanges says which workers get less work from now on, and which get as much as
+// others again.
+func (s *Scheduler) logHealthChanges(out *machine.Output) {
+	for _, change := range s.dispatcher.TakeHealthChanges() {
+		fields := []any{"worker", change.Worker, "failureRate", change.FailureRate, "slowdown", change.Slowdown}
+		if change.Impaired {
+			out.Warn("worker_impaired", fields...)
+		} else {
+			out.Log("worker_recovered", fields...)
+		}
+	}
+}
+
+// ImpairedWorkers counts the workers that get less work for how their attempts ended.
+func (s *Scheduler) ImpairedWorkers() int { return s.dispatcher.ImpairedWorkers() }
+
 func (s *Scheduler) setTimer(now time.Duration) {
 	s.nextTimer = s.scans.next
 	if s.dispatcher.Rebuilding() {
--- a/core/state/demand.go
+++ b/core/state/demand.go
@@ -57,15 +57,28 @@
 	return unmet
 }
 
-// waitingCount counts the tasks of a class that wait for a lease.
-func (s *Store) waitingCount(service, class string) int {
-	total := 0
-	for wanted, count := range s.waiting {
-		if wanted.service == service && wanted.class == class {
-			total += count
+// waitingJobs counts the accepted jobs of a class of which no task has begun yet.
+func (s *Store) waitingJobs(service, class string) int {
+	count := 0
+	for id := range s.activeJobs {
+		job := s.jobs[id]
+		isOfClass := job.Spec.Service == service && job.Spec.Class == class
+		if isOfClass && job.EndingState == "" && !anyHasBegun(job.Tasks) {
+			count++
 		}
 	}
-	return total
+	return count
+}
+
+// anyHasBegun says whether a worker has ever begun one of the tasks.
+func anyHasBegun(tasks []Task) bool {
+	for i := range tasks {
+		task := &tasks[i]
+		if task.Lease.StartedAt > 0 || task.State == Done || task.Failures+task.Losses > 0 {
+			return true
+		}
+	}
+	return false
 }
 
 // queryCache keeps what several questions at one position have in common.
--- /dev/null
+++ b/core/state/stalled_test.go
@@ -0,0 +1,110 @@
+package state_test
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"sorrelloom/core/state"
+	"sorrelloom/core/statetest"
+)
+
+// TestStalledTasks leaves tasks ready and unleased, with and without a rule that holds
+// them back.
+func TestStalledTasks(t *testing.T) {
+	const quickTask = `{"id":"j","service":"tickets","class":"quick","tasks":[{"id":"a"}]}`
+	stay := func(*statetest.Fixture) {}
+	for _, row := range []struct {
+		name   string
+		job    string
+		do     step
+		after  time.Duration
+		leaves int
+	}{
+		{"ready for long", quickTask, stay, 3100 * time.Millisecond, 1},
+		{"not for long", quickTask, stay, 2900 * time.Millisecond, 0},
+		{"leased", quickTask, func(f *statetest.Fixture) { f.Grant("j/a@w1") }, 4 * time.Second, 0},
+		{"its job is cancelled", quickTask, func(f *statetest.Fixture) { f.Apply(cancelJob("j")) }, 4 * time.Second, 0},
+		{"the workers leave", quickTask, func(f *statetest.Fixture) {
+			for _, worker := range []string{"w1", "w2"} {
+				f.Heartbeat(worker, func(hb *state.Heartbeat) { hb.Leaving = true })
+			}
+		}, 4 * time.Second, 0},
+		{"the zone is drained", quickTask, func(f *statetest.Fixture) { f.Apply(drainZone("a", true)) }, 4 * time.Second, 0},
+		{"half of the room is used", quickTask, func(f *statetest.Fixture) {
+			f.AcceptJob("other", "quick", "a:4")
+			f.StartTask("other/a@w1")
+		}, 4 * time.Second, 1},
+		{"over half of the room is used", quickTask, func(f *statetest.Fixture) {
+			f.AcceptJob("other", "quick", "a:4", "b:1")
+			f.StartTask("other/a@w1")
+			f.StartTask("other/b@w2")
+		}, 4 * time.Second, 0},
+		{
+			"room for it once",
+			`{"id":"j","service":"tickets","class":"quick","tasks":[{"id":"a","room":{"slots":3}}]}`,
+			func(f *statetest.Fixture) {
+				f.AcceptJob("other", "quick", "a:4")
+				f.StartTask("other/a@w1")
+			}, 4 * time.Second, 0,
+		},
+		{
+			"a gang, once for its members",
+			`{"id":"j","service":"tickets","class":"quick","steps":[{"count":2,"gang":true}]}`, stay, 4 * time.Second, 1,
+		},
+		{
+			"a gang without room for it twice",
+			`{"id":"j","service":"tickets","class":"quick","steps":[{"count":5,"gang":true}]}`, stay, 4 * time.Second, 0,
+		},
+		{
+			"a step that waits for another",
+			`{"id":"j","service":"tickets","class":"quick","steps":[{"count":1},{"count":1,"after":[0]}]}`,
+			stay, 4 * time.Second, 1,
+		},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			f := statetest.New(t)
+			for _, worker := range []string{"w1", "w2"} {
+				f.AddWorker(worker, 4)
+				f.Heartbeat(worker, func(hb *state.Heartbeat) { hb.Total = hb.Free })
+			}
+			f.MustApply(acceptJob(jobSpec(t, row.job)))
+			row.do(f)
+			f.Advance(row.after)
+			if got := f.Store.StalledTasks(9); len(got) != row.leaves {
+				t.Errorf("stalled are %+v", got)
+			}
+		})
+	}
+}
+
+// TestStalledLongRunningTask has a task that runs until its job is cancelled end: it counts
+// as stalled 6 s after its last run.
+func TestStalledLongRunningTask(t *testing.T) {
+	f := statetest.New(t)
+	f.AddWorker("w1", 4)
+	f.AddWorker("w2", 4)
+	f.MustApply(acceptJob(jobSpec(t,
+		`{"id":"j","service":"tickets","class":"quick","steps":[{"count":1,"lasting":true}]}`)))
+	attempt := f.StartTask("j/0.0.0@w1")
+	f.EndAttempt("w1", state.AttemptResult{Attempt: attempt})
+	for _, row := range []struct {
+		after time.Duration
+		want  int
+	}{{5 * time.Second, 0}, {1100 * time.Millisecond, 1}} {
+		f.Advance(row.after)
+		if got := f.Store.StalledTasks(9); len(got) != row.want {
+			t.Errorf("stalled are %+v, not %d", got, row.want)
+		}
+	}
+}
+
+// jobSpec reads a job as a caller would write it.
+func jobSpec(t *testing.T, text string) state.JobSpec {
+	t.Helper()
+	var spec state.JobSpec
+	if err := json.Unmarshal([]byte(text), &spec); err != nil {
+		t.Fatal(err)
+	}
+	return spec
+}
--- /dev/null
+++ b/core/state/waiting_jobs_test.go
@@ -0,0 +1,39 @@
+package state_test
+
+import (
+	"testing"
+
+	"sorrelloom/core/state"
+	"sorrelloom/core/statetest"
+)
+
+// TestWaitingCountIsOfJobs counts the accepted jobs of which no task has begun, however many
+// tasks they have. One whose tasks are leased and not begun waits; one that has begun does
+// not, also where what it had begun was lost or has failed.
+func TestWaitingCountIsOfJobs(t *testing.T) {
+	f := statetest.New(t)
+	f.AddWorker("w1", 4)
+	f.MustApply(patchConfig(1, `{"entries":[{"name":"r","host":"h","prefix":"/q/","service":"tickets","class":"quick"}]}`))
+	expect := func(what string, want int) {
+		t.Helper()
+		read := state.Command{Kind: state.KindReadWaitingCount, Host: "h", Path: "/q/"}
+		if got := f.Store.Read(read).WaitingCount; got != want {
+			t.Errorf("%s: %d jobs wait, not %d", what, got, want)
+		}
+	}
+	expect("no job", 0)
+	f.AcceptJob("one", "quick", "a", "b", "c")
+	f.AcceptJob("two", "quick", "a")
+	f.AcceptJob("other", "batch", "a")
+	expect("two jobs", 2)
+	f.Grant("one/a@w1")
+	expect("leased", 2)
+	f.Heartbeat("w1", func(hb *state.Heartbeat) {
+		hb.Running = []state.Attempt{{Job: "one", Task: "a", Number: 1}}
+	})
+	expect("begun", 1)
+	f.Heartbeat("w1", func(hb *state.Heartbeat) { hb.Running = nil })
+	expect("begun and lost", 1)
+	f.Apply(cancelJob("two"))
+	expect("cancelled", 0)
+}
