--- /dev/null
+++ b/core/control/figures.go
@@ -0,0 +1,40 @@
+package control
+
+import (
+	"time"
+
+	"sorrelloom/core/dispatch"
+	"sorrelloom/core/replica"
+	"sorrelloom/core/state"
+)
+
+// Figures are what a control process tells of itself to those who operate it.
+type Figures struct {
+	Replica replica.Report
+	// What follows is known to the primary only.
+
+	Counters        dispatch.Counters
+	QueuedTasks     int
+	CommitLatency   time.Duration
+	StalledTasks    int
+	RequeuedTasks   uint64
+	ImpairedWorkers int
+	Classes         []state.ClassBacklog
+}
+
+// Figures returns the figures as they are now. They are counted for each call.
+func (c *Control) Figures(now time.Duration) Figures {
+	figures := Figures{Replica: c.replica.Report(now)}
+	if c.term == 0 || !c.replica.Serving() {
+		return figures
+	}
+	for _, length := range c.scheduler.QueueLengths() {
+		figures.QueuedTasks += length
+	}
+	figures.Counters = c.scheduler.Counters()
+	figures.CommitLatency = c.scheduler.CommitLatency(now)
+	figures.StalledTasks, figures.RequeuedTasks = c.scheduler.StalledTasks()
+	figures.ImpairedWorkers = c.scheduler.ImpairedWorkers()
+	figures.Classes = c.replica.Store().Backlog()
+	return figures
+}
--- a/core/scheduler/stalled.go
+++ b/core/scheduler/stalled.go
@@ -30,6 +30,10 @@
 	return s.stalled.now, s.stalled.requeued
 }
 
+// CommitLatency returns what the last command took to be committed, or what the oldest one
+// under way takes already.
+func (s *Scheduler) CommitLatency(now time.Duration) time.Duration { return s.latency.current(now) }
+
 // requeueStalled looks for stalled tasks in the state and queues them anew, unless a rebuild
 // of the queues is under way.
 func (s *Scheduler) requeueStalled(now time.Duration, out *machine.Output) {
