Type the keys of classes, the kinds of commands and the error of a request

state.ClassKey takes the place of pairs of strings (CheckShare, the queues' shares, the health tracker, the backlog); commands have a CommandKind; host.Runner.Do returns an error, ErrClosed or that of the context, and a caller whose command was not answered is told which. Tests that compared a bool compare the error now.

--- a/core/dispatch/best_in_queue.go
+++ b/core/dispatch/best_in_queue.go
@@ -79,14 +79,14 @@
 
 // shareAllows reports whether the class of a group may use more slots.
 func (p *pullRequest) shareAllows(key *groupKey) bool {
-	if p.inFlight.OverShare[serviceClass{key.service, key.class}] {
+	if p.inFlight.OverShare[state.ClassKey{Service: key.service, Class: key.class}] {
 		return false
 	}
 	if p.store.Policies().AlwaysAllowsBorrowing() {
 		return true
 	}
 	slots := max(key.resources.Slots, key.gangSlots)
-	allowed, _ := p.store.CheckShare(key.service, key.class, slots, p.inFlight.Slots)
+	allowed, _ := p.store.CheckShare(state.ClassKey{Service: key.service, Class: key.class}, slots, p.inFlight.Slots)
 	return allowed
 }
 
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -48,9 +48,6 @@
 	Examined uint64 `json:"Looked"`
 }
 
-// serviceClass identifies a class of a service.
-type serviceClass = [2]string
-
 // Dispatcher holds the queues of all workers. It is not safe for concurrent use.
 type Dispatcher struct {
 	Counters Counters
--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -45,7 +45,7 @@
 type healthTracker struct {
 	workers map[string]workerHealth
 	// typicalSeconds is a moving average of the run times of each class.
-	typicalSeconds map[serviceClass]float64
+	typicalSeconds map[state.ClassKey]float64
 	majorities     map[string]healthMajority
 	// changes are the workers whose account has changed its verdict, for the log.
 	changes []HealthChange
@@ -95,7 +95,7 @@
 func newHealthTracker() healthTracker {
 	return healthTracker{
 		workers:        map[string]workerHealth{},
-		typicalSeconds: map[serviceClass]float64{},
+		typicalSeconds: map[state.ClassKey]float64{},
 		majorities:     map[string]healthMajority{},
 	}
 }
@@ -116,7 +116,7 @@
 		health.consecutiveFailures = 0
 		health.pausedUntil = 0
 		if attempt.startedAt > 0 {
-			class := serviceClass{job.Spec.Service, job.Spec.Class}
+			class := state.ClassKey{Service: job.Spec.Service, Class: job.Spec.Class}
 			t.observeRunTime(&health, class, (task.EndedAt - attempt.startedAt).Seconds())
 			if health.slow() {
 				health.pausedUntil = store.Now() + slowPause
@@ -139,7 +139,7 @@
 }
 
 // observeRunTime compares a run with the typical run time of its class.
-func (t *healthTracker) observeRunTime(health *workerHealth, class serviceClass, seconds float64) {
+func (t *healthTracker) observeRunTime(health *workerHealth, class state.ClassKey, seconds float64) {
 	typical := t.typicalSeconds[class]
 	if typical == 0 {
 		t.typicalSeconds[class] = seconds
--- a/core/dispatch/pull.go
+++ b/core/dispatch/pull.go
@@ -19,9 +19,9 @@
 type InFlight struct {
 	Tasks     map[TaskRef]bool
 	Resources map[string]state.Resources
-	Slots     map[serviceClass]int
+	Slots     map[state.ClassKey]int
 	// OverShare are the classes that had used up their shares a moment ago.
-	OverShare map[serviceClass]bool
+	OverShare map[state.ClassKey]bool
 }
 
 // Proposal is a grant of leases, or a preemption, for the state machine to check.
--- a/core/dispatch/reservation.go
+++ b/core/dispatch/reservation.go
@@ -129,6 +129,6 @@
 		return true
 	}
 	slots := gangSlots(reserved.job, reserved.task)
-	allowed, _ := store.CheckShare(key.service, reserved.job.Spec.Class, slots, nil)
+	allowed, _ := store.CheckShare(state.ClassKey{Service: key.service, Class: reserved.job.Spec.Class}, slots, nil)
 	return allowed
 }
--- a/core/leaderclient/commands_test.go
+++ b/core/leaderclient/commands_test.go
@@ -16,11 +16,11 @@
 }
 
 // answeredAgain has the first leader lose its leadership, and the next one answer.
-func answeredAgain(kind string, code status.Code) func(*harness) {
+func answeredAgain(kind state.CommandKind, code status.Code) func(*harness) {
 	return func(h *harness) {
 		h.reply(200*ms, "k0", kind, hint("k1"))
 		h.reply(210*ms, "k1", "prove", received)
-		h.want(kind + ">k1")
+		h.want(string(kind) + ">k1")
 		h.reply(220*ms, "k1", kind, wire.CommandReply{Result: state.Result{Code: code}})
 	}
 }
@@ -37,7 +37,7 @@
 
 var commandOutcomes = []struct {
 	name string
-	kind string
+	kind state.CommandKind
 	wait time.Duration
 	do   func(*harness)
 	want status.Code
@@ -72,7 +72,7 @@
 			h := newHarness(t, "k0", "k1", "k2")
 			h.reply(5*ms, "k0", "prove", received)
 			h.submit(10*ms, 7, test.kind, test.wait)
-			h.want(test.kind + ">k0")
+			h.want(string(test.kind) + ">k0")
 			if result, early := h.answers[7]; early {
 				t.Fatalf("answered at once: %+v", result)
 			}
@@ -96,7 +96,7 @@
 func TestUnsentCommandExpires(t *testing.T) {
 	table := []struct {
 		name string
-		kind string
+		kind state.CommandKind
 		wait time.Duration
 		held time.Duration
 	}{
--- a/core/leaderclient/harness_test.go
+++ b/core/leaderclient/harness_test.go
@@ -21,8 +21,8 @@
 	sent     []string
 	requests []wire.CommandRequest
 	// last holds the ID of the last command of each kind, counts how many were sent.
-	last    map[string]uint64
-	counts  map[string]int
+	last    map[state.CommandKind]uint64
+	counts  map[state.CommandKind]int
 	answers map[uint64]state.Result
 	stopped bool
 }
@@ -36,7 +36,7 @@
 func newIncarnation(t *testing.T, firstCommandID uint64, replicas ...string) *harness {
 	h := &harness{
 		T: t, client: New(Config{Address: "client", Replicas: replicas, FirstCommandID: firstCommandID}),
-		last: map[string]uint64{}, counts: map[string]int{}, answers: map[uint64]state.Result{},
+		last: map[state.CommandKind]uint64{}, counts: map[state.CommandKind]int{}, answers: map[uint64]state.Result{},
 	}
 	h.step(0, machine.Input{})
 	return h
@@ -50,7 +50,7 @@
 	for _, message := range out.Messages {
 		request := message.Body.(wire.CommandRequest)
 		kind := request.Command.Kind
-		h.sent = append(h.sent, kind+">"+message.To)
+		h.sent = append(h.sent, string(kind)+">"+message.To)
 		h.requests = append(h.requests, request)
 		h.last[kind] = request.ID
 		h.counts[kind]++
@@ -68,7 +68,7 @@
 }
 
 // submit has the client take a command.
-func (h *harness) submit(at time.Duration, requestID uint64, kind string, wait time.Duration) {
+func (h *harness) submit(at time.Duration, requestID uint64, kind state.CommandKind, wait time.Duration) {
 	h.Helper()
 	h.step(at, machine.Input{Request: machine.Request{
 		ID: requestID, Kind: RequestCommand, Decoded: state.Command{Kind: kind}, Wait: wait,
@@ -76,7 +76,7 @@
 }
 
 // reply has a replica answer the last command of a kind.
-func (h *harness) reply(at time.Duration, from, kind string, reply wire.CommandReply) {
+func (h *harness) reply(at time.Duration, from string, kind state.CommandKind, reply wire.CommandReply) {
 	h.Helper()
 	reply.ID = h.last[kind]
 	h.step(at, machine.Input{Message: machine.Message{
--- a/core/leaderclient/leader_test.go
+++ b/core/leaderclient/leader_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sorrelloom/core/machine"
+	"sorrelloom/core/state"
 	"sorrelloom/core/wire"
 )
 
@@ -13,9 +14,9 @@
 // reply of a replica to its last command of a kind, or nothing but the time.
 type targetStep struct {
 	at     time.Duration
-	submit string
+	submit state.CommandKind
 	from   string
-	kind   string
+	kind   state.CommandKind
 	reply  wire.CommandReply
 	want   string
 }
--- a/core/scheduler/proposals.go
+++ b/core/scheduler/proposals.go
@@ -19,7 +19,7 @@
 	// tasks and resources are those of the assignments of a grant.
 	tasks      []dispatch.TaskRef
 	resources  []state.Resources
-	class      serviceClass
+	class      state.ClassKey
 	preemption bool
 	rejected   bool
 	expiresAt  time.Duration
@@ -29,7 +29,7 @@
 
 // propose submits a proposal for a zone as a command of the given kind.
 func (s *Scheduler) propose(
-	now time.Duration, zone, kind string, proposal dispatch.Proposal, out *machine.Output,
+	now time.Duration, zone string, kind state.CommandKind, proposal dispatch.Proposal, out *machine.Output,
 ) {
 	store, leadership := s.access.State(), LeadershipOf(zone)
 	pending := pendingProposal{
@@ -42,7 +42,7 @@
 		assignment := &proposal.Assignments[i]
 		assignment.HeartbeatNumber = s.leases.workers[assignment.Worker].number
 		job, _ := store.Job(assignment.Job)
-		pending.class = serviceClass{job.Spec.Service, job.Spec.Class}
+		pending.class = state.ClassKey{Service: job.Spec.Service, Class: job.Spec.Class}
 		if i < len(proposal.Tasks) {
 			pending.resources = append(pending.resources, job.Spec.Tasks[proposal.Tasks[i].Index].Resources)
 		}
@@ -108,8 +108,8 @@
 	inFlight := dispatch.InFlight{
 		Tasks:     map[dispatch.TaskRef]bool{},
 		Resources: map[string]state.Resources{},
-		Slots:     map[serviceClass]int{},
-		OverShare: map[serviceClass]bool{},
+		Slots:     map[state.ClassKey]int{},
+		OverShare: map[state.ClassKey]bool{},
 	}
 	local, index := s.access.IsLocal(), s.access.State().Position().Index
 	for class, until := range s.overShareUntil {
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -57,7 +57,7 @@
 	proposals map[uint64]pendingProposal
 	// overShareUntil holds the classes that the state machine found over their shares,
 	// with the log index of that answer.
-	overShareUntil map[serviceClass]uint64
+	overShareUntil map[state.ClassKey]uint64
 	nextPreemption time.Duration
 	stopsSentAt    map[state.Attempt]time.Duration
 	scans          scanSchedule
@@ -73,9 +73,6 @@
 	stopDeadline time.Duration
 }
 
-// serviceClass identifies a class of a service.
-type serviceClass = [2]string
-
 var _ machine.Machine = (*Scheduler)(nil)
 
 // New returns a scheduler that works on a read replica of its own.
@@ -104,7 +101,7 @@
 	s.heartbeats = map[string]pendingHeartbeat{}
 	s.heartbeatCommands = map[uint64]string{}
 	s.proposals = map[uint64]pendingProposal{}
-	s.overShareUntil = map[serviceClass]uint64{}
+	s.overShareUntil = map[state.ClassKey]uint64{}
 	s.stopsSentAt = map[state.Attempt]time.Duration{}
 	s.unledZones = map[string]bool{}
 	s.idle = map[string]idleMark{}
--- a/core/state/backlog.go
+++ b/core/state/backlog.go
@@ -8,7 +8,7 @@
 
 // ClassBacklog is what of one class of jobs waits and runs.
 type ClassBacklog struct {
-	Service, Class string
+	ClassKey
 	// WaitingJobs have begun nothing yet. ReadyTasks wait for a lease, the oldest of them
 	// for OldestReady; LeasedTasks have one.
 	WaitingJobs int
@@ -19,13 +19,13 @@
 
 // Backlog gives what waits and runs of each class that has active jobs, by name.
 func (s *Store) Backlog() []ClassBacklog {
-	byClass := map[classKey]*ClassBacklog{}
+	byClass := map[ClassKey]*ClassBacklog{}
 	for id := range s.activeJobs {
 		job := s.jobs[id]
-		key := classKey{job.Spec.Service, job.Spec.Class}
+		key := job.Spec.classKey()
 		class := byClass[key]
 		if class == nil {
-			class = &ClassBacklog{Service: job.Spec.Service, Class: job.Spec.Class}
+			class = &ClassBacklog{ClassKey: key}
 			byClass[key] = class
 		}
 		class.add(&job, s.now)
--- a/core/state/command.go
+++ b/core/state/command.go
@@ -4,40 +4,43 @@
 	"time"
 )
 
+// CommandKind says what a command asks for.
+type CommandKind string
+
 // The kinds of commands. The values are written to the log and sent between
 // processes of different versions; they never change.
 const (
-	KindAcceptJob          = "accept"
-	KindCancelJob          = "cancel"
-	KindHeartbeat          = "beat"
-	KindGrantLeases        = "grant"
-	KindPreempt            = "push-out"
-	KindChangeConfig       = "plan"
-	KindSetZoneDrained     = "site"
-	KindDrainWorker        = "drain"
-	KindConfirmWorkerDead  = "gone"
-	KindSchedulerHeartbeat = "hello"
-	KindTransferLeadership = "move"
-	KindTick               = "tick"
+	KindAcceptJob          CommandKind = "accept"
+	KindCancelJob          CommandKind = "cancel"
+	KindHeartbeat          CommandKind = "beat"
+	KindGrantLeases        CommandKind = "grant"
+	KindPreempt            CommandKind = "push-out"
+	KindChangeConfig       CommandKind = "plan"
+	KindSetZoneDrained     CommandKind = "site"
+	KindDrainWorker        CommandKind = "drain"
+	KindConfirmWorkerDead  CommandKind = "gone"
+	KindSchedulerHeartbeat CommandKind = "hello"
+	KindTransferLeadership CommandKind = "move"
+	KindTick               CommandKind = "tick"
 	// KindTakeLeadership is the primary's own dispatcher taking a leadership; nobody
 	// else may send it.
-	KindTakeLeadership = "take"
+	KindTakeLeadership CommandKind = "take"
 	// KindRenewWorkers is the primary's own dispatcher renewing the leases of all
 	// workers that it has heard lately; nobody else may send it.
-	KindRenewWorkers = "renew"
+	KindRenewWorkers CommandKind = "renew"
 
 	// What follows changes nothing: a job, a class's waiting tasks, the configuration,
 	// an operator's write by its idempotency key, or just the proof that the primary leads.
 
-	KindReadJob           = "read"
-	KindReadWaitingCount  = "read-count"
-	KindReadConfig        = "read-plan"
-	KindReadRequest       = "read-request"
-	KindConfirmLeadership = "prove"
+	KindReadJob           CommandKind = "read"
+	KindReadWaitingCount  CommandKind = "read-count"
+	KindReadConfig        CommandKind = "read-plan"
+	KindReadRequest       CommandKind = "read-request"
+	KindConfirmLeadership CommandKind = "prove"
 )
 
 // IsReadOnly says whether a kind of command changes nothing.
-func IsReadOnly(kind string) bool {
+func IsReadOnly(kind CommandKind) bool {
 	switch kind {
 	case KindReadJob, KindReadWaitingCount, KindReadConfig, KindReadRequest, KindConfirmLeadership:
 		return true
@@ -58,7 +61,7 @@
 	LogPosition
 	// Time is state time.
 	Time time.Duration `json:"at"`
-	Kind string        `json:"kind"`
+	Kind CommandKind   `json:"kind"`
 	// Name is that of the job, worker, zone or leadership in question.
 	Name string `json:"name,omitempty"`
 	// Drain is false for an order that takes a drain back.
--- a/core/state/dryrun.go
+++ b/core/state/dryrun.go
@@ -38,11 +38,11 @@
 // class by class, without changing anything.
 func (s *Store) DryRun(proposed config.Config) []DryRunRow {
 	waiting := s.waitingByClass()
-	classes := map[classKey]bool{}
+	classes := map[ClassKey]bool{}
 	for _, c := range []config.Config{s.config, proposed} {
 		for serviceName, service := range c.Services {
 			for class := range service.Classes {
-				classes[classKey{serviceName, class}] = true
+				classes[ClassKey{serviceName, class}] = true
 			}
 		}
 	}
@@ -54,8 +54,8 @@
 	for class := range classes {
 		tasks := waiting[class]
 		rows = append(rows, DryRunRow{
-			Service: class.service, Class: class.class, Waiting: tasks.count,
-			UsedSlots: s.ServiceLoad(class.service).Used[class.class],
+			Service: class.Service, Class: class.Class, Waiting: tasks.count,
+			UsedSlots: s.ServiceLoad(class.Service).Used[class.Class],
 			Current:   s.dryRunOutcome(s.config, s.policies, class, tasks.longest),
 			Proposed:  s.dryRunOutcome(proposed, proposedPolicies, class, tasks.longest),
 		})
@@ -67,10 +67,10 @@
 }
 
 // waitingByClass gives the ready tasks without a lease of each class.
-func (s *Store) waitingByClass() map[classKey]waitingTasks {
-	byClass := map[classKey]waitingTasks{}
+func (s *Store) waitingByClass() map[ClassKey]waitingTasks {
+	byClass := map[ClassKey]waitingTasks{}
 	for _, job := range s.ActiveJobs() {
-		class := classKey{job.Spec.Service, job.Spec.Class}
+		class := job.Spec.classKey()
 		for i, task := range job.Tasks {
 			if task.State != Ready || task.Lease.Held() {
 				continue
@@ -79,7 +79,7 @@
 			waited := (s.now - task.ReadyAt).Seconds()
 			if tasks.count == 0 || waited > tasks.longest.WaitedSeconds {
 				tasks.longest = config.OrderInput{
-					Level: task.Level, WaitedSeconds: waited, Class: class.class, Service: class.service,
+					Level: task.Level, WaitedSeconds: waited, Class: class.Class, Service: class.Service,
 					Slots: job.Spec.Tasks[i].Resources.Slots,
 				}
 			}
@@ -92,17 +92,17 @@
 
 // dryRunOutcome is how a class stands under a configuration with its policies.
 func (s *Store) dryRunOutcome(
-	c config.Config, policies config.CompiledPolicies, key classKey, longest config.OrderInput,
+	c config.Config, policies config.CompiledPolicies, key ClassKey, longest config.OrderInput,
 ) DryRunOutcome {
-	class, known := c.Services[key.service].Classes[key.class]
-	load := s.ServiceLoad(key.service)
-	share, used := slotsOfShare(class.Share, load.Slots), load.Used[key.class]
+	class, known := c.Services[key.Service].Classes[key.Class]
+	load := s.ServiceLoad(key.Service)
+	share, used := slotsOfShare(class.Share, load.Slots), load.Used[key.Class]
 	longest.Priority, longest.Share, longest.Used = class.Priority, share, used
 	return DryRunOutcome{
 		Known: known, ShareSlots: share, Order: policies.Order(longest),
 		Borrow: known && policies.Borrow(config.BorrowInput{
 			Total: load.Slots, Idle: load.Idle, Requested: 1, Used: max(used, share), Share: share,
-			Waiting: s.unmetDemand(key.service, key.class), Class: key.class, Service: key.service,
+			Waiting: s.unmetDemand(key.Service, key.Class), Class: key.Class, Service: key.Service,
 		}),
 	}
 }
--- a/core/state/explain.go
+++ b/core/state/explain.go
@@ -134,7 +134,7 @@
 	case counts.byCode[status.OK] == 0:
 		return counts.explainUnfit()
 	}
-	if allowed, _ := s.CheckShare(service, class, spec.Resources.Slots, nil); !allowed {
+	if allowed, _ := s.CheckShare(job.Spec.classKey(), spec.Resources.Slots, nil); !allowed {
 		usedSlots, shareSlots := s.ClassUse(service, class)
 		return fmt.Sprintf("class %s uses %d slots of its share of %d, and may not borrow now",
 			class, usedSlots, shareSlots)
--- a/core/state/indexes.go
+++ b/core/state/indexes.go
@@ -6,8 +6,11 @@
 	"time"
 )
 
-// classKey names a class of a service.
-type classKey struct{ service, class string }
+// ClassKey names a class of a service.
+type ClassKey struct{ Service, Class string }
+
+// classKey names the class of a job.
+func (spec *JobSpec) classKey() ClassKey { return ClassKey{spec.Service, spec.Class} }
 
 // indexes are derived from the records of jobs and tasks. They are no records
 // themselves: setTask keeps them right, and rebuildIndexes makes them anew after
@@ -17,7 +20,7 @@
 	leases map[string]map[taskRef]bool
 	usage  map[string]workerUsage
 	// unfinished counts the tasks of a class that are not terminal.
-	unfinished map[classKey]int
+	unfinished map[ClassKey]int
 	// waiting counts the ready tasks without a lease by what they demand.
 	waiting    map[demand]int
 	activeJobs map[string]bool
@@ -32,7 +35,7 @@
 	s.indexes = indexes{
 		leases:     map[string]map[taskRef]bool{},
 		usage:      map[string]workerUsage{},
-		unfinished: map[classKey]int{},
+		unfinished: map[ClassKey]int{},
 		waiting:    map[demand]int{},
 		activeJobs: map[string]bool{},
 		timedTasks: map[taskRef]bool{},
@@ -61,7 +64,7 @@
 func (s *Store) countTask(job Job, i, by int) {
 	task := &job.Tasks[i]
 	if !task.Terminal() {
-		s.unfinished[classKey{job.Spec.Service, job.Spec.Class}] += by
+		s.unfinished[job.Spec.classKey()] += by
 	}
 	ref := taskRef{job.Spec.ID, i}
 	if task.State == Waiting && task.DueAt > 0 && by > 0 {
--- a/core/state/share.go
+++ b/core/state/share.go
@@ -17,19 +17,19 @@
 }
 
 // CheckShare checks the share of a class, then asks the borrowing policy. Under way
-// are slots by service and class that were asked for and are not leased yet.
+// are slots by class that were asked for and are not leased yet.
 func (s *Store) CheckShare(
-	service, class string, requestedSlots int, underWay map[[2]string]int,
+	key ClassKey, requestedSlots int, underWay map[ClassKey]int,
 ) (allowed, borrowed bool) {
-	load := s.ServiceLoad(service)
+	load := s.ServiceLoad(key.Service)
 	idle := load.Idle
-	for of, slots := range underWay {
-		if of[0] == service {
+	for class, slots := range underWay {
+		if class.Service == key.Service {
 			idle -= slots
 		}
 	}
-	share := s.shareSlots(service, class, load.Slots)
-	used := load.Used[class] + underWay[[2]string{service, class}]
+	share := s.shareSlots(key.Service, key.Class, load.Slots)
+	used := load.Used[key.Class] + underWay[key]
 	if used+requestedSlots <= share || used == 0 && share > 0 {
 		// What is larger than the share starts alone in its class, or it never could.
 		return true, false
@@ -39,6 +39,6 @@
 	}
 	return s.policies.Borrow(config.BorrowInput{
 		Total: load.Slots, Idle: idle, Requested: requestedSlots, Used: used, Share: share,
-		Waiting: s.unmetDemand(service, class), Class: class, Service: service,
+		Waiting: s.unmetDemand(key.Service, key.Class), Class: key.Class, Service: key.Service,
 	}), true
 }
--- a/core/state/stalled.go
+++ b/core/state/stalled.go
@@ -117,7 +117,7 @@
 func (s *Store) roomFor(job *Job, i, tasks int) (workers int, fits bool) {
 	spec := &job.Spec.Tasks[i]
 	slots := stalledRoom * tasks * spec.Resources.Slots
-	if allowed, _ := s.CheckShare(job.Spec.Service, job.Spec.Class, slots, nil); !allowed {
+	if allowed, _ := s.CheckShare(job.Spec.classKey(), slots, nil); !allowed {
 		return 0, false
 	}
 	byRack := map[string]int{}
--- a/core/state/validate.go
+++ b/core/state/validate.go
@@ -44,7 +44,7 @@
 	if taskLevels(spec) == nil {
 		return invalidJob("/tasks: the dependencies go in a circle").result()
 	}
-	unfinished := s.unfinished[classKey{spec.Service, spec.Class}]
+	unfinished := s.unfinished[spec.classKey()]
 	if class.QueueLimit > 0 && unfinished+len(spec.Tasks) > class.QueueLimit {
 		return rejectForNow(queueFullRetryAfter, status.QueueFull, "class %s has %d tasks waiting", spec.Class, unfinished)
 	}
--- a/daemon/compatibility/coverage_test.go
+++ b/daemon/compatibility/coverage_test.go
@@ -72,8 +72,8 @@
 // TestKindsAreComplete wants each kind to be carried out, and none of them to be a read.
 func TestKindsAreComplete(t *testing.T) {
 	for _, kind := range kinds {
-		a := state.New().Apply(state.Command{Kind: kind})
-		if state.IsReadOnly(kind) || strings.HasPrefix(a.Reason, "unknown command") {
+		a := state.New().Apply(state.Command{Kind: state.CommandKind(kind)})
+		if state.IsReadOnly(state.CommandKind(kind)) || strings.HasPrefix(a.Reason, "unknown command") {
 			t.Errorf("%s changes nothing: %v", kind, a)
 		}
 	}
--- a/daemon/host/host_test.go
+++ b/daemon/host/host_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -107,8 +108,8 @@
 	answers := make(chan string)
 	for _, name := range []string{"a", "b", "c"} {
 		go func() {
-			got, ok := runner.Do(context.Background(), machine.Request{Name: name})
-			answers <- fmt.Sprint(name, ok, got)
+			got, err := runner.Do(context.Background(), machine.Request{Name: name})
+			answers <- fmt.Sprint(name, err == nil, got)
 		}()
 	}
 	want := map[string]bool{"atrueanswer to a": true, "btrueanswer to b": true, "ctrueanswer to c": true}
@@ -176,23 +177,23 @@
 	if err := h.Run(); err != nil {
 		t.Fatal(err)
 	}
-	asked := make(chan bool)
+	asked := make(chan error)
 	begun := make(chan struct{})
 	r.do = func(time.Duration, machine.Input) machine.Output {
 		close(begun)
 		return machine.Output{}
 	}
 	go func() {
-		_, ok := runner.Do(context.Background(), machine.Request{Name: "never answered"})
-		asked <- ok
+		_, err := runner.Do(context.Background(), machine.Request{Name: "never answered"})
+		asked <- err
 	}()
 	<-begun
 	h.Close()
-	if <-asked {
-		t.Error("an answer came")
+	if err := <-asked; !errors.Is(err, ErrClosed) {
+		t.Errorf("it ends with %v", err)
 	}
 	runner.Step(machine.Input{})
-	if _, ok := runner.Do(context.Background(), machine.Request{}); ok {
-		t.Error("a closed host answers")
+	if _, err := runner.Do(context.Background(), machine.Request{}); !errors.Is(err, ErrClosed) {
+		t.Errorf("a closed host ends with %v", err)
 	}
 }
--- a/daemon/host/runner.go
+++ b/daemon/host/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -42,22 +43,25 @@
 	}
 }
 
-// Do gives the machine a request and returns the body of the response, or false if the
-// context or the host ends before it.
-func (r *Runner) Do(ctx context.Context, request machine.Request) (any, bool) {
+// ErrClosed says that the host ended before a request was answered.
+var ErrClosed = errors.New("the host is closed")
+
+// Do gives the machine a request and returns the body of the response. It fails with the
+// error of the context, or with ErrClosed, if that ends before the response.
+func (r *Runner) Do(ctx context.Context, request machine.Request) (any, error) {
 	id, response := r.host.requests.add()
 	defer r.host.requests.remove(id)
 	request.ID = id
 	if !r.host.receiveQueue.EnqueueCall(func() { r.step(machine.Input{Request: request}) }) {
-		return nil, false
+		return nil, ErrClosed
 	}
 	select {
 	case body := <-response:
-		return body, true
+		return body, nil
 	case <-ctx.Done():
-		return nil, false
+		return nil, ctx.Err()
 	case <-r.host.closed:
-		return nil, false
+		return nil, ErrClosed
 	}
 }
 
--- a/daemon/transport/messages_test.go
+++ b/daemon/transport/messages_test.go
@@ -55,7 +55,7 @@
 }
 
 // partOf copies the part of a command that belongs to its kind.
-var partOf = map[string]func(to *state.Command, from state.Command){
+var partOf = map[state.CommandKind]func(to *state.Command, from state.Command){
 	state.KindAcceptJob:          func(to *state.Command, from state.Command) { to.Job = from.Job },
 	state.KindHeartbeat:          func(to *state.Command, from state.Command) { to.Heartbeat = from.Heartbeat },
 	state.KindGrantLeases:        func(to *state.Command, from state.Command) { to.Grant = from.Grant },
@@ -101,13 +101,13 @@
 	for kind := range partOf {
 		body := goldentest.Filled(t, wire.CommandRequest{}).(wire.CommandRequest)
 		body.Command = commandOf(t, kind)
-		all = append(all, message{"command-" + kind, wire.KindCommand, body})
+		all = append(all, message{"command-" + string(kind), wire.KindCommand, body})
 	}
 	return append(all, carriers(t)...)
 }
 
 // commandOf returns a command of a kind with all fields of that kind set.
-func commandOf(t *testing.T, kind string) state.Command {
+func commandOf(t *testing.T, kind state.CommandKind) state.Command {
 	t.Helper()
 	filled := goldentest.Filled(t, state.Command{}).(state.Command)
 	cmd := filled
--- a/daemon/web/api.go
+++ b/daemon/web/api.go
@@ -71,9 +71,9 @@
 		writeError(c, status.Malformed, err.Error())
 		return
 	}
-	body, ok := gatewayRunner.Do(ctx, request)
+	body, err := gatewayRunner.Do(ctx, request)
 	reply, isReply := body.(gateway.Reply)
-	if !ok || !isReply {
+	if err != nil || !isReply {
 		writeError(c, status.Internal, "the gateway gave no response")
 		return
 	}
--- a/tool/scale/worker.go
+++ b/tool/scale/worker.go
@@ -33,8 +33,8 @@
 		w.endDueRuns(time.Now())
 		w.callNumber++
 		request := machine.Request{Kind: agent.RequestCall, Decoded: w.report()}
-		v, ok := w.agent.Do(w.cluster.ctx, request)
-		if !ok {
+		v, err := w.agent.Do(w.cluster.ctx, request)
+		if err != nil {
 			return
 		}
 		reply, _ := v.(agent.CallReply)
--- a/tool/sim/control_broken_test.go
+++ b/tool/sim/control_broken_test.go
@@ -25,7 +25,7 @@
 }
 
 // rewriteCommands changes the commands of a kind on their way from a gateway.
-func rewriteCommands(s *ControlScenario, kind string, change func(*state.Command)) {
+func rewriteCommands(s *ControlScenario, kind state.CommandKind, change func(*state.Command)) {
 	rewriteBody(s, func(request *wire.CommandRequest) {
 		if request.Command.Kind == kind {
 			change(&request.Command)
--- a/tool/sim/control_operators.go
+++ b/tool/sim/control_operators.go
@@ -69,7 +69,7 @@
 }
 
 // operatorCommand makes a command of an operator, with an idempotency key of its own.
-func (s *ControlScenario) operatorCommand(kind string) state.Command {
+func (s *ControlScenario) operatorCommand(kind state.CommandKind) state.Command {
 	return state.Command{
 		Kind: kind, IdempotencyKey: s.idempotencyKey(), RequestedAt: state.RequestTimeUnknown,
 	}
