--- a/core/replica/cluster_run_test.go
+++ b/core/replica/cluster_run_test.go
@@ -76,6 +76,9 @@
 // another replica.
 func (c *cluster) send(h *host, incarnation int, sent machine.OutgoingMessage) {
 	switch {
+	case h.incarnation != incarnation:
+		// The process was killed while it sent.
+		return
 	case slices.Contains(c.diskless, sent.To) && sent.Kind == wire.KindBootstrapProbe:
 		c.replyWithoutDisk(h, incarnation, sent.To)
 		return
@@ -152,6 +155,9 @@
 // syncDisk has a batch on the disk.
 func (c *cluster) syncDisk(h *host, write machine.Write) {
 	h.disk.Apply(write)
+	if c.onSync != nil {
+		defer c.onSync()
+	}
 	for _, record := range write.Records {
 		if record.Bucket == bucketReplica && record.Key == keyAcceptor {
 			c.checkSingleView(h, record.Value)
--- a/core/replica/cluster_test.go
+++ b/core/replica/cluster_test.go
@@ -73,6 +73,8 @@
 	earlySyncDisks bool
 	// onSend is called for every message that is sent, also for those that are lost.
 	onSend func(from, to string, message machine.Message)
+	// onSync is called for every batch that has come onto a disk.
+	onSync func()
 }
 
 func newEmptyCluster(t testing.TB) *cluster {
