Judge the calls of the simulated control site by a checker of linearizability

tool/history records calls as their clients see them and looks, with porcupine, for one order that explains every answer: the configuration as a register with conditional, idempotent replacement, each job as an object that is submitted, cancelled and read. Unclear answers may have taken effect at any later time or not.

--- a/tool/sim/checks.go
+++ b/tool/sim/checks.go
@@ -31,6 +31,7 @@
 	checkRejectedWithoutTime = "bounce-without-time"
 	checkRejectedAndRun      = "refused-and-run"
 	checkForeignCheckpoint   = "saved-of-another"
+	checkLinearizable        = "not-linearizable"
 	// checkFencing is not judged: it counts replies that workers drop.
 	checkFencing = "fence"
 )
@@ -50,13 +51,14 @@
 	checkWrongWorker, checkOverCapacity, checkOverPerWorkerLimit, checkFailuresSpent, checkGangAlone,
 	checkStartWhileDraining, checkStartInDrainedZone, checkStartAfterCancel, checkEndedWithOpenTask,
 	checkConfigWentBack, checkQuickBehindBatch, checkLongUnfinished, checkNotServedAgain,
-	checkRejectedWithoutTime, checkRejectedAndRun, checkForeignCheckpoint,
+	checkRejectedWithoutTime, checkRejectedAndRun, checkForeignCheckpoint, checkLinearizable,
 }
 
 // safetyChecks are those that judge what has happened, not what is still to come.
 var safetyChecks = []string{
 	checkJobForgotten, checkConcurrentRuns, checkRunAfterSuccess, checkBeforeDependency, checkWrongWorker,
 	checkOverCapacity, checkFailuresSpent, checkEndedWithOpenTask, checkConfigWentBack, checkRejectedAndRun,
+	checkLinearizable,
 }
 
 // Bounds of the checks.
--- a/tool/sim/control_broken_test.go
+++ b/tool/sim/control_broken_test.go
@@ -237,6 +237,26 @@
 		})
 	}},
 	{"plan-went-back", "an older configuration is read", readOlderConfig},
+	{"not-linearizable", "an older configuration is read", readOlderConfig},
+	{"not-linearizable", "a job that runs is unknown at times", func(s *ControlScenario) {
+		reads := 0
+		rewriteResults(s, func(result *state.Result) {
+			if result.Job.State == state.Running {
+				if reads++; reads%5 == 0 {
+					*result = state.Result{Code: status.UnknownJob}
+				}
+			}
+		})
+	}},
+	{"not-linearizable", "a change is acknowledged and made again", func(s *ControlScenario) {
+		s.world.At(9*time.Second, s.changeConfig)
+		rewriteCommands(s, state.KindChangeConfig, func(command *state.Command) { command.ConfigChange.Forced = true })
+		s.world.At(10*time.Second, func() {
+			command := s.operatorCommand(state.KindChangeConfig)
+			command.ConfigChange = state.ConfigChange{BaseVersion: 1, Body: controlConfig(firstLongPriority)}
+			s.operate(command, func(time.Duration, state.Result) {})
+		})
+	}},
 	{"quick-behind-batch", "the first starts of quick work are lost", func(s *ControlScenario) {
 		rewriteStarts(s, func(start *state.StartOrder) bool {
 			return start.Class != "lookup" || s.world.Now > 20*time.Second
--- a/tool/sim/control_clients.go
+++ b/tool/sim/control_clients.go
@@ -22,10 +22,12 @@
 	n := s.gatewayFor(gatewayIndex)
 	request := machine.Request{Kind: leaderclient.RequestCommand, Decoded: command, Wait: commandTimeout}
 	from := client{name, n.zone}
+	call := s.history.Begin(s.world.Now, command)
 	s.world.Request(from, n.address, request, commandTimeout+time.Second, func(v any) {
 		s.world.trace(name, n.address, command.Kind, v.(state.Result).Code.String())
 	}, func(v any, ok bool) {
 		result, isResult := v.(state.Result)
+		call.Answer(s.world.Now, result, ok && isResult)
 		done(result, ok && isResult)
 	})
 }
--- a/tool/sim/control_result.go
+++ b/tool/sim/control_result.go
@@ -42,6 +42,7 @@
 	s.checkHistory()
 	s.checkDraining()
 	s.checkPerWorkerLimit()
+	s.checkCalls()
 	result := s.newResult()
 	result.FaultsPlayed = s.faultsPlayed
 	s.checkGivenUp(result.FirstStarts)
@@ -49,6 +50,21 @@
 	return result
 }
 
+// checkCalls checks that one order of the calls to each object explains what their clients
+// heard.
+func (s *ControlScenario) checkCalls() {
+	violations, judged, undecided := s.history.Check()
+	for range judged {
+		s.countCheck(checkLinearizable)
+	}
+	for _, violation := range violations {
+		s.violate(checkLinearizable, "%s", violation)
+	}
+	for _, object := range undecided {
+		s.excuse(checkLinearizable, "no order was found in time for "+object)
+	}
+}
+
 // checkGivenUp checks that no job runs whose client gave up on a clear rejection.
 func (s *ControlScenario) checkGivenUp(firstStarts map[string]time.Duration) {
 	for _, job := range s.jobs {
--- a/tool/sim/control_scenario.go
+++ b/tool/sim/control_scenario.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"sorrelloom/core/state"
+	"sorrelloom/tool/history"
 )
 
 const (
@@ -69,6 +70,8 @@
 	machines []*workerMachine
 	jobsByID map[string]*clientJob
 	gangs    map[string]*gangAttempt
+	// history has all calls of callers and operators, as they saw them.
+	history history.History
 
 	pollInterval  time.Duration
 	configVersion uint64 // the last that was acknowledged
