--- a/core/replica/silence_test.go
+++ b/core/replica/silence_test.go
@@ -124,3 +124,29 @@
 	c.start(backup)
 	end(c, primary)
 }
+
+// TestSilenceOfAllWorkers cuts the primary and its backup off from all workers, for longer
+// than their leases. Nothing is returned until one of them is heard again and the other has
+// had the heartbeat timeout to report.
+func TestSilenceOfAllWorkers(t *testing.T) {
+	c := newCluster(t)
+	leaseOneTask(c)
+	other := state.Heartbeat{Worker: "w2", Incarnation: 1, Number: 1, Service: "s", Free: state.Resources{Slots: 1}}
+	c.submit(state.Command{Kind: state.KindHeartbeat, Heartbeat: other})
+	leased := func() bool {
+		job, _ := c.primary().replica.Store().Job("j")
+		return job.Tasks[0].Lease.Held()
+	}
+	c.advance(20 * time.Second)
+	if !leased() {
+		t.Error("the lease was returned while nobody was heard")
+	}
+	for n := range uint64(30) {
+		other.Number = 2 + n
+		c.submit(state.Command{Kind: state.KindHeartbeat, Heartbeat: other})
+		if held := leased(); n < 18 && !held || n > 25 && held {
+			t.Errorf("%d ms after one of them was heard again, the other's lease is held: %v", 100*n, held)
+		}
+		c.advance(100 * time.Millisecond)
+	}
+}
