--- a/tool/sim/fleet_workers.go
+++ b/tool/sim/fleet_workers.go
@@ -10,8 +10,12 @@
 	"sorrelloom/tool/fakeworker"
 )
 
-// bootWorker starts a worker's process, with a larger incarnation each time.
+// bootWorker starts a worker's process, with a larger incarnation each time. One that runs
+// is left alone: two faults that overlap may both bring it back.
 func (s *FleetScenario) bootWorker(worker *simWorker) {
+	if worker.up {
+		return
+	}
 	worker.incarnation++
 	worker.config.Incarnation = int64(worker.incarnation)
 	worker.worker = fakeworker.New(worker.config)
