Take back: a primary that hears no worker counts as serving again

Cause, by reading: it judged by the state's renewals, which come late under overload, so the ticks that stop broken gangs were held back with the rest.

--- a/core/replica/leader.go
+++ b/core/replica/leader.go
@@ -94,9 +94,9 @@
 }
 
 // trackConfirmation notes since when this primary has served without a pause. While it was
-// suspended, or cut off from its backups or from all workers, nobody could hear these.
+// suspended, or cut off from its backups, nobody could hear the workers.
 func (r *Replica) trackConfirmation(now time.Duration) {
-	confirmed := r.LeadershipConfirmed(now) && !r.log.store.HearsNobody(r.Time(now))
+	confirmed := r.LeadershipConfirmed(now)
 	if !confirmed || now-r.leadership.confirmedAt > suspectTimeout {
 		r.leadership.confirmedSince = now
 	}
--- a/core/state/lease.go
+++ b/core/state/lease.go
@@ -200,17 +200,6 @@
 	return servingSince == 0 || now >= servingSince+s.config.Limits.HeartbeatTimeout.Duration
 }
 
-// HearsNobody says whether none of several workers has been heard for the heartbeat timeout:
-// then it is the primary that cannot be reached, rather than all of them that are silent.
-func (s *Store) HearsNobody(now time.Duration) bool {
-	for _, worker := range s.workers {
-		if now-worker.LastSeenAt <= s.config.Limits.HeartbeatTimeout.Duration {
-			return false
-		}
-	}
-	return len(s.workers) > 1
-}
-
 // anyLeaseLapsed says whether any lease is over by the silence of its worker.
 func (s *Store) anyLeaseLapsed(now time.Duration) bool {
 	for _, leased := range s.leases {
