--- a/core/replica/report.go
+++ b/core/replica/report.go
@@ -89,7 +89,7 @@
 		m.HeardMsAgo = (now - peer.heardAt).Milliseconds()
 		if r.isPrimary() && peer.replicating {
 			m.Index = peer.match.Index
-			m.Lag = int64(index - min(index, peer.match.Index))
+			m.Lag = int64(r.lagOf(peer))
 		}
 	}
 	return m
