--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -29,7 +29,7 @@
 
 const (
 	defaultReportWait   = 500 * time.Millisecond
-	defaultCallInterval = 100 * time.Millisecond
+	defaultCallInterval = 50 * time.Millisecond
 	defaultCallTimeout  = time.Second
 
 	// jitterStream separates the jitter from other random numbers of the same seed.
--- a/core/dispatch/best_in_queue.go
+++ b/core/dispatch/best_in_queue.go
@@ -98,7 +98,9 @@
 	if group.key.hasInputs {
 		limit = maxExaminedWithInputs
 	}
-	for _, task := range group.tasks {
+	start := d.firstInTime(pull.store, group.tasks)
+	for n := range group.tasks {
+		task := group.tasks[(start+n)%len(group.tasks)]
 		job, ok := pull.store.Job(task.ref.Job)
 		if !ok || pull.inFlight.Tasks[task.ref] || pull.skipped[task.ref] {
 			continue
@@ -114,6 +116,7 @@
 			ref:      task.ref,
 			job:      job,
 			tier:     tierOf(pull.store, job, task.ref.Index),
+			urgency:  d.urgencyOf(pull.store, job, task.ref.Index),
 			level:    group.key.level,
 			locality: d.LocalityScore(job, task.ref, pull.id),
 			number:   task.number,
@@ -139,7 +142,7 @@
 	}
 	return pull.store.AtWorkerLimit(job, i, pull.id, 0) ||
 		d.waitsForRack(pull.store, job, task, &pull.worker) ||
-		!d.trusts(pull.store, job, i, pull.worker) ||
+		!d.trusts(pull.store, job, task.ref, pull.worker) ||
 		d.failedOnWorker(pull.store, job, i, pull.worker) ||
 		d.reservedForGang(pull.store, pull.worker, key, task.number)
 }
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -58,6 +58,7 @@
 	inputs    inputIndex
 	steals    steals
 	health    healthTracker
+	trust     trustTracker
 	runTimes  runTimes
 	headroom  headroomTracker
 
@@ -101,6 +102,7 @@
 		changedWorkers: map[string]bool{},
 		completed:      map[string]int{},
 		health:         newHealthTracker(options),
+		trust:          newTrustTracker(),
 		runTimes:       runTimes{},
 		headroom:       newHeadroomTracker(),
 		queues:         workerQueues{versions: map[string]uint64{}},
@@ -133,6 +135,7 @@
 			d.reservations = reservationCache{}
 			d.beginRebuild(store)
 		case change.Worker != "":
+			d.trust.observeWorker(store, change.Worker)
 			d.updateWorker(store, change.Worker, rebuildBatch)
 		case change.Task < 0:
 			if _, ok := store.Job(change.Job); !ok {
--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -14,10 +14,6 @@
 	// slowThreshold the slowdown above which it is slow.
 	unhealthyThreshold = 0.45
 	slowThreshold      = 2.5
-	// trustedFailureRate is the failure rate below which a worker is trusted with the last
-	// attempt of a task. A task waits for a worker that is trusted for trustPatience at most.
-	trustedFailureRate = 0.2
-	trustPatience      = 500 * time.Millisecond
 	// initialPause is the pause after a worker's first failure; it doubles with each
 	// further one, up to maxPause.
 	initialPause     = 500 * time.Millisecond
@@ -48,6 +44,9 @@
 	workers    map[string]workerHealth
 	options    Options
 	majorities map[string]healthMajority
+	// unobservedUntil is when the dispatcher last could not see what workers do, for each
+	// worker that was silent then, and under the empty name for all.
+	unobservedUntil map[string]time.Duration
 	// overdueAt is when the running attempts were last looked at.
 	overdueAt time.Duration
 	// changes are the workers whose account has changed its verdict, for the log.
@@ -98,6 +97,7 @@
 func newHealthTracker(options Options) healthTracker {
 	return healthTracker{
 		options: options, workers: map[string]workerHealth{}, majorities: map[string]healthMajority{},
+		unobservedUntil: map[string]time.Duration{},
 	}
 }
 
@@ -118,7 +118,7 @@
 		health.failureRate *= 1 - failureWeight
 		health.consecutiveFailures = 0
 		health.pausedUntil = 0
-		if attempt.startedAt > 0 && usual > 0 && !t.options.WithoutSlownessHealth {
+		if usual > 0 && !t.options.WithoutSlownessHealth {
 			health.observeRunTime((task.EndedAt - attempt.startedAt).Seconds() / max(usual, minTypicalSeconds))
 			if health.slow() {
 				health.pausedUntil = store.Now() + slowPause
@@ -198,24 +198,6 @@
 	return usedSlots < max(1, int(float64(worker.Capacity.Slots)/health.slowdown))
 }
 
-// trusts reports whether a task may be given to a worker: a quick task, or one that would fail
-// for good with its next failure, to none that is deprioritized or has failed a moment ago,
-// unless it has waited for another one for a while.
-func (d *Dispatcher) trusts(store *state.Store, job state.Job, i int, worker state.Worker) bool {
-	if d.options.WithoutTrust {
-		return true
-	}
-	task, spec := &job.Tasks[i], &job.Spec.Tasks[i]
-	lastAttempt := task.Failures > 0 && task.Failures+1 >= spec.MaxFailures
-	if !lastAttempt && !isQuick(store, job.Spec.Service, job.Spec.Class) || store.Now()-task.ReadyAt > trustPatience {
-		return true
-	}
-	if d.health.deprioritized(store, worker) {
-		return false
-	}
-	return !lastAttempt || d.health.workers[worker.ID()].failureRate < trustedFailureRate
-}
-
 // failedOnWorker reports whether a task has failed on this worker and could run on
 // another where it has not.
 func (d *Dispatcher) failedOnWorker(store *state.Store, job state.Job, i int, worker state.Worker) bool {
--- a/core/dispatch/health_running.go
+++ b/core/dispatch/health_running.go
@@ -34,10 +34,11 @@
 		return
 	}
 	d.health.overdueAt = now
+	d.health.noteSilent(store)
 	overdue := map[string]overdueRuns{}
 	for ref, attempt := range d.running {
 		job, ok := store.Job(ref.Job)
-		if !ok || attempt.startedAt == 0 || job.Spec.Tasks[ref.Index].LongRunning {
+		if !ok || !d.health.observed(attempt) || job.Spec.Tasks[ref.Index].LongRunning {
 			continue
 		}
 		usual := d.usualSeconds(store, job, ref.Index, attempt.worker)
@@ -59,6 +60,20 @@
 	}
 }
 
+// noteSilent takes note of the workers that are silent: how long their runs take is not seen.
+func (t *healthTracker) noteSilent(store *state.Store) {
+	for _, worker := range store.Workers() {
+		if !store.Live(worker) {
+			t.unobservedUntil[worker.ID()] = store.Now()
+		}
+	}
+}
+
+// observed reports whether the whole of an attempt was seen.
+func (t *healthTracker) observed(attempt runningAttempt) bool {
+	return attempt.startedAt > max(t.unobservedUntil[""], t.unobservedUntil[attempt.worker])
+}
+
 // usualSeconds is how long runs of a task's class usually take on a worker: longer away from
 // the task's data.
 func (d *Dispatcher) usualSeconds(store *state.Store, job state.Job, i int, workerID string) float64 {
--- a/core/dispatch/rebuild.go
+++ b/core/dispatch/rebuild.go
@@ -32,6 +32,10 @@
 // then the oldest.
 func (d *Dispatcher) beginRebuild(store *state.Store) {
 	d.reset()
+	d.health.unobservedUntil[""] = store.Now()
+	for _, worker := range store.Workers() {
+		d.trust.observeWorker(store, worker.ID())
+	}
 	var quick, others []string
 	for _, job := range store.ActiveJobs() {
 		if isQuick(store, job.Spec.Service, job.Spec.Class) {
--- a/core/dispatch/task_changes.go
+++ b/core/dispatch/task_changes.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -55,12 +56,13 @@
 
 // endAttempt takes note that a lease is over.
 func (d *Dispatcher) endAttempt(store *state.Store, job state.Job, ref TaskRef, attempt runningAttempt) {
+	d.trust.observeEnd(job, ref, attempt)
 	usual := 0.0
-	if !job.Spec.Tasks[ref.Index].LongRunning {
+	if d.health.observed(attempt) && !job.Spec.Tasks[ref.Index].LongRunning {
 		usual = d.usualSeconds(store, job, ref.Index, attempt.worker)
+		d.observeRunTime(store, job, ref.Index, attempt)
 	}
 	d.health.observeEnd(store, job, ref.Index, attempt, usual)
-	d.observeRunTime(store, job, ref.Index, attempt)
 	delete(d.running, ref)
 	if at := d.locations.byTask[ref]; at.worker == attempt.worker && at.role == outputHeld {
 		// An earlier attempt of this worker has completed the task. completeTask, which
@@ -74,7 +76,7 @@
 // observeRunTime takes the run time of an attempt that has succeeded.
 func (d *Dispatcher) observeRunTime(store *state.Store, job state.Job, i int, attempt runningAttempt) {
 	task := &job.Tasks[i]
-	if task.State != state.Done || task.CompletedOn != attempt.worker || attempt.startedAt == 0 {
+	if task.State != state.Done || task.CompletedOn != attempt.worker {
 		return
 	}
 	worker, known := store.Worker(attempt.worker)
@@ -102,6 +104,7 @@
 	}
 	delete(d.jobSizes, job)
 	delete(d.chains, job)
+	maps.DeleteFunc(d.trust.failedStarts, func(ref TaskRef, _ time.Duration) bool { return ref.Job == job })
 	d.inputs.forgetJob(job)
 }
 
--- a/tool/experiment/worker.go
+++ b/tool/experiment/worker.go
@@ -13,10 +13,8 @@
 )
 
 const (
-	// callInterval is the time between two calls of a worker to its agent, reportWait how
-	// long the primary may keep an agent's report, reportTimeout after what time without a
-	// reply another one is sent.
-	callInterval  = 100 * time.Millisecond
+	// reportWait is how long the primary may keep an agent's report, reportTimeout after
+	// what time without a reply another one is sent.
 	reportWait    = 500 * time.Millisecond
 	reportTimeout = 1100 * time.Millisecond
 	minReportGap  = 10 * time.Millisecond
@@ -105,7 +103,7 @@
 	w.runs, w.started = map[state.Attempt]*run{}, map[state.Attempt]bool{}
 	w.starts, w.stops, w.ends, w.backoffUntil = nil, nil, nil, 0
 	life := w.life
-	phase := time.Duration(w.day.rng.Int64N(int64(callInterval)))
+	phase := time.Duration(w.day.rng.Int64N(int64(w.day.policy.CallInterval)))
 	w.day.queue.After(phase, func() { w.call(life) })
 }
 
@@ -125,7 +123,7 @@
 	if !w.up || w.life != life {
 		return
 	}
-	w.day.queue.After(callInterval, func() { w.call(life) })
+	w.day.queue.After(w.day.policy.CallInterval, func() { w.call(life) })
 	for _, r := range w.sortedRuns() {
 		if !r.ended {
 			continue
@@ -232,7 +230,7 @@
 		w.number, w.dirty = max(w.number, orders.HeartbeatNumber), true
 		return
 	case !code.IsSuccess():
-		w.backoffUntil, w.dirty = now+callInterval, true
+		w.backoffUntil, w.dirty = now+w.day.policy.CallInterval, true
 		return
 	}
 	w.extendLease(orders.LeaseDuration)
