--- a/core/dispatch/best_in_queue.go
+++ b/core/dispatch/best_in_queue.go
@@ -69,7 +69,7 @@
 	if !ok || !p.free.Covers(key.resources) || p.store.Fits(job, head.Index, p.worker) != status.OK {
 		return false, false
 	}
-	if !p.shareAllows(key) || d.keepsHeadroom(p, group, job) {
+	if d.withheld(p, group, job) || !p.shareAllows(key) || d.keepsHeadroom(p, group, job) {
 		return false, false
 	}
 	ownerTakes = owner.canTake && owner.free.Covers(key.resources) &&
@@ -77,6 +77,13 @@
 	return true, ownerTakes
 }
 
+// withheld reports whether the tasks of a group wait for another worker than this one. The
+// oldest speaks for all, so that a long queue is not looked through in vain.
+func (d *Dispatcher) withheld(p *pullRequest, group *taskGroup, job state.Job) bool {
+	head := group.tasks[0]
+	return d.waitsForRack(p.store, job, head, &p.worker) || d.waitsForTrust(p.store, job, head.ref, p.worker)
+}
+
 // shareAllows reports whether the class of a group may use more slots.
 func (p *pullRequest) shareAllows(key *groupKey) bool {
 	if p.inFlight.OverShare[state.ClassKey{Service: key.service, Class: key.class}] {
@@ -142,7 +149,7 @@
 	}
 	return pull.store.AtWorkerLimit(job, i, pull.id, 0) ||
 		d.waitsForRack(pull.store, job, task, &pull.worker) ||
-		!d.trusts(pull.store, job, task.ref, pull.worker) ||
+		d.waitsForProof(pull.store, job, task.ref, pull.id) ||
 		d.failedOnWorker(pull.store, job, i, pull.worker) ||
 		d.reservedForGang(pull.store, pull.worker, key, task.number)
 }
--- a/core/dispatch/trust.go
+++ b/core/dispatch/trust.go
@@ -105,21 +105,24 @@
 	return 2*past >= total
 }
 
-// trusts reports whether a task may be given to a worker. A quick task goes to none that is
-// deprioritized or on probation; one that would fail for good with its next failure only to
-// a worker that has succeeded with what it began after the attempt that failed, so that it
-// does not fail for the same reason. None waits for such a worker for long.
-func (d *Dispatcher) trusts(store *state.Store, job state.Job, ref TaskRef, worker state.Worker) bool {
-	task := &job.Tasks[ref.Index]
-	if d.options.WithoutTrust || store.Now()-task.ReadyAt > trustPatience {
-		return true
-	}
-	lastAttempt := task.Failures > 0 && task.Failures+1 >= job.Spec.Tasks[ref.Index].MaxFailures
-	if !lastAttempt && !isQuick(store, job.Spec.Service, job.Spec.Class) {
-		return true
+// waitsForTrust reports whether a quick task waits for a worker that is neither deprioritized
+// nor on probation.
+func (d *Dispatcher) waitsForTrust(store *state.Store, job state.Job, ref TaskRef, worker state.Worker) bool {
+	if d.options.WithoutTrust || !isQuick(store, job.Spec.Service, job.Spec.Class) ||
+		store.Now()-job.Tasks[ref.Index].ReadyAt > trustPatience {
+		return false
 	}
-	if d.health.deprioritized(store, worker) || d.trust.onProbation(store, worker) {
+	return d.health.deprioritized(store, worker) || d.trust.onProbation(store, worker)
+}
+
+// waitsForProof reports whether a task that would fail for good with its next failure waits
+// for another worker: one that has succeeded with what it began after the attempt that failed,
+// so that it does not fail for the same reason.
+func (d *Dispatcher) waitsForProof(store *state.Store, job state.Job, ref TaskRef, worker string) bool {
+	task := &job.Tasks[ref.Index]
+	if d.options.WithoutTrust || task.Failures == 0 || task.Failures+1 < job.Spec.Tasks[ref.Index].MaxFailures ||
+		store.Now()-task.ReadyAt > trustPatience {
 		return false
 	}
-	return !lastAttempt || d.trust.lives[worker.ID()].provenAt > d.trust.failedStarts[ref]
+	return d.trust.lives[worker].provenAt <= d.trust.failedStarts[ref]
 }
--- a/tool/experiment/policies.go
+++ b/tool/experiment/policies.go
@@ -9,7 +9,7 @@
 )
 
 // deployedMaxLease bounds the leases of workers where the platform's translator sets them.
-const deployedMaxLease = 4 * time.Second
+const deployedMaxLease = 6 * time.Second
 
 // deployedCallInterval is the time between two calls of a worker, as agents ask for it.
 const deployedCallInterval = 50 * time.Millisecond
@@ -39,7 +39,7 @@
 	"no-slowness-health": without(func(o *dispatch.Options) { o.WithoutSlownessHealth = true }),
 	"no-failed-on":       without(func(o *dispatch.Options) { o.WithoutFailedOn = true }),
 	"call-100ms":         func(p *Policy) { p.CallInterval = 100 * time.Millisecond },
-	"lease-6s":           func(p *Policy) { p.MaxLease = 6 * time.Second },
+	"lease-4s":           func(p *Policy) { p.MaxLease = 4 * time.Second },
 	"no-urgency":         without(func(o *dispatch.Options) { o.WithoutUrgency = true }),
 	"lease-2s":           func(p *Policy) { p.MaxLease = 2 * time.Second },
 	"lease-3s":           func(p *Policy) { p.MaxLease = 3 * time.Second },
