--- a/core/control/control.go
+++ b/core/control/control.go
@@ -88,7 +88,9 @@
 func (c *Control) Step(now time.Duration, in machine.Input) machine.Output {
 	var out machine.Output
 	isHeartbeat := in.Message.Kind == wire.KindHeartbeat
-	if !isHeartbeat {
+	if isHeartbeat {
+		c.replica.NoteWorkerHeard(now)
+	} else {
 		out = c.replica.Step(now, in)
 	}
 	c.followTerm()
--- a/core/dispatch/best_in_queue.go
+++ b/core/dispatch/best_in_queue.go
@@ -105,9 +105,7 @@
 	if group.key.hasInputs {
 		limit = maxExaminedWithInputs
 	}
-	start := d.firstInTime(pull.store, group.tasks)
-	for n := range group.tasks {
-		task := group.tasks[(start+n)%len(group.tasks)]
+	for _, task := range group.tasks {
 		job, ok := pull.store.Job(task.ref.Job)
 		if !ok || pull.inFlight.Tasks[task.ref] || pull.skipped[task.ref] {
 			continue
@@ -123,7 +121,6 @@
 			ref:      task.ref,
 			job:      job,
 			tier:     tierOf(pull.store, job, task.ref.Index),
-			urgency:  d.urgencyOf(pull.store, job, task.ref.Index),
 			level:    group.key.level,
 			locality: d.LocalityScore(job, task.ref, pull.id),
 			number:   task.number,
--- a/core/dispatch/options.go
+++ b/core/dispatch/options.go
@@ -32,8 +32,6 @@
 	// against a worker.
 	WithoutFailureHealth  bool
 	WithoutSlownessHealth bool
-	// WithoutUrgency serves what can no longer be in time like what can.
-	WithoutUrgency bool
 	// WithoutOverdueRuns learns that a worker is slow only by the ends of its runs.
 	WithoutOverdueRuns bool
 	// WithoutTrust gives quick tasks and last attempts to any worker that may pull.
--- a/core/dispatch/order.go
+++ b/core/dispatch/order.go
@@ -45,21 +45,17 @@
 	ref      TaskRef
 	job      state.Job
 	tier     tier
-	urgency  urgency
 	level    int
 	locality float64
 	number   uint64
 }
 
-// precedes is the order within one queue. Within a tier, what can still be in time comes
-// before what can't. Within that it is Fela's: the deepest step first, then the largest
-// locality score, then the smallest number.
+// precedes is the order within one queue. Within a tier it is Fela's: the deepest
+// step first, then the largest locality score, then the smallest number.
 func (c *candidate) precedes(other *candidate) bool {
 	switch {
 	case c.tier != other.tier:
 		return other.tier.less(c.tier)
-	case c.urgency != other.urgency:
-		return c.urgency < other.urgency
 	case c.level != other.level:
 		return c.level > other.level
 	case c.locality != other.locality:
@@ -98,7 +94,7 @@
 
 func (b *bestCandidate) recordRule(first, second *candidate) {
 	switch {
-	case first.tier != second.tier || first.urgency != second.urgency:
+	case first.tier != second.tier:
 	case first.level != second.level:
 		b.decidedByLevel = true
 	case first.locality != second.locality:
--- a/core/dispatch/slack.go
+++ b/core/dispatch/slack.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"sort"
 	"time"
 
 	"sorrelloom/core/state"
@@ -31,54 +30,6 @@
 	return jobChain{longest}
 }
 
-// urgency ranks tasks by what can still be made of their jobs.
-type urgency int
-
-const (
-	// inTime jobs can still be over by their target, late ones within lateFactor times the
-	// time that they have, and overdue ones in neither.
-	inTime urgency = iota
-	late
-	overdue
-
-	lateFactor = 3
-)
-
-// urgencyOf ranks a task. A job that can no longer be in time yields to those that can, so
-// that a backlog does not make all that comes after it late as well.
-func (d *Dispatcher) urgencyOf(store *state.Store, job state.Job, i int) urgency {
-	class := store.Config().Services[job.Spec.Service].Classes[job.Spec.Class]
-	if d.options.WithoutUrgency || class.LatencyTarget.Duration == 0 && class.CriticalPathFactor == 0 {
-		return inTime
-	}
-	slack := d.slack(store, job, i)
-	if slack >= 0 {
-		return inTime
-	}
-	whole := class.CriticalPathFactor*float64(d.chains[job.Spec.ID].remaining[0]) + float64(class.LatencyTarget.Duration)
-	if slack+time.Duration((lateFactor-1)*whole) >= 0 {
-		return late
-	}
-	return overdue
-}
-
-// firstInTime returns the index of the first task of a group that can still be in time, as
-// far as the older ones are closer to their targets; 0 if that is the oldest, or none.
-func (d *Dispatcher) firstInTime(store *state.Store, tasks []queuedTask) int {
-	inTimeAt := func(n int) bool {
-		job, ok := store.Job(tasks[n].ref.Job)
-		return ok && d.urgencyOf(store, job, tasks[n].ref.Index) == inTime
-	}
-	if d.options.WithoutUrgency || inTimeAt(0) {
-		return 0
-	}
-	first := sort.Search(len(tasks), inTimeAt)
-	if first == len(tasks) {
-		return 0
-	}
-	return first
-}
-
 // slack returns how long a task may still wait to start if its job is to be over by its
 // target: CriticalPathFactor times the longest chain, and the LatencyTarget on top, from when
 // the job came or the task was due.
--- a/core/replica/commands.go
+++ b/core/replica/commands.go
@@ -111,6 +111,9 @@
 
 // handleCommand carries a command out if its reply can still be of use to the sender.
 func (r *Replica) handleCommand(now time.Duration, from string, b wire.CommandRequest, out *machine.Output) {
+	if b.Command.Kind == state.KindHeartbeat {
+		r.NoteWorkerHeard(now)
+	}
 	// A stopping primary takes no more. With new commands always under way, the next
 	// primary would never have all of them, and leadership would not be handed over.
 	if !r.LeadershipConfirmed(now) || r.stopping {
--- a/core/replica/leader.go
+++ b/core/replica/leader.go
@@ -94,9 +94,9 @@
 }
 
 // trackConfirmation notes since when this primary has served without a pause. While it was
-// suspended, or cut off from its backups, nobody could hear the workers.
+// suspended, or cut off from its backups or from all workers, nobody could hear these.
 func (r *Replica) trackConfirmation(now time.Duration) {
-	confirmed := r.LeadershipConfirmed(now)
+	confirmed := r.LeadershipConfirmed(now) && !r.hearsNoWorker(now)
 	if !confirmed || now-r.leadership.confirmedAt > suspectTimeout {
 		r.leadership.confirmedSince = now
 	}
@@ -105,6 +105,19 @@
 	}
 }
 
+// NoteWorkerHeard notes that a heartbeat of some worker has reached this process.
+func (r *Replica) NoteWorkerHeard(now time.Duration) { r.leadership.workersHeardAt = now }
+
+// hearsNoWorker says whether no heartbeat of any of several workers has reached this primary
+// for the heartbeat timeout: then it is the primary that cannot be reached, rather than all of
+// them that are silent. It goes by what has arrived, not by the renewals in the state, which
+// come late under overload.
+func (r *Replica) hearsNoWorker(now time.Duration) bool {
+	store := r.log.store
+	heardAt := max(r.leadership.workersHeardAt, r.roleSince)
+	return len(store.Workers()) > 1 && now-heardAt > store.Config().Limits.HeartbeatTimeout.Duration
+}
+
 // needsNewBackups says whether the view's backups are too few, or one of them confirms
 // nothing any more. It also says so while a proposed view has not been decided for long:
 // until then its backups must have what is committed, too.
--- a/core/replica/view.go
+++ b/core/replica/view.go
@@ -21,6 +21,9 @@
 	// confirmedAt when it was found to be so last.
 	confirmedSince time.Duration
 	confirmedAt    time.Duration
+	// workersHeardAt is when a heartbeat of any worker last reached this process, whether or
+	// not it was taken.
+	workersHeardAt time.Duration
 	nextTickAt     time.Duration
 	flushedAt      time.Duration
 }
--- a/tool/experiment/policies.go
+++ b/tool/experiment/policies.go
@@ -40,7 +40,6 @@
 	"no-failed-on":       without(func(o *dispatch.Options) { o.WithoutFailedOn = true }),
 	"call-100ms":         func(p *Policy) { p.CallInterval = 100 * time.Millisecond },
 	"lease-4s":           func(p *Policy) { p.MaxLease = 4 * time.Second },
-	"no-urgency":         without(func(o *dispatch.Options) { o.WithoutUrgency = true }),
 	"lease-2s":           func(p *Policy) { p.MaxLease = 2 * time.Second },
 	"lease-3s":           func(p *Policy) { p.MaxLease = 3 * time.Second },
 	"lease-5s":           func(p *Policy) { p.MaxLease = 5 * time.Second },
@@ -71,5 +70,4 @@
 	o.WithoutNearPatience, o.WithoutHeadroom = true, true
 	o.WithoutRackPreemption, o.WithoutVictimCost = true, true
 	o.WithoutOverdueRuns, o.WithoutTrust = true, true
-	o.WithoutUrgency = true
 }
