--- /dev/null
+++ b/core/dispatch/near_data_test.go
@@ -0,0 +1,92 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"sorrelloom/core/state"
+	"sorrelloom/core/statetest"
+)
+
+// acceptNear submits a job whose tasks want a rack and are expected to run for so long.
+func (s fixture) acceptNear(id, class, rack string, guess time.Duration, tasks ...string) {
+	spec := statetest.JobSpec(id, class, tasks...)
+	for i := range spec.Tasks {
+		spec.Tasks[i].PreferredRack = rack
+		spec.Tasks[i].ExpectedRunTime.Duration = guess
+	}
+	s.MustApply(state.Command{Kind: state.KindAcceptJob, Job: spec})
+}
+
+// setRack puts a worker into a rack.
+func (s fixture) setRack(worker, rack string) {
+	s.Heartbeat(worker, func(hb *state.Heartbeat) { hb.Rack = rack })
+	s.update()
+}
+
+// newRacks has one worker in each of two racks; that in the first is full of other work.
+func newRacks(t *testing.T) fixture {
+	s := newFixture(t, map[string]int{"near": 2, "far": 8}, "near", "far")
+	s.setRack("near", "r1")
+	s.setRack("far", "r2")
+	s.AcceptJob("b", "batch", "a", "b")
+	s.StartTask("b/a@near")
+	s.StartTask("b/b@near")
+	s.update()
+	return s
+}
+
+// TestTaskWaitsForItsRack keeps a task for the full rack of its data for as long as running
+// elsewhere is expected to cost, then lets a worker elsewhere steal it.
+func TestTaskWaitsForItsRack(t *testing.T) {
+	s := newRacks(t)
+	s.acceptNear("q", "quick", "r1", time.Second, "x")
+	if got, _ := s.pull("far", true); got != "" {
+		t.Errorf("taken away at once: %s", got)
+	}
+	s.Now += 300 * time.Millisecond
+	s.Heartbeat("far", nil)
+	if got, _ := s.pull("far", true); got != "" {
+		t.Errorf("taken away after 300 ms, half of what it costs to run elsewhere: %s", got)
+	}
+	s.Now += 250 * time.Millisecond
+	s.Heartbeat("far", nil)
+	if got, from := s.pull("far", true); got != "q/x@far" || from != "near" {
+		t.Errorf("after the wait: got %q from %q", got, from)
+	}
+}
+
+// TestTaskWithoutWorkerNearItsDataWaitsForNone gives a task away at once if no worker in the
+// rack of its data fits.
+func TestTaskWithoutWorkerNearItsDataWaitsForNone(t *testing.T) {
+	s := newRacks(t)
+	s.acceptNear("q", "quick", "r9", time.Second, "x")
+	if got, _ := s.pull("far", true); got != "q/x@far" {
+		t.Errorf("got %q", got)
+	}
+}
+
+// TestNearPatience learns from runs what running away from the data costs.
+func TestNearPatience(t *testing.T) {
+	class := state.ClassKey{Service: "tickets", Class: "quick"}
+	known := runTimes{}
+	if got := known.nearPatience(class, time.Second); got != 500*time.Millisecond {
+		t.Errorf("with nothing known: %s", got)
+	}
+	for range 200 {
+		known.observe(class, 1, 1, false)
+		known.observe(class, 3, 1, true)
+	}
+	if got := known.nearPatience(class, 0); got < 1900*time.Millisecond || got > 2*time.Second {
+		t.Errorf("runs elsewhere take three times as long, and it waits %s", got)
+	}
+	for range 400 {
+		known.observe(class, 1, 1, true)
+	}
+	if got := known.nearPatience(class, 0); got > 50*time.Millisecond {
+		t.Errorf("runs elsewhere take no longer, and it waits %s", got)
+	}
+	if got := known.expected(class, 500*time.Millisecond); got < 450*time.Millisecond || got > 550*time.Millisecond {
+		t.Errorf("a right guess of 500 ms is taken as %s", got)
+	}
+}
--- /dev/null
+++ b/core/dispatch/victims_test.go
@@ -0,0 +1,69 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"sorrelloom/core/state"
+	"sorrelloom/core/statetest"
+)
+
+// TestVictimsLoseLeastWork stops, of what has run for long, the lease that saves its progress,
+// and as many as make room for the task on one worker.
+func TestVictimsLoseLeastWork(t *testing.T) {
+	for _, row := range []struct {
+		name, task string
+		want       []string
+	}{
+		{"one is enough", "x", []string{"saves"}},
+		{"two are needed", "x:2", []string{"saves", "plain"}},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			s := newFixture(t, map[string]int{"w1": 2}, "w1")
+			spec := statetest.JobSpec("b", "batch", "plain", "saves")
+			spec.Tasks[1].Checkpointed = true
+			s.MustApply(state.Command{Kind: state.KindAcceptJob, Job: spec})
+			s.StartTask("b/saves@w1")
+			s.Now += time.Second
+			s.StartTask("b/plain@w1")
+			s.Advance(9 * time.Second)
+			s.Heartbeat("w1", nil)
+			s.AcceptJob("q", "quick", row.task)
+			s.update()
+			job, _ := s.Store.Job("q")
+			task := queuedTask{ref: TaskRef{"q", 0}}
+			mayStop := func(state.Lease, state.Job) bool { return true }
+			var got []string
+			for _, assignment := range s.dispatcher.cheapestVictims(s.Store, job, task, "a", mayStop) {
+				got = append(got, assignment.Task)
+			}
+			if len(got) != len(row.want) || got[0] != row.want[0] {
+				t.Errorf("got %v, want %v", got, row.want)
+			}
+		})
+	}
+}
+
+// TestPreemptionMakesRoomInTheRack stops a lease in the rack of a task's data although there is
+// room elsewhere.
+func TestPreemptionMakesRoomInTheRack(t *testing.T) {
+	s := newRacks(t)
+	s.acceptNear("q", "quick", "r1", time.Second, "x")
+	s.Now += 100 * time.Millisecond
+	s.Heartbeat("near", nil)
+	s.Heartbeat("far", nil)
+	s.update()
+	proposal, ok := s.preempt()
+	if !ok || proposal.Assignments[0].Worker != "near" {
+		t.Errorf("got %+v %v", proposal, ok)
+	}
+	s = newRacks(t)
+	s.AcceptJob("q", "quick", "x")
+	s.Now += 100 * time.Millisecond
+	s.Heartbeat("near", nil)
+	s.Heartbeat("far", nil)
+	s.update()
+	if proposal, ok := s.preempt(); ok {
+		t.Errorf("without a wish for a rack there is room elsewhere, got %+v", proposal)
+	}
+}
