--- a/core/dispatch/headroom.go
+++ b/core/dispatch/headroom.go
@@ -21,6 +21,10 @@
 	headroomDeviations = 3
 	// maxHeadroom bounds what is kept, as a part of the rack's slots.
 	maxHeadroom = 0.3
+	// roomyService is the part of a service's slots that are free from which on nothing is
+	// kept: there is room elsewhere, and a task that only fits in one rack must not wait for
+	// long while most of its service is idle.
+	roomyService = 0.45
 	// slackRuns is how many typical runs of its class a task's slack must cover for it to
 	// leave the headroom alone: in that time the room that it waits for comes free.
 	slackRuns = 2
@@ -58,16 +62,34 @@
 	}
 	tracker.updatedAt = now
 	tracker.spareSlots = map[rackKey]int{}
-	for key, use := range d.rackUses(store) {
+	uses := d.rackUses(store)
+	spare := spareOfServices(uses)
+	for key, use := range uses {
 		demand := tracker.demand[key]
 		demand.observe(now, float64(use.quick))
 		tracker.demand[key] = demand
 		wanted := demand.mean + headroomDeviations*demand.deviation - float64(use.quick)
 		kept := math.Min(math.Max(0, wanted), maxHeadroom*float64(use.capacity))
-		tracker.spareSlots[key] = use.free - int(kept)
+		tracker.spareSlots[key] = max(use.free-int(kept), min(use.free, spare[key.service]))
 	}
 }
 
+// spareOfServices is how many slots of each service are free beyond the part from which on
+// nothing is kept.
+func spareOfServices(uses map[rackKey]rackUse) map[string]int {
+	totals := map[string]rackUse{}
+	for key, use := range uses {
+		total := totals[key.service]
+		total.capacity, total.free = total.capacity+use.capacity, total.free+use.free
+		totals[key.service] = total
+	}
+	spare := map[string]int{}
+	for service, total := range totals {
+		spare[service] = total.free - int(roomyService*float64(total.capacity))
+	}
+	return spare
+}
+
 // observe takes what quick work takes now.
 func (r *rackDemand) observe(now time.Duration, quick float64) {
 	if r.observedAt == 0 {
--- a/core/dispatch/headroom_test.go
+++ b/core/dispatch/headroom_test.go
@@ -70,3 +70,22 @@
 		count++
 	}
 }
+
+// TestHeadroomOfIdleService keeps nothing in a rack while much of the service is free, so that a
+// task that fits in this rack only does not wait there.
+func TestHeadroomOfIdleService(t *testing.T) {
+	busy, idle := rackUse{capacity: 100, free: 10}, rackUse{capacity: 100, free: 95}
+	for _, row := range []struct {
+		name string
+		uses map[rackKey]rackUse
+		want int
+	}{
+		{"half of it is free", map[rackKey]rackUse{{"s", "r1"}: busy, {"s", "r2"}: idle}, 15},
+		{"all of it is busy", map[rackKey]rackUse{{"s", "r1"}: busy, {"s", "r2"}: busy}, -70},
+		{"another one is free", map[rackKey]rackUse{{"s", "r1"}: busy, {"t", "r2"}: idle}, -35},
+	} {
+		if got := spareOfServices(row.uses)["s"]; got != row.want {
+			t.Errorf("%s: %d slots to spare, want %d", row.name, got, row.want)
+		}
+	}
+}
--- a/core/dispatch/run_times.go
+++ b/core/dispatch/run_times.go
@@ -16,8 +16,9 @@
 	farWeight       = 0.05
 	initialFarRatio = 1.5
 	maxFarRatio     = 5
-	// maxNearPatience bounds how long a task waits for the rack of its data.
-	maxNearPatience = 3 * time.Second
+	// maxNearPatience bounds how long a task waits for the rack of its data. It is well below
+	// the time after which a task that could run counts as stalled (state.StalledTasks).
+	maxNearPatience = 1500 * time.Millisecond
 )
 
 // classRunTimes is what the runs of a class have shown.
--- a/core/dispatch/victims.go
+++ b/core/dispatch/victims.go
@@ -91,7 +91,7 @@
 	if d.options.WithoutVictimCost {
 		return lost.Seconds() * float64(leased.Start.Resources.Slots)
 	}
-	i := slices.IndexFunc(job.Spec.Tasks, func(spec state.TaskSpec) bool { return spec.ID == leased.Task })
+	i := leased.Index
 	spec := &job.Spec.Tasks[i]
 	switch {
 	case spec.LongRunning:
--- a/core/state/orders.go
+++ b/core/state/orders.go
@@ -44,12 +44,14 @@
 // LeasedAttempt is an attempt that is leased, with the orders that concern it.
 type LeasedAttempt struct {
 	Attempt
+	// Index is that of the task in its job.
+	Index int
 	Lease Lease
 	Start StartOrder
 }
 
 func (s *Store) leasedAttempt(ref taskRef) LeasedAttempt {
-	return LeasedAttempt{s.attemptOf(ref), s.taskAt(ref).Lease, s.startOrder(ref)}
+	return LeasedAttempt{s.attemptOf(ref), ref.index, s.taskAt(ref).Lease, s.startOrder(ref)}
 }
 
 // LeasesOn gives what is leased to a worker, by task number.
--- a/tool/cmd/experiment/output.go
+++ b/tool/cmd/experiment/output.go
@@ -112,6 +112,9 @@
 			return err
 		}
 	}
+	if s.plotFile != "" {
+		return writePlot(s.plotFile, s, reports)
+	}
 	return nil
 }
 
--- a/tool/experiment/job.go
+++ b/tool/experiment/job.go
@@ -15,6 +15,8 @@
 	causeStopped   = "stopped for others"
 	causeGang      = "gang not whole"
 	causeLatency   = "dispatch"
+	// causeNotAtWork is that of the windows of long-running jobs.
+	causeNotAtWork = "not at work"
 )
 
 // startLatency is what a start takes without any wait for room.
--- a/tool/experiment/report.go
+++ b/tool/experiment/report.go
@@ -24,7 +24,8 @@
 	// Nines the share unserved on a logarithmic scale, Windows the mean of the two worst
 	// windows, WorstClass the least that a class has earned.
 	Worth, Whole, Nines, Windows, WorstClass float64
-	Unserved                                 float64
+	// Owed is the worth that all jobs and windows were owed, Unserved their part not served.
+	Owed, Unserved float64
 	// Late and Lost count the jobs that came after their aim, and those that never came.
 	Jobs, Late, Lost int
 	Runs, FarRuns    int
@@ -196,7 +197,7 @@
 		earnings = append(earnings, earning{
 			at: window.from, class: j.plan.class.Name, owed: worth, earned: worth * window.share, served: window.share,
 		})
-		report.Causes[causeWaited] += worth * (1 - window.share)
+		report.Causes[causeNotAtWork] += worth * (1 - window.share)
 		report.UnservedCauses[j.plan.class.Name+": not at work"] += 1 - window.share
 	}
 	return earnings
@@ -220,7 +221,7 @@
 		}
 		total.served += e.served
 	}
-	r.Whole = total.part()
+	r.Whole, r.Owed = total.part(), total.owed
 	r.Unserved = 1 - total.served/float64(max(1, len(earnings)))
 	r.Nines = math.Min(1, math.Log(math.Max(r.Unserved, bestUnserved))/math.Log(bestUnserved))
 	r.WorstClass = 1
