--- a/core/dispatch/near_data_test.go
+++ b/core/dispatch/near_data_test.go
@@ -75,10 +75,16 @@
 	}
 	for range 200 {
 		known.observe(class, 1, 1, false)
-		known.observe(class, 3, 1, true)
+		known.observe(class, 2, 1, true)
 	}
-	if got := known.nearPatience(class, 0); got < 1900*time.Millisecond || got > 2*time.Second {
-		t.Errorf("runs elsewhere take three times as long, and it waits %s", got)
+	if got := known.nearPatience(class, 0); got < 950*time.Millisecond || got > time.Second {
+		t.Errorf("runs elsewhere take twice as long, and it waits %s", got)
+	}
+	for range 200 {
+		known.observe(class, 4, 1, true)
+	}
+	if got := known.nearPatience(class, 0); got != maxNearPatience {
+		t.Errorf("runs elsewhere take four times as long, and it waits %s", got)
 	}
 	for range 400 {
 		known.observe(class, 1, 1, true)
