Simulator: a grant may go to a worker that died while a gateway held its heartbeat

Nobody could know of the crash, the start was never taken, and the lease came back when lease and margin were over (state time 21.79, granted at 14.75; the primary's death stopped state time for a second), as docs/design/dispatch.md says of it. The check took a grant to a dead worker for possible only if the worker fell silent within 0.3 s before the job was sent. It goes by the hold now; rows in both directions, the first seen to fail before.

--- a/tool/sim/checks.go
+++ b/tool/sim/checks.go
@@ -85,6 +85,8 @@
 	quickBound = 2 * time.Second
 	// pickupBound is how long a runnable task may wait for a worker that asks for work.
 	pickupBound = 700 * time.Millisecond
+	// heldHeartbeatBound is how long a gateway holds a heartbeat for which there are no orders.
+	heldHeartbeatBound = time.Second
 	// reservationBound is how far apart starts by different schedulers have no order: a
 	// task is left to the worker whose queue it is in for so long.
 	reservationBound = dispatch.StealDelay
--- a/tool/sim/oracle_order.go
+++ b/tool/sim/oracle_order.go
@@ -100,7 +100,9 @@
 	failedHere := slices.ContainsFunc(wait.earlier, func(e run) bool {
 		return e.Worker == r.Worker && e.Outcome != fakeworker.OutcomeSucceeded
 	})
-	mayBeGranted := min(wait.from-quickBound, wait.job.sentAt-reservationBound)
+	// The heartbeat of a worker that has died may wait at a gateway, and be answered with a
+	// grant, for as long as gateways hold it.
+	mayBeGranted := min(wait.from-quickBound, wait.job.sentAt-reservationBound-heldHeartbeatBound)
 	switch {
 	case quickSlots+wait.task.Resources.Slots > o.shareSlots[wait.job.spec.Class]:
 		return "quick work fills its class's share"
--- a/tool/sim/oracle_test.go
+++ b/tool/sim/oracle_test.go
@@ -181,6 +181,14 @@
 		o.addWaitingLookup()
 		o.shareSlots["lookup"] = 0
 	}},
+	{"", func(o *oracle) {
+		o.addWaitingLookup()
+		o.workers["w1"].silences = spans{{1800 * time.Millisecond, 2500 * time.Millisecond}}
+	}},
+	{"quick-overtaken", func(o *oracle) {
+		o.addWaitingLookup()
+		o.workers["w1"].silences = spans{{1600 * time.Millisecond, 2500 * time.Millisecond}}
+	}},
 	{"", func(o *oracle) {
 		o.addWaitingLookup()
 		o.degraded = spans{{3 * second, 6 * second}}
