--- a/core/dispatch/best_in_queue.go
+++ b/core/dispatch/best_in_queue.go
@@ -69,7 +69,7 @@
 	if !ok || !p.free.Covers(key.resources) || p.store.Fits(job, head.Index, p.worker) != status.OK {
 		return false, false
 	}
-	if d.withheld(p, group, job) || !p.shareAllows(key) || d.keepsHeadroom(p, group, job) {
+	if d.withheld(p, group, job) || !p.shareAllows(key) {
 		return false, false
 	}
 	ownerTakes = owner.canTake && owner.free.Covers(key.resources) &&
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -60,10 +60,6 @@
 	health    healthTracker
 	trust     trustTracker
 	runTimes  runTimes
-	headroom  headroomTracker
-
-	// chains are those of the jobs whose slack was asked for.
-	chains map[string]jobChain
 
 	// running holds the leases in force, to see how their attempts end.
 	running map[TaskRef]runningAttempt
@@ -104,7 +100,6 @@
 		health:         newHealthTracker(options),
 		trust:          newTrustTracker(),
 		runTimes:       runTimes{},
-		headroom:       newHeadroomTracker(),
 		queues:         workerQueues{versions: map[string]uint64{}},
 	}
 	d.reset()
@@ -124,7 +119,6 @@
 	d.redistributing = map[string]bool{}
 	d.rebuild = rebuildProgress{}
 	d.gangTriedAt = map[gangRef]time.Duration{}
-	d.chains = map[string]jobChain{}
 }
 
 // Update takes the changes of the state, and continues a rebuild that is under way.
--- a/core/dispatch/near_data_test.go
+++ b/core/dispatch/near_data_test.go
@@ -74,25 +74,22 @@
 		t.Errorf("with nothing known: %s", got)
 	}
 	for range 200 {
-		known.observe(class, 1, 1, false)
-		known.observe(class, 2, 1, true)
+		known.observe(class, 1, false)
+		known.observe(class, 2, true)
 	}
 	if got := known.nearPatience(class, 0); got < 950*time.Millisecond || got > time.Second {
 		t.Errorf("runs elsewhere take twice as long, and it waits %s", got)
 	}
 	for range 200 {
-		known.observe(class, 4, 1, true)
+		known.observe(class, 4, true)
 	}
 	if got := known.nearPatience(class, 0); got != maxNearPatience {
 		t.Errorf("runs elsewhere take four times as long, and it waits %s", got)
 	}
 	for range 400 {
-		known.observe(class, 1, 1, true)
+		known.observe(class, 1, true)
 	}
 	if got := known.nearPatience(class, 0); got > 50*time.Millisecond {
 		t.Errorf("runs elsewhere take no longer, and it waits %s", got)
 	}
-	if got := known.expected(class, 500*time.Millisecond); got < 450*time.Millisecond || got > 550*time.Millisecond {
-		t.Errorf("a right guess of 500 ms is taken as %s", got)
-	}
 }
--- a/core/dispatch/options.go
+++ b/core/dispatch/options.go
@@ -14,8 +14,6 @@
 	// WithoutNearPatience steals a task away from the rack of its data at once, and queues it
 	// there only while the rack is about as busy as others.
 	WithoutNearPatience bool
-	// WithoutHeadroom lets work with slack take all room.
-	WithoutHeadroom bool
 	// WithoutRackPreemption stops leases for a task in any rack, whatever rack it wants.
 	WithoutRackPreemption bool
 	// WithoutVictimCost stops the newest lease, whatever work is lost with it.
--- a/core/dispatch/pull.go
+++ b/core/dispatch/pull.go
@@ -118,7 +118,6 @@
 		return proposal, ok
 	}
 	proposal.assign(best.job, best.ref, pull.id)
-	d.headroom.take(best.job.Spec.Service, pull.worker.Rack, best.job.Spec.Tasks[best.ref.Index].Resources.Slots)
 	return proposal, true
 }
 
--- a/core/dispatch/run_times.go
+++ b/core/dispatch/run_times.go
@@ -25,8 +25,6 @@
 type classRunTimes struct {
 	// typical is a moving average of the run times near the data, in seconds; 0 is unknown.
 	typical float64
-	// guessed is the moving average of what the callers expected of the same runs.
-	guessed float64
 	// farRatio is how much longer runs away from their data take.
 	farRatio float64
 }
@@ -35,7 +33,7 @@
 type runTimes map[state.ClassKey]classRunTimes
 
 // observe takes the run of a task that has succeeded.
-func (r runTimes) observe(class state.ClassKey, runSeconds, guessSeconds float64, far bool) {
+func (r runTimes) observe(class state.ClassKey, runSeconds float64, far bool) {
 	known := r[class]
 	if known.farRatio == 0 {
 		known.farRatio = initialFarRatio
@@ -45,30 +43,16 @@
 		ratio := min(runSeconds/known.typical, maxFarRatio)
 		known.farRatio = max(1, known.farRatio+farWeight*(ratio-known.farRatio))
 	case known.typical == 0:
-		known.typical, known.guessed = runSeconds, guessSeconds
+		known.typical = runSeconds
 		if far {
 			known.typical /= known.farRatio
 		}
 	default:
 		known.typical += typicalWeight * (min(runSeconds, maxTypicalRatio*known.typical) - known.typical)
-		known.guessed += typicalWeight * (guessSeconds - known.guessed)
 	}
 	r[class] = known
 }
 
-// expected returns how long a run of a task is expected to take near its data: what its
-// caller says, corrected by what such words were worth, or else what is typical of its class.
-func (r runTimes) expected(class state.ClassKey, guess time.Duration) time.Duration {
-	known := r[class]
-	switch {
-	case guess <= 0:
-		return time.Duration(known.typical * float64(time.Second))
-	case known.typical > 0 && known.guessed > 0:
-		return time.Duration(float64(guess) * known.typical / known.guessed)
-	}
-	return guess
-}
-
 // nearPatience returns how long a task of a class waits for the rack of its data before it
 // may run elsewhere: as long as running elsewhere takes more than running there.
 func (r runTimes) nearPatience(class state.ClassKey, guess time.Duration) time.Duration {
--- a/core/dispatch/task_changes.go
+++ b/core/dispatch/task_changes.go
@@ -82,8 +82,7 @@
 	worker, known := store.Worker(attempt.worker)
 	far := known && !isNearData(job, i, &worker)
 	class := state.ClassKey{Service: job.Spec.Service, Class: job.Spec.Class}
-	guess := job.Spec.Tasks[i].ExpectedRunTime.Duration
-	d.runTimes.observe(class, (task.EndedAt - attempt.startedAt).Seconds(), guess.Seconds(), far)
+	d.runTimes.observe(class, (task.EndedAt - attempt.startedAt).Seconds(), far)
 }
 
 // completeTask takes note of which worker holds a task's output.
@@ -103,7 +102,6 @@
 		d.locations.move(ref, location{})
 	}
 	delete(d.jobSizes, job)
-	delete(d.chains, job)
 	maps.DeleteFunc(d.trust.failedStarts, func(ref TaskRef, _ time.Duration) bool { return ref.Job == job })
 	d.inputs.forgetJob(job)
 }
--- a/core/dispatch/trust_test.go
+++ b/core/dispatch/trust_test.go
@@ -94,7 +94,7 @@
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			s := newFixture(t, map[string]int{"w1": 4, "w2": 4}, "w1", "w2")
-			s.dispatcher.runTimes.observe(state.ClassKey{Service: "tickets", Class: "quick"}, 0.5, 0.5, false)
+			s.dispatcher.runTimes.observe(state.ClassKey{Service: "tickets", Class: "quick"}, 0.5, false)
 			for _, job := range row.jobs {
 				s.AcceptJob(job, "quick", "x")
 				s.StartTask(job + "/x@w1")
--- a/core/state/resources.go
+++ b/core/state/resources.go
@@ -17,14 +17,3 @@
 
 // StoppingResources are those of the leases on a worker that are being stopped.
 func (s *Store) StoppingResources(worker string) Resources { return s.usage[worker].stopping }
-
-// QuickSlotsOn are the slots on a worker that are leased to tasks of quick classes.
-func (s *Store) QuickSlotsOn(worker string) int {
-	slots, service := 0, s.workers[worker].Service
-	for class, used := range s.usage[worker].slotsByClass {
-		if s.config.Services[service].Classes[class].Quick {
-			slots += used
-		}
-	}
-	return slots
-}
--- a/tool/experiment/policies.go
+++ b/tool/experiment/policies.go
@@ -25,7 +25,6 @@
 	"no-step-peers":      without(func(o *dispatch.Options) { o.WithoutStepPeers = true }),
 	"no-near-data":       without(func(o *dispatch.Options) { o.WithoutNearData = true }),
 	"no-near-patience":   without(func(o *dispatch.Options) { o.WithoutNearPatience = true }),
-	"no-headroom":        without(func(o *dispatch.Options) { o.WithoutHeadroom = true }),
 	"no-rack-preemption": without(func(o *dispatch.Options) { o.WithoutRackPreemption = true }),
 	"no-victim-cost":     without(func(o *dispatch.Options) { o.WithoutVictimCost = true }),
 	"no-overdue-runs":    without(func(o *dispatch.Options) { o.WithoutOverdueRuns = true }),
@@ -67,7 +66,7 @@
 func before(p *Policy) {
 	p.MaxLease, p.CallInterval = 6*time.Second, 100*time.Millisecond
 	o := &p.Dispatch
-	o.WithoutNearPatience, o.WithoutHeadroom = true, true
+	o.WithoutNearPatience = true
 	o.WithoutRackPreemption, o.WithoutVictimCost = true, true
 	o.WithoutOverdueRuns, o.WithoutTrust = true, true
 }
