--- a/core/scheduler/scan.go
+++ b/core/scheduler/scan.go
@@ -23,9 +23,6 @@
 	maxGrantsPerScan = 64
 	// preemptionInterval is the time between two looks for a lease to preempt.
 	preemptionInterval = 50 * time.Millisecond
-	// maxPreemptionsPerScan bounds the preemptions that one scan proposes in a zone on the
-	// primary's own state.
-	maxPreemptionsPerScan = 4
 )
 
 // scanSchedule says when the next scans come and what they look at.
@@ -190,31 +187,18 @@
 	s.scans.next = min(s.scans.next, now+minScanGap)
 }
 
-// proposePreemptions proposes some preemptions in each zone. Where there was one, the
+// proposePreemptions proposes one preemption in each zone. Where there was one, the
 // next scan looks for more.
 func (s *Scheduler) proposePreemptions(now time.Duration, out *machine.Output) {
 	s.nextPreemption = now + preemptionInterval
 	for _, zone := range s.LedZones() {
-		for range s.preemptionsPerScan() {
-			proposal, ok := s.dispatcher.Preempt(s.access.State(), zone, s.inFlight(now))
-			if !ok {
-				break
-			}
+		if proposal, ok := s.dispatcher.Preempt(s.access.State(), zone, s.inFlight(now)); ok {
 			s.propose(now, zone, state.KindPreempt, proposal, out)
 			s.nextPreemption = now
 		}
 	}
 }
 
-// preemptionsPerScan bounds the preemptions of a scan. Only the primary's own state shows one
-// at once, so that another can be looked for.
-func (s *Scheduler) preemptionsPerScan() int {
-	if s.access.IsLocal() {
-		return maxPreemptionsPerScan
-	}
-	return 1
-}
-
 // uncommittedAttempts returns the tasks, with attempt number 0, of the grants that
 // the primary's own state shows before they are committed. No worker may get
 // them yet.
