--- a/core/config/config.go
+++ b/core/config/config.go
@@ -55,7 +55,7 @@
 	MaxFailures int `json:"allowedDefects,omitempty"`
 	// LatencyTarget and CriticalPathFactor say by when a job ought to be over:
 	// CriticalPathFactor times its longest chain of expected run times, and
-	// LatencyTarget on top. They order tasks, and bound nothing.
+	// LatencyTarget on top. They bound nothing, and no decision reads them yet.
 	LatencyTarget      Duration `json:"aim,omitzero"`
 	CriticalPathFactor float64  `json:"stretch,omitempty"`
 }
