--- a/core/leaderclient/client.go
+++ b/core/leaderclient/client.go
@@ -75,6 +75,8 @@
 	// client started; everConfirmed tells which.
 	confirmedAt   time.Duration
 	everConfirmed bool
+	// configVersion is the highest version of the configuration that a leader has named.
+	configVersion uint64
 
 	nextTimer time.Duration
 	stopping  bool
--- a/core/leaderclient/reply.go
+++ b/core/leaderclient/reply.go
@@ -44,11 +44,20 @@
 	}
 	if c.probes.handleReply(reply) && from == c.leader.primary {
 		c.sends.noteAnswered(c.probes.last.sendIndex)
+		c.noteConfigVersion(reply.Result.ConfigVersion, out)
 		return
 	}
 	c.completeCommand(now, from, reply, out)
 }
 
+// noteConfigVersion logs the first answer by a newer configuration.
+func (c *Client) noteConfigVersion(version uint64, out *machine.Output) {
+	if version > c.configVersion {
+		c.configVersion = version
+		out.Log("config_version_seen", "version", version, "primary", c.leader.primary)
+	}
+}
+
 // completeCommand answers the command that a reply is to, if there is one.
 func (c *Client) completeCommand(now time.Duration, from string, reply wire.CommandReply, out *machine.Output) {
 	index, ok := c.find(reply.ID)
--- a/core/replica/commands.go
+++ b/core/replica/commands.go
@@ -147,6 +147,9 @@
 func (r *Replica) executeAndHold(now time.Duration, from string, b wire.CommandRequest, out *machine.Output) {
 	body := wire.CommandReply{ID: b.ID, Result: r.execute(now, b.Command)}
 	body.AppliedIndex = r.log.position().Index
+	if b.Command.Kind == state.KindChangeConfig {
+		logConfigChange(b, &body, out)
+	}
 	if b.Command.Kind == state.KindConfirmLeadership {
 		r.sendReceived(from, b.ID, out)
 		body.Result.Time, body.Result.ConfirmedIndex = r.Time(now), body.AppliedIndex
@@ -157,6 +160,12 @@
 	})
 }
 
+// logConfigChange logs a change of the configuration that was applied or rejected.
+func logConfigChange(b wire.CommandRequest, reply *wire.CommandReply, out *machine.Output) {
+	out.Log("config_change", "base", b.Command.ConfigChange.BaseVersion, "proposed", b.Command.ConfigChange.Version,
+		"code", reply.Result.Code.String(), "version", reply.Result.ConfigVersion, "index", reply.AppliedIndex)
+}
+
 // localOnly says whether only the primary's own dispatcher may send a command.
 func localOnly(cmd state.Command) bool {
 	switch cmd.Kind {
