Tenants and keys: calls on routes that are not public need a tenant's key

Callers with an unknown, a withdrawn or no key at all ran jobs, and saw and cancelled those of other tenants (ROUTE). The cause: tenants, apiKeys and public of a configuration were decoded by nobody, and the version was acknowledged all the same.

Tenants are part of the product's own configuration now, with a schema: the digests of their keys and a limit. A class may require a key; a command carries the digest of the key that the call presented, and the state judges it in the one order of commands, so an added or withdrawn key is in force with the version that has it. A job belongs to the tenant of its key; to others it is unknown (410), also once its record is gone.

--- a/core/config/config.go
+++ b/core/config/config.go
@@ -1,5 +1,5 @@
 // Package config holds the operator's configuration: the services with their
-// classes and shares, the routes to them, the policies and the limits.
+// classes and shares, the routes to them, the tenants, the policies and the limits.
 //
 // A configuration is checked twice before it takes effect: by the JSON schema for
 // its shape, then across fields and by compiling its policies. All violations are
@@ -18,6 +18,7 @@
 	Version  uint64             `json:"sequence"`
 	Services map[string]Service `json:"services"`
 	Routes   []Route            `json:"entries,omitempty"`
+	Tenants  map[string]Tenant  `json:"tenants,omitempty"`
 	// Zones are the zones that are known before a worker of theirs has registered.
 	Zones    []string `json:"sites,omitempty"`
 	Policies Policies `json:"policies"`
@@ -53,6 +54,8 @@
 	LostWorkerPolicy string `json:"silence,omitempty"`
 	// MaxFailures holds for tasks that name no number of their own; 0 stands for 3.
 	MaxFailures int `json:"allowedDefects,omitempty"`
+	// RequiresKey classes take calls only with the key of a tenant.
+	RequiresKey bool `json:"requiresKey,omitempty"`
 	// LatencyTarget and CriticalPathFactor say by when a job ought to be over:
 	// CriticalPathFactor times its longest chain of expected run times, and
 	// LatencyTarget on top. They bound nothing, and no decision reads them yet.
--- a/core/config/resources.go
+++ b/core/config/resources.go
@@ -30,6 +30,16 @@
 	}
 }
 
+// Times returns n times r, resource by resource.
+func (r Resources) Times(n int) Resources {
+	return Resources{
+		Slots:        n * r.Slots,
+		Cores:        n * r.Cores,
+		MemoryMB:     n * r.MemoryMB,
+		Accelerators: n * r.Accelerators,
+	}
+}
+
 // Covers reports whether r has at least as much of each resource as other.
 func (r Resources) Covers(other Resources) bool {
 	return r.Slots >= other.Slots && r.Cores >= other.Cores &&
--- a/core/state/added_fields_test.go
+++ b/core/state/added_fields_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"sorrelloom/core/config"
 	"sorrelloom/core/machine"
 )
 
@@ -22,6 +23,39 @@
 			"heartbeat", Heartbeat{Worker: "w", Unconfirmed: true}, `{"worker":"w","incarnation":0,"number":0,` +
 				`"site":"","service":"","free":{"slots":0},"unconfirmed":true}`,
 		},
+		{
+			"command with a key", Command{Kind: KindReadJob, KeyDigest: "d"},
+			`{"epoch":0,"sequence":0,"at":0,"kind":"read","keyDigest":"d"}`,
+		},
+		{
+			"past job", PastJob{Tenant: "t"},
+			`{"digest":"","service":"","class":"","tenant":"t","state":"","endedAt":0}`,
+		},
+		{"past job without", PastJob{}, `{"digest":"","service":"","class":"","state":"","endedAt":0}`},
+		{
+			"job", Job{Tenant: "t"},
+			`{"spec":{"id":"","service":"","class":""},"tenant":"t","state":"","acceptedAt":0}`,
+		},
+		{
+			"metadata", metadata{FormerLimits: map[string]Resources{"t": {Slots: 1}}},
+			`{"position":{"epoch":0,"sequence":0},"at":0,"next":0,"formerLimits":{"t":{"slots":1}}}`,
+		},
+		{
+			"metadata without", metadata{FormerLimits: map[string]Resources{}},
+			`{"position":{"epoch":0,"sequence":0},"at":0,"next":0}`,
+		},
+		{
+			"tenant", config.Tenant{Keys: []string{"d"}, Limit: Resources{MemoryMB: 2}},
+			`{"keys":["d"],"limit":{"slots":0,"memoryMB":2}}`,
+		},
+		{
+			"class", config.Class{RequiresKey: true}, `{"priority":0,"share":0,"requiresKey":true}`,
+		},
+		{
+			"worker", Worker{UnleasedByTenant: map[string]Resources{"t": {Slots: 1}}},
+			`{"worker":"","incarnation":0,"number":0,"site":"","service":"","free":{"slots":0},` +
+				`"capacity":{"slots":0},"strayByTenant":{"t":{"slots":1}},"seenAt":0,"cutoffAt":0}`,
+		},
 	} {
 		if diff := cmp.Diff(row.want, string(machine.MustJSON(row.value))); diff != "" {
 			t.Errorf("%s: %s", row.name, diff)
--- a/core/state/command.go
+++ b/core/state/command.go
@@ -83,6 +83,8 @@
 	ServingSince time.Duration `json:"servingSince,omitempty"`
 	// WallTime is the primary's time of day, by which due times are placed.
 	WallTime time.Time `json:"wall,omitzero"`
+	// KeyDigest is that of the key which the call presented (config.DigestKey).
+	KeyDigest string `json:"keyDigest,omitempty"`
 	// Host and Path choose a route; Summary asks for a result without tasks.
 	Host    string `json:"host,omitempty"`
 	Path    string `json:"path,omitempty"`
--- a/core/state/configuration.go
+++ b/core/state/configuration.go
@@ -42,7 +42,8 @@
 		next.Version = change.Version
 	}
 	placementChanges := !samePlacement(s.config, next)
-	s.config, s.policies = next, next.Compile()
+	s.keepFormerLimits(next)
+	s.setConfig(next)
 	clear(s.serviceLoads)
 	s.audit.record(Decision{Kind: decisionChangeConfig, ConfigVersion: next.Version, Digest: digest(next)})
 	if placementChanges {
--- a/core/state/demand.go
+++ b/core/state/demand.go
@@ -11,8 +11,8 @@
 
 // demand is what a task that waits for a lease asks of a worker.
 type demand struct {
-	service, class, labels string
-	resources              Resources
+	service, class, labels, tenant string
+	resources                      Resources
 	// gangSlots are the slots of all the task's gang.
 	gangSlots int
 }
@@ -24,6 +24,7 @@
 		service:   job.Spec.Service,
 		class:     job.Spec.Class,
 		labels:    strings.Join(spec.Labels, labelSeparator),
+		tenant:    job.Tenant,
 		resources: spec.Resources,
 	}
 	if spec.Gang != "" && len(job.Spec.Steps) > 0 {
@@ -50,7 +51,7 @@
 		if load.Used[wanted.class]+wanted.resources.Slots > share {
 			continue
 		}
-		if s.isSatisfiable(wanted) {
+		if s.TenantAllows(wanted.tenant, wanted.resources) && s.isSatisfiable(wanted) {
 			unmet += count
 		}
 	}
--- a/core/state/explain.go
+++ b/core/state/explain.go
@@ -134,6 +134,9 @@
 	case counts.byCode[status.OK] == 0:
 		return counts.explainUnfit()
 	}
+	if reason := s.explainTenantLimit(&job, i); reason != "" {
+		return reason
+	}
 	if allowed, _ := s.CheckShare(job.Spec.classKey(), spec.Resources.Slots, nil); !allowed {
 		usedSlots, shareSlots := s.ClassUse(service, class)
 		return fmt.Sprintf("class %s uses %d slots of its share of %d, and may not borrow now",
--- a/core/state/grant.go
+++ b/core/state/grant.go
@@ -34,6 +34,8 @@
 	// workers gives the worker of each task.
 	workers map[taskRef]string
 	slots   int
+	// resources are what all assignments need together.
+	resources Resources
 	// attemptNumber is what all attempts of the grant are numbered: one above the highest
 	// that any of their tasks has had.
 	attemptNumber int
@@ -42,7 +44,8 @@
 // grantLeases leases one task or one whole gang, all or none.
 //
 // The task must be ready with nothing leased, the worker fit for it, alive and with
-// the resources free, and the class within its share or allowed to borrow. These
+// the resources free, the tenant within its limit, and the class within its share or
+// allowed to borrow. These
 // conditions are checked on the state as it is when the command is applied, so that a
 // scheduler with an old view of it can do no harm.
 func (s *Store) grantLeases(grant Grant) Result {
@@ -109,6 +112,7 @@
 	check.assigned[assignment.Worker]++
 	check.workers[ref] = assignment.Worker
 	check.slots += job.Spec.Tasks[ref.index].Resources.Slots
+	check.resources = check.resources.Add(job.Spec.Tasks[ref.index].Resources)
 	check.attemptNumber = max(check.attemptNumber, task.Attempts+1)
 	return rejection{}
 }
--- a/core/state/heartbeat.go
+++ b/core/state/heartbeat.go
@@ -212,7 +212,7 @@
 		resources := s.specAt(ref).Resources
 		worker.Capacity = worker.Capacity.Add(resources)
 		if !leased {
-			worker.Unleased = worker.Unleased.Add(resources)
+			worker.addUnleased(s.jobs[ref.job].Tenant, resources)
 		}
 		if !leased || task.Lease.StopReason != "" {
 			reply.Stops = append(reply.Stops, attempt)
--- a/core/state/indexes.go
+++ b/core/state/indexes.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"sorrelloom/core/quota"
 )
 
 // ClassKey names a class of a service.
@@ -19,6 +21,8 @@
 	// leases gives the leased tasks of each worker, usage what they sum up to.
 	leases map[string]map[taskRef]bool
 	usage  map[string]workerUsage
+	// tenantUsage is what each tenant has running, leased or not.
+	tenantUsage *quota.Usage
 	// unfinished counts the tasks of a class that are not terminal.
 	unfinished map[ClassKey]int
 	// waiting counts the ready tasks without a lease by what they demand.
@@ -33,12 +37,13 @@
 // rebuildIndexes makes anew what is derived from the records.
 func (s *Store) rebuildIndexes() {
 	s.indexes = indexes{
-		leases:     map[string]map[taskRef]bool{},
-		usage:      map[string]workerUsage{},
-		unfinished: map[ClassKey]int{},
-		waiting:    map[demand]int{},
-		activeJobs: map[string]bool{},
-		timedTasks: map[taskRef]bool{},
+		leases:      map[string]map[taskRef]bool{},
+		usage:       map[string]workerUsage{},
+		tenantUsage: quota.NewUsage(),
+		unfinished:  map[ClassKey]int{},
+		waiting:     map[demand]int{},
+		activeJobs:  map[string]bool{},
+		timedTasks:  map[taskRef]bool{},
 	}
 	s.serviceLoads = map[string]*cachedServiceLoad{}
 	s.requests.sortByAge(func(r Request) time.Duration { return r.AnsweredAt })
@@ -54,6 +59,9 @@
 			s.countTask(job, i, 1)
 		}
 	}
+	for _, worker := range s.workers {
+		s.countUnleased(worker, 1)
+	}
 	slices.SortFunc(s.endedJobs, func(a, b string) int {
 		return cmp.Or(cmp.Compare(s.jobs[a].EndedAt, s.jobs[b].EndedAt), cmp.Compare(a, b))
 	})
@@ -94,6 +102,7 @@
 		delete(s.leases[worker], ref)
 	}
 	s.usage[worker] = s.usage[worker].adjusted(job, ref.index, by)
+	s.countForTenant(job.Tenant, job.Spec.Tasks[ref.index].Resources, by)
 	s.updateServiceLoad(worker, job.Spec.Class, by*job.Spec.Tasks[ref.index].Resources.Slots)
 }
 
--- a/core/state/job.go
+++ b/core/state/job.go
@@ -92,6 +92,8 @@
 // Job is the record of a job. Its tasks are records of their own on a disk.
 type Job struct {
 	Spec JobSpec `json:"spec"`
+	// Tenant is the one whose key the job was submitted with; empty is none.
+	Tenant string `json:"tenant,omitempty"`
 	// Digest is that of the job as it was submitted.
 	Digest string `json:"digest,omitempty"`
 	// FirstTaskNumber is the Number of the job's first task; the others follow it.
--- a/core/state/job_lifecycle.go
+++ b/core/state/job_lifecycle.go
@@ -117,17 +117,23 @@
 func (s *Store) cancelJob(cmd Command) Result {
 	id := cmd.Name
 	if cmd.Host != "" {
-		if _, result := s.resolveRoute(cmd.Host, cmd.Path); !result.Code.IsSuccess() {
+		if _, result := s.resolveRoute(cmd.Host, cmd.Path, cmd.KeyDigest); !result.Code.IsSuccess() {
 			return result
 		}
 	}
 	if past, ok := s.PastJob(id); ok {
+		if result := s.CheckAccess(&past, cmd.KeyDigest); !result.Code.IsSuccess() {
+			return result
+		}
 		return Result{Code: status.AlreadyDone, Job: past}
 	}
 	job, ok := s.jobs[id]
 	if !ok {
 		return s.RejectUnknownJob(id)
 	}
+	if result := s.CheckAccess(&job, cmd.KeyDigest); !result.Code.IsSuccess() {
+		return result
+	}
 	if jobEnded(job) || job.EndingState != "" {
 		return s.jobResult(cmd, status.AlreadyDone, job)
 	}
@@ -144,6 +150,9 @@
 	}
 	delete(s.jobs, id)
 	s.endedJobs = slices.DeleteFunc(s.endedJobs, func(other string) bool { return other == id })
-	s.pastJobs.put(id, PastJob{job.Digest, job.Spec.Service, job.Spec.Class, job.State, job.EndedAt})
+	s.pastJobs.put(id, PastJob{
+		Digest: job.Digest, Service: job.Spec.Service, Class: job.Spec.Class, Tenant: job.Tenant,
+		State: job.State, EndedAt: job.EndedAt,
+	})
 	s.changes = append(s.changes, Change{Job: id, Task: -1})
 }
--- a/core/state/loader.go
+++ b/core/state/loader.go
@@ -113,7 +113,7 @@
 		}
 	}
 	l.deferredTasks = nil
-	l.store.policies = l.store.config.Compile()
+	l.store.setConfig(l.store.config)
 	l.store.rebuildIndexes()
 	return l.store, nil
 }
--- a/core/state/past_job.go
+++ b/core/state/past_job.go
@@ -12,6 +12,7 @@
 	Digest  string        `json:"digest"`
 	Service string        `json:"service"`
 	Class   string        `json:"class"`
+	Tenant  string        `json:"tenant,omitempty"`
 	State   string        `json:"state"`
 	EndedAt time.Duration `json:"endedAt"`
 }
@@ -20,7 +21,7 @@
 func (s *Store) PastJob(id string) (Job, bool) {
 	past, ok := s.pastJobs.byKey[id]
 	spec := JobSpec{ID: id, Service: past.Service, Class: past.Class}
-	return Job{Spec: spec, State: past.State, EndedAt: past.EndedAt}, ok
+	return Job{Spec: spec, Tenant: past.Tenant, State: past.State, EndedAt: past.EndedAt}, ok
 }
 
 // RejectUnknownJob is the result for a job of which nothing is known. It says how far
--- a/core/state/read.go
+++ b/core/state/read.go
@@ -6,7 +6,7 @@
 // a class waits, the configuration, and how an operator's write was answered.
 func (s *Store) Read(cmd Command) Result {
 	if cmd.Host != "" {
-		if _, result := s.resolveRoute(cmd.Host, cmd.Path); !result.Code.IsSuccess() {
+		if _, result := s.resolveRoute(cmd.Host, cmd.Path, cmd.KeyDigest); !result.Code.IsSuccess() {
 			return result
 		}
 	}
@@ -19,6 +19,9 @@
 		if !ok {
 			return s.RejectUnknownJob(cmd.Name)
 		}
+		if result := s.CheckAccess(&job, cmd.KeyDigest); !result.Code.IsSuccess() {
+			return result
+		}
 		return s.jobResult(cmd, status.OK, job)
 	case KindReadWaitingCount:
 		route, _ := s.config.FindRoute(cmd.Host, cmd.Path)
--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -54,6 +54,8 @@
 	LastDecisionIndex uint64        `json:"decision,omitempty"`
 	// ZoneOrders gives the log index of the last order to each zone.
 	ZoneOrders map[string]uint64 `json:"orders,omitempty"`
+	// FormerLimits are the limits of tenants that the configuration has left out.
+	FormerLimits map[string]Resources `json:"formerLimits,omitempty"`
 }
 
 // Snapshot takes the state between two commands.
@@ -66,6 +68,7 @@
 			ForgottenUntil:    s.forgottenUntil,
 			LastDecisionIndex: s.audit.lastIndex,
 			ZoneOrders:        maps.Clone(s.zoneOrders),
+			FormerLimits:      maps.Clone(s.formerLimits),
 		},
 		config:       s.config,
 		jobs:         maps.Clone(s.jobs),
@@ -83,6 +86,7 @@
 	s.position, s.now, s.nextTaskNumber = m.Position, m.Time, m.NextTaskNumber
 	s.forgottenUntil, s.audit.lastIndex = m.ForgottenUntil, m.LastDecisionIndex
 	maps.Copy(s.zoneOrders, m.ZoneOrders)
+	maps.Copy(s.formerLimits, m.FormerLimits)
 }
 
 // Records is the whole state, encoded.
@@ -174,7 +178,7 @@
 func (c *Snapshot) Store() *Store {
 	s := New()
 	s.applyMetadata(c.metadata)
-	s.config, s.policies = c.config, c.config.Compile()
+	s.setConfig(c.config)
 	s.jobs, s.workers = maps.Clone(c.jobs), maps.Clone(c.workers)
 	s.drainedZones = maps.Clone(c.drainedZones)
 	s.leaderships, s.schedulers = maps.Clone(c.leaderships), maps.Clone(c.schedulers)
--- a/core/state/stalled.go
+++ b/core/state/stalled.go
@@ -113,9 +113,12 @@
 }
 
 // roomFor says whether so many tasks like one fit twice over, by every rule of a grant, and
-// on how many workers.
+// on how many workers. The tenant's limit needs room for them once.
 func (s *Store) roomFor(job *Job, i, tasks int) (workers int, fits bool) {
 	spec := &job.Spec.Tasks[i]
+	if !s.TenantAllows(job.Tenant, spec.Resources.Times(tasks)) {
+		return 0, false
+	}
 	slots := stalledRoom * tasks * spec.Resources.Slots
 	if allowed, _ := s.CheckShare(job.Spec.classKey(), slots, nil); !allowed {
 		return 0, false
--- a/core/state/store.go
+++ b/core/state/store.go
@@ -18,6 +18,8 @@
 //     has come (grant.go).
 //   - The leases on a worker never exceed the resources that it reported
 //     (resources.go), nor a class its share unless it may borrow (share.go).
+//   - A tenant never has more leased than its limit, unless the limit was lowered or an
+//     attempt was adopted (tenant.go).
 //   - A gang is leased whole or not at all, and is stopped as a whole (gang.go).
 //   - A task that succeeded never runs again; a failure is counted once (attempt.go).
 //   - Only the current leader of a role grants leases: its epoch fences out all
@@ -43,9 +45,14 @@
 	nextTaskNumber uint64
 	config         config.Config
 	policies       config.CompiledPolicies
-	jobs           map[string]Job
-	workers        map[string]Worker
-	drainedZones   map[string]bool
+	// tenantsByKey gives the tenant of each key's digest.
+	tenantsByKey map[string]string
+	// formerLimits are the limits of tenants that a configuration has left out while jobs
+	// of theirs had not ended.
+	formerLimits map[string]Resources
+	jobs         map[string]Job
+	workers      map[string]Worker
+	drainedZones map[string]bool
 	// zoneOrders gives the log index of the last order to drain or refill each zone.
 	zoneOrders  map[string]uint64
 	leaderships map[string]Leadership
@@ -83,8 +90,8 @@
 // New returns an empty store with the default configuration.
 func New() *Store {
 	s := &Store{
-		config:         config.Default(),
 		nextTaskNumber: 1,
+		formerLimits:   map[string]Resources{},
 		jobs:           map[string]Job{},
 		workers:        map[string]Worker{},
 		drainedZones:   map[string]bool{},
@@ -96,7 +103,7 @@
 		pastJobs:       newBoundedMap[PastJob](),
 		clonedJobs:     map[string]bool{},
 	}
-	s.policies = s.config.Compile()
+	s.setConfig(config.Default())
 	s.rebuildIndexes()
 	return s
 }
@@ -111,6 +118,11 @@
 // Config is the configuration in force.
 func (s *Store) Config() config.Config { return s.config }
 
+// setConfig puts a configuration in force, with what is derived from it.
+func (s *Store) setConfig(c config.Config) {
+	s.config, s.policies, s.tenantsByKey = c, c.Compile(), c.TenantsByKey()
+}
+
 // Policies are the compiled policies of the configuration in force.
 func (s *Store) Policies() config.CompiledPolicies { return s.policies }
 
--- a/core/state/submit.go
+++ b/core/state/submit.go
@@ -15,8 +15,9 @@
 // noConfigRetryAfter is when to come back while there is no configuration yet.
 const noConfigRetryAfter = time.Second
 
-// resolveRoute finds the service and class of a job that names host and path.
-func (s *Store) resolveRoute(host, path string) (config.Route, Result) {
+// resolveRoute finds the service and class of a job that names host and path, for a call
+// that presented a key.
+func (s *Store) resolveRoute(host, path, keyDigest string) (config.Route, Result) {
 	if s.config.Version == 0 {
 		return config.Route{}, rejectForNow(noConfigRetryAfter, status.NoConfig, "there is no plan yet")
 	}
@@ -24,13 +25,13 @@
 	if !ok {
 		return route, reject(status.NoRoute, "the plan has no entry for %s%s", host, path)
 	}
-	return route, Result{Code: status.OK}
+	return route, s.checkKey(route.Service, route.Class, keyDigest)
 }
 
 // routeOf gives the service and class of a job by its route. One that was accepted
 // before keeps its own, also once its route leads elsewhere: it is the same job.
-func (s *Store) routeOf(spec JobSpec) (config.Route, Result) {
-	route, result := s.resolveRoute(spec.Host, spec.Path)
+func (s *Store) routeOf(spec JobSpec, keyDigest string) (config.Route, Result) {
+	route, result := s.resolveRoute(spec.Host, spec.Path, keyDigest)
 	if old, ok := s.jobs[spec.ID]; ok {
 		route.Service, route.Class = old.Spec.Service, old.Spec.Class
 	} else if old, ok := s.pastJobs.byKey[spec.ID]; ok {
@@ -52,11 +53,13 @@
 func (s *Store) acceptJob(cmd Command) Result {
 	spec := cmd.Job
 	if spec.Host != "" {
-		route, result := s.routeOf(spec)
+		route, result := s.routeOf(spec, cmd.KeyDigest)
 		if !result.Code.IsSuccess() {
 			return result
 		}
 		spec.Service, spec.Class = route.Service, route.Class
+	} else if result := s.checkKey(spec.Service, spec.Class, cmd.KeyDigest); !result.Code.IsSuccess() {
+		return result
 	}
 	spec = Normalize(spec)
 	submitted := digest(spec)
@@ -67,7 +70,8 @@
 	if result := s.ValidateJob(spec); !result.Code.IsSuccess() {
 		return result
 	}
-	s.addJob(spec, submitted, cmd.WallTime)
+	job := Job{Spec: spec, Tenant: s.tenantsByKey[cmd.KeyDigest], Digest: submitted}
+	s.addJob(job, cmd.WallTime)
 	return s.jobResult(cmd, status.OK, s.jobs[spec.ID])
 }
 
@@ -76,24 +80,28 @@
 	id := cmd.Job.ID
 	job, exists := s.jobs[id]
 	past, remembered := s.pastJobs.byKey[id]
+	if !exists && remembered {
+		job, _ = s.PastJob(id)
+	}
+	foreign := (exists || remembered) && !s.CheckAccess(&job, cmd.KeyDigest).Code.IsSuccess()
 	switch {
-	case exists && job.Digest != submitted, !exists && remembered && past.Digest != submitted:
+	case foreign, exists && job.Digest != submitted, !exists && remembered && past.Digest != submitted:
 		return reject(status.JobConflict, "job %s was accepted before with other content", id), true
 	case exists:
 		return s.jobResult(cmd, status.AlreadyDone, job), true
 	case remembered:
-		job, _ = s.PastJob(id)
 		return Result{Code: status.AlreadyDone, Job: job}, true
 	}
 	return Result{}, false
 }
 
-// addJob makes the record of a valid job and its tasks; those that depend on nothing
-// and are due are ready at once.
-func (s *Store) addJob(spec JobSpec, submitted string, wallTime time.Time) {
-	spec.Tasks = resolveDependencies(spec)
-	job := Job{Spec: spec, Digest: submitted, FirstTaskNumber: s.nextTaskNumber, State: Waiting, AcceptedAt: s.now}
+// addJob completes the record of a valid job and makes its tasks; those that depend on
+// nothing and are due are ready at once.
+func (s *Store) addJob(job Job, wallTime time.Time) {
+	job.Spec.Tasks = resolveDependencies(job.Spec)
+	job.FirstTaskNumber, job.State, job.AcceptedAt = s.nextTaskNumber, Waiting, s.now
 	job.Tasks = newTasks(job)
+	spec := &job.Spec
 	if spec.Repeat.Count > 0 {
 		for i, task := range spec.Tasks {
 			due := spec.Repeat.FirstAt.Add(time.Duration(task.Repetition) * spec.Repeat.Every.Duration)
--- a/core/state/worker.go
+++ b/core/state/worker.go
@@ -16,6 +16,8 @@
 	Capacity Resources `json:"capacity"`
 	// Unleased is what the worker runs beside its leases, and is told to stop.
 	Unleased Resources `json:"stray,omitzero"`
+	// UnleasedByTenant are the parts of Unleased that run for tenants.
+	UnleasedByTenant map[string]Resources `json:"strayByTenant,omitempty"`
 	// Drained workers get no leases by an operator's order.
 	Drained bool `json:"drained,omitempty"`
 	// ConfirmedDead says that an operator knows that the worker will not come back.
@@ -64,7 +66,9 @@
 func (s *Store) setWorker(worker Worker) {
 	id := worker.ID()
 	s.invalidateServiceLoad(s.workers[id], worker)
+	s.countUnleased(s.workers[id], -1)
 	s.workers[id] = worker
+	s.countUnleased(worker, 1)
 	if s.workerList == nil {
 		return
 	}
@@ -79,6 +83,7 @@
 // forgetWorker drops the record of a worker.
 func (s *Store) forgetWorker(id string) {
 	delete(s.serviceLoads, s.workers[id].Service)
+	s.countUnleased(s.workers[id], -1)
 	delete(s.workers, id)
 	if i, known := s.workerIndex(id); known {
 		s.workerList = slices.Delete(s.workerList, i, i+1)
--- a/core/status/status.go
+++ b/core/status/status.go
@@ -26,6 +26,7 @@
 	InvalidPolicy Code = 104
 	UnknownClass  Code = 105
 	Unsatisfiable Code = 106
+	UnknownKey    Code = 107
 )
 
 // The request conflicts with something newer.
@@ -60,6 +61,7 @@
 	WorkerUnresponsive    Code = 410
 	WorkerAlive           Code = 411
 	SpreadExceeded        Code = 412
+	TenantLimitReached    Code = 413
 )
 
 // The request cannot be served now and may be repeated later.
@@ -96,6 +98,7 @@
 	{InvalidPolicy, "bad-policy", 400, "a policy does not compile; the answer gives line and column"},
 	{UnknownClass, "unknown-class", 400, "the service or class is not in the configuration"},
 	{Unsatisfiable, "impossible", 400, "no worker of the configuration could ever meet the need"},
+	{UnknownKey, "unknown-key", 401, "the class needs the key of a tenant, and the call has none that is known"},
 	{JobConflict, "other-content", 409, "this job id was accepted before with other content"},
 	{StaleConfig, "stale-plan", 409, "the configuration has moved on; the answer names the current version"},
 	{StaleEpoch, "stale-epoch", 409, "the sender's leadership or view has passed to another"},
@@ -118,6 +121,7 @@
 	{WorkerUnresponsive, "worker-silent", 409, "the worker has sent no heartbeat lately"},
 	{WorkerAlive, "worker-heard", 409, "the worker was heard a moment ago, so it is not dead"},
 	{SpreadExceeded, "crowded", 409, "as many tasks of the step are on the worker as may"},
+	{TenantLimitReached, "over-limit", 409, "the job's tenant would have more running than its limit"},
 	{QueueFull, "inbox-full", 429, "too much is waiting; come back after the time given"},
 	{ReplicasUnavailable, "no-authority", 503, "the replicas cannot be reached now; come back after the time given"},
 	{NotPrimary, "not-primary", 503, "this replica does not lead; the answer may name the one that does"},
