Quota: the state counts what a tenant runs and grants nothing above its limit

The command that grants checks the increase against the tenant's limit, in the one order of commands, and the count changes with the leases in setTask, so a grant without a count cannot exist. What runs beside its lease counts too. A task counts until its end is listed or its lease has certainly run out. A gang is admitted whole. The count is no record: it is made anew at a load, and compared with a recount each time a replica begins to serve. A tenant that the configuration leaves out is held to its last limit.

The dispatcher passes over groups of a tenant at its limit, so they hold back nobody else, and proposes no preemption for them. A gang that waits for the limit for 3 s holds back younger tasks of its tenant that are not quick while half of the limit is used, after 10 s always.

--- a/core/control/figures.go
+++ b/core/control/figures.go
@@ -20,6 +20,7 @@
 	RequeuedTasks   uint64
 	ImpairedWorkers int
 	Classes         []state.ClassBacklog
+	Tenants         []state.TenantLoad
 }
 
 // Figures returns the figures as they are now. They are counted for each call.
@@ -36,5 +37,6 @@
 	figures.StalledTasks, figures.RequeuedTasks = c.scheduler.StalledTasks()
 	figures.ImpairedWorkers = c.scheduler.ImpairedWorkers()
 	figures.Classes = c.replica.Store().Backlog()
+	figures.Tenants = c.replica.Store().TenantLoads()
 	return figures
 }
--- a/core/dispatch/best_in_queue.go
+++ b/core/dispatch/best_in_queue.go
@@ -65,8 +65,11 @@
 	if p.round.QuickOnly && !isQuick(p.store, key.service, key.class) {
 		return false, false
 	}
+	if !p.free.Covers(key.resources) || !d.tenantAllows(p.store, &p.inFlight, key.tenant, key.resources) {
+		return false, false
+	}
 	job, ok := p.store.Job(head.Job)
-	if !ok || !p.free.Covers(key.resources) || p.store.Fits(job, head.Index, p.worker) != status.OK {
+	if !ok || p.store.Fits(job, head.Index, p.worker) != status.OK {
 		return false, false
 	}
 	if d.withheld(p, group, job) || !p.shareAllows(key) {
@@ -148,5 +151,6 @@
 		d.waitsForRack(pull.store, job, task, &pull.worker) ||
 		d.waitsForProof(pull.store, job, task.ref, pull.id) ||
 		d.failedOnWorker(pull.store, job, i, pull.worker) ||
+		d.keptForTenantsGang(pull.store, key, task.number) ||
 		d.reservedForGang(pull.store, pull.worker, key, task.number)
 }
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -79,6 +79,8 @@
 	rebuild        rebuildProgress
 
 	reservations reservationCache
+	// tenantsAtLimit are those for which tasks were held back since TakeTenantsAtLimit.
+	tenantsAtLimit map[string]bool
 	// gangTriedAt is when members of a gang were last looked for workers in vain.
 	gangTriedAt map[gangRef]time.Duration
 
@@ -96,6 +98,7 @@
 	d := &Dispatcher{
 		options:        options,
 		changedWorkers: map[string]bool{},
+		tenantsAtLimit: map[string]bool{},
 		completed:      map[string]int{},
 		health:         newHealthTracker(options),
 		trust:          newTrustTracker(),
--- a/core/dispatch/gang.go
+++ b/core/dispatch/gang.go
@@ -47,7 +47,7 @@
 	}
 	d.gangTriedAt[gang] = pull.store.Now()
 	members, ok := pull.gangMembers(best.job, gang)
-	if !ok {
+	if !ok || !d.tenantAllows(pull.store, &pull.inFlight, best.job.Tenant, memberResources(&best.job, members)) {
 		return false
 	}
 	for _, rack := range pull.candidateRacks(&best.job.Spec.Tasks[best.ref.Index]) {
--- a/core/dispatch/preempt.go
+++ b/core/dispatch/preempt.go
@@ -38,6 +38,9 @@
 				continue
 			}
 			seen[group.key] = true
+			if !d.tenantAllows(store, &inFlight, job.Tenant, group.key.resources) {
+				continue
+			}
 			if !d.lacksResources(store, &group.key, job, head) {
 				continue
 			}
--- a/core/dispatch/pull.go
+++ b/core/dispatch/pull.go
@@ -20,8 +20,12 @@
 	Tasks     map[TaskRef]bool
 	Resources map[string]state.Resources
 	Slots     map[state.ClassKey]int
-	// OverShare are the classes that had used up their shares a moment ago.
+	// OverShare are the classes that had used up their shares a moment ago, and AtLimit
+	// the tenants that had reached their limits.
 	OverShare map[state.ClassKey]bool
+	AtLimit   map[string]bool
+	// ByTenant are the resources by tenant.
+	ByTenant map[string]state.Resources
 }
 
 // Proposal is a grant of leases, or a preemption, for the state machine to check.
--- a/core/dispatch/queues.go
+++ b/core/dispatch/queues.go
@@ -17,6 +17,7 @@
 type groupKey struct {
 	service   string
 	class     string
+	tenant    string
 	labels    string // joined by commas
 	resources state.Resources
 	// gangSlots are the slots of the whole gang, 0 for a task without one.
@@ -176,6 +177,7 @@
 	key := groupKey{
 		service:       job.Spec.Service,
 		class:         job.Spec.Class,
+		tenant:        job.Tenant,
 		labels:        strings.Join(spec.Labels, ","),
 		resources:     spec.Resources,
 		level:         job.Tasks[i].Level,
--- a/core/dispatch/reservation.go
+++ b/core/dispatch/reservation.go
@@ -28,55 +28,57 @@
 	task   int
 }
 
-// reservationCache holds the reservations of all services; nil is unknown.
+// reservationCache holds the reservations of all services, and the oldest gang of each
+// tenant that waits for the tenant's limit; nil is unknown.
 type reservationCache struct {
 	computedAt time.Duration
 	byService  map[string]reservation
+	byTenant   map[string]waitingGang
 }
 
 // reservation returns a service's reservation, if there is one.
 func (d *Dispatcher) reservation(store *state.Store, service string) (reservation, bool) {
-	if d.reservations.byService == nil || store.Now() >= d.reservations.computedAt+reservationTTL {
-		d.reservations = reservationCache{store.Now(), d.findReservations(store)}
-	}
+	d.refreshReservations(store)
 	found, ok := d.reservations.byService[service]
 	return found, ok
 }
 
-func (d *Dispatcher) findReservations(store *state.Store) map[string]reservation {
-	reservations := map[string]reservation{}
+// refreshReservations finds the reservations anew if they are old.
+func (d *Dispatcher) refreshReservations(store *state.Store) {
+	cache := &d.reservations
+	if cache.byService != nil && store.Now() < cache.computedAt+reservationTTL {
+		return
+	}
+	*cache = reservationCache{store.Now(), map[string]reservation{}, map[string]waitingGang{}}
 	for _, groups := range d.queues.groups {
 		for i := range groups {
-			group := &groups[i]
-			if !group.key.isGang() {
-				continue
-			}
-			oldest, known := reservations[group.key.service]
-			if found, ok := oldestFeasible(store, group, oldest.number, known); ok {
-				reservations[group.key.service] = found
+			if groups[i].key.isGang() {
+				cache.addGroup(store, &groups[i])
 			}
 		}
 	}
-	return reservations
 }
 
-// oldestFeasible returns the oldest gang of a group that has waited long enough and
-// could run. It looks no further than to the number known of an older gang.
-func oldestFeasible(store *state.Store, group *taskGroup, number uint64, known bool) (reservation, bool) {
+// addGroup takes the gangs of a group that have waited long enough: those that wait for the
+// limit of their tenant, and of the others the oldest that could run.
+func (c *reservationCache) addGroup(store *state.Store, group *taskGroup) {
 	for _, task := range group.tasks {
 		job, ok := store.Job(task.ref.Job)
 		if !ok || store.Now()-job.Tasks[task.ref.Index].ReadyAt < reserveAfter {
 			continue
 		}
-		if known && number <= task.number {
-			break
+		if job.Tenant != "" && c.noteWaitingGang(store, &job, task) {
+			continue
+		}
+		if oldest, known := c.byService[group.key.service]; known && oldest.number <= task.number {
+			return
 		}
 		_, share := store.ClassUse(group.key.service, group.key.class)
 		if share > 0 && gangFitsIdleWorkers(store, job, task.ref.Index) {
-			return reservation{task.number, job, task.ref.Index}, true
+			c.byService[group.key.service] = reservation{task.number, job, task.ref.Index}
+			return
 		}
 	}
-	return reservation{}, false
 }
 
 // gangFitsIdleWorkers reports whether the present workers could run the whole gang
--- a/core/replica/leader.go
+++ b/core/replica/leader.go
@@ -75,6 +75,7 @@
 		r.leadership.confirmedSince = now
 	}
 	r.leadership.resuming = false
+	r.recountTenants(out)
 	r.executeWaiting(now, out)
 	out.Log("serving", "epoch", r.view().Epoch, "index", r.log.commitIndex, "backups", addresses(r.view().Backups))
 }
--- /dev/null
+++ b/core/replica/recount.go
@@ -0,0 +1,13 @@
+package replica
+
+import "sorrelloom/core/machine"
+
+// recountTenants counts anew what each tenant has running, from the placements in the state.
+// A count that was kept wrong is corrected and logged.
+func (r *Replica) recountTenants(out *machine.Output) {
+	for _, difference := range r.log.store.RecountTenants() {
+		r.recountDifferences++
+		out.Warn("tenant_recounted", "tenant", difference.Tenant, "kept", difference.Kept,
+			"recounted", difference.Recounted)
+	}
+}
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -58,6 +58,9 @@
 	snapshotSource *snapshotSource
 	incoming       *incomingTransfer
 
+	// recountDifferences is how many counts of a tenant's usage were found wrong.
+	recountDifferences uint64
+
 	startedAt time.Duration
 	// roleSince is when the current view was adopted or, on the primary, when it began
 	// to serve in it; without either since the start, the time of the first step.
--- a/core/replica/report.go
+++ b/core/replica/report.go
@@ -56,6 +56,8 @@
 	// it a moment ago. Otherwise it commits nothing.
 	LeadershipConfirmed bool           `json:"proven"`
 	Members             []MemberStatus `json:"members"`
+	// RecountDifferences is how often the count of what a tenant runs was found wrong.
+	RecountDifferences uint64 `json:"recountDifferences,omitempty"`
 }
 
 // Status says which view the replica knows and how far its log is.
@@ -68,7 +70,10 @@
 
 // Report says who leads in which epoch, and how far each member is behind.
 func (r *Replica) Report(now time.Duration) Report {
-	report := Report{Status: r.Status(), LeadershipConfirmed: r.LeadershipConfirmed(now), Members: []MemberStatus{}}
+	report := Report{
+		Status: r.Status(), LeadershipConfirmed: r.LeadershipConfirmed(now), Members: []MemberStatus{},
+		RecountDifferences: r.recountDifferences,
+	}
 	for _, member := range r.view().Voters {
 		report.Members = append(report.Members, r.memberStatus(now, member))
 	}
--- a/core/scheduler/proposals.go
+++ b/core/scheduler/proposals.go
@@ -20,6 +20,7 @@
 	tasks      []dispatch.TaskRef
 	resources  []state.Resources
 	class      state.ClassKey
+	tenant     string
 	preemption bool
 	rejected   bool
 	expiresAt  time.Duration
@@ -43,6 +44,7 @@
 		assignment.HeartbeatNumber = s.leases.workers[assignment.Worker].number
 		job, _ := store.Job(assignment.Job)
 		pending.class = state.ClassKey{Service: job.Spec.Service, Class: job.Spec.Class}
+		pending.tenant = job.Tenant
 		if i < len(proposal.Tasks) {
 			pending.resources = append(pending.resources, job.Spec.Tasks[proposal.Tasks[i].Index].Resources)
 		}
@@ -96,6 +98,9 @@
 	case code == status.QuotaExceeded:
 		s.overShareUntil[pending.class] = max(s.overShareUntil[pending.class], result.AppliedIndex)
 		pending.expiresAt = now
+	case code == status.TenantLimitReached:
+		s.atLimitUntil[pending.tenant] = max(s.atLimitUntil[pending.tenant], result.AppliedIndex)
+		pending.expiresAt = now
 	}
 	out.Log("grant_rejected", "code", code.String(), "job", first.Job, "task", first.Task, "worker", first.Worker)
 }
@@ -110,6 +115,8 @@
 		Resources: map[string]state.Resources{},
 		Slots:     map[state.ClassKey]int{},
 		OverShare: map[state.ClassKey]bool{},
+		AtLimit:   map[string]bool{},
+		ByTenant:  map[string]state.Resources{},
 	}
 	local, index := s.access.IsLocal(), s.access.State().Position().Index
 	for class, until := range s.overShareUntil {
@@ -119,6 +126,13 @@
 			inFlight.OverShare[class] = true
 		}
 	}
+	for tenant, until := range s.atLimitUntil {
+		if index >= until {
+			delete(s.atLimitUntil, tenant)
+		} else {
+			inFlight.AtLimit[tenant] = true
+		}
+	}
 	for id, pending := range s.proposals {
 		if pending.committedAt > 0 && index >= pending.committedAt || now > pending.expiresAt {
 			delete(s.proposals, id)
@@ -138,6 +152,7 @@
 			worker := pending.assignments[i].Worker
 			inFlight.Resources[worker] = inFlight.Resources[worker].Add(resources)
 			inFlight.Slots[pending.class] += resources.Slots
+			inFlight.ByTenant[pending.tenant] = inFlight.ByTenant[pending.tenant].Add(resources)
 		}
 	}
 	return inFlight
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -57,6 +57,9 @@
 	// overShareUntil holds the classes that the state machine found over their shares,
 	// with the log index of that answer.
 	overShareUntil map[state.ClassKey]uint64
+	// atLimitUntil holds the tenants that it found at their limits, likewise.
+	atLimitUntil   map[string]uint64
+	tenantLimits   tenantLimitWatch
 	nextPreemption time.Duration
 	stopsSentAt    map[state.Attempt]time.Duration
 	scans          scanSchedule
@@ -98,6 +101,8 @@
 	s.heartbeatCommands = map[uint64]string{}
 	s.proposals = map[uint64]pendingProposal{}
 	s.overShareUntil = map[state.ClassKey]uint64{}
+	s.atLimitUntil = map[string]uint64{}
+	s.tenantLimits = tenantLimitWatch{loggedAt: map[string]time.Duration{}}
 	s.stopsSentAt = map[state.Attempt]time.Duration{}
 	s.unledZones = map[string]bool{}
 	s.idle = map[string]idleMark{}
@@ -137,6 +142,7 @@
 	}
 	s.renewLeases(now, &out)
 	s.requeueStalled(now, &out)
+	s.logTenantLimits(now, &out)
 	s.logHealthChanges(&out)
 	s.markChangedWorkers(changes)
 	if len(changes)+len(results) > 0 || in.Message.Kind == wire.KindHeartbeat {
--- a/core/state/grant.go
+++ b/core/state/grant.go
@@ -67,6 +67,9 @@
 	if r := checkGangComplete(&job, gang, &check, len(grant.Assignments)); r.isSet() {
 		return r.result()
 	}
+	if r := s.checkTenantLimit(job.Tenant, check.resources); r.isSet() {
+		return r.result()
+	}
 	allowed, borrowed := s.CheckShare(job.Spec.classKey(), check.slots, nil)
 	if !allowed {
 		return reject(status.QuotaExceeded, "class %s may not take %d slots more", job.Spec.Class, check.slots)
