Operators' commands are handled before those of callers and workers

Such commands are marked as urgent in the message's header, and wait in a queue of their own for as long as their caller does. The primary always admits them. As they overtake, their answers are no evidence that earlier commands of the same process are lost. To an earlier release the mark is a key like any other.

TestConfigurationWaitsBehindJobs failed before (2,000 commands of jobs came first) and passes; its requests are marked as leaderclient marks them, which TestAnsweredConfigurationIsNoEvidenceOfLostJobs checks. The latter fails with the mark and without the second mark of what was answered.

--- a/core/goldentest/fill.go
+++ b/core/goldentest/fill.go
@@ -30,6 +30,7 @@
 	"tenants":       "a configuration, also the platform's",
 	"public":        "a route of the platform",
 	"strayByTenant": "a worker",
+	"urgent":        "a command on its way to the primary",
 	"formerLimits":  "the metadata of the state",
 }
 
--- a/core/leaderclient/commands.go
+++ b/core/leaderclient/commands.go
@@ -46,6 +46,12 @@
 	sendIndex uint64
 }
 
+// isUrgent reports whether the leader handles a command before those of callers: a call of
+// an operator, or the confirmation that one begins with.
+func (c *pendingCommand) isUrgent() bool {
+	return state.IsOperatorCommand(c.command.Kind) || c.command.Kind == state.KindConfirmLeadership
+}
+
 // byDeadline orders commands by their deadlines, then by their IDs.
 func byDeadline(a, b *pendingCommand) int {
 	return cmp.Or(cmp.Compare(a.deadline, b.deadline), cmp.Compare(a.id, b.id))
@@ -56,7 +62,9 @@
 	last uint64
 	// answered is the highest number that the leader answered. Since it answers in
 	// order, a message of a lower number without an answer is lost, or its answer is.
-	answered uint64
+	// Urgent commands overtake the others: answeredUrgent counts among themselves only.
+	answered       uint64
+	answeredUrgent uint64
 }
 
 // next returns the number of the next message.
@@ -68,8 +76,23 @@
 // noteAnswered notes that the leader has answered a message.
 func (l *sendLog) noteAnswered(index uint64) { l.answered = max(l.answered, index) }
 
-// isLost reports whether the leader has answered something sent after a command.
-func (l *sendLog) isLost(command *pendingCommand) bool { return command.sendIndex < l.answered }
+// noteCommandAnswered notes that the leader has answered a command.
+func (l *sendLog) noteCommandAnswered(command *pendingCommand) {
+	if command.isUrgent() {
+		l.answeredUrgent = max(l.answeredUrgent, command.sendIndex)
+	} else {
+		l.noteAnswered(command.sendIndex)
+	}
+}
+
+// isLost reports whether the leader has answered something that was sent after a command
+// and could not overtake it.
+func (l *sendLog) isLost(command *pendingCommand) bool {
+	if command.isUrgent() && command.sendIndex < l.answeredUrgent {
+		return true
+	}
+	return command.sendIndex < l.answered
+}
 
 // latencyEstimate is the moving average of the time from sending to answer.
 type latencyEstimate struct{ mean time.Duration }
@@ -153,6 +176,7 @@
 		ID:      command.id,
 		Timeout: command.deadline - now,
 		Retry:   command.sendCount > 0,
+		Urgent:  command.isUrgent(),
 		Command: command.command,
 	}
 	if stateTime, known := c.probes.stateTime(now); known {
--- a/core/leaderclient/reply.go
+++ b/core/leaderclient/reply.go
@@ -20,8 +20,8 @@
 	inconclusiveCodes = []status.Code{status.QueueFull, status.ReplicasUnavailable, status.Internal}
 
 	// inconclusiveRetryCodes are the results to a later copy of a command that say
-	// nothing of an earlier one: the route is checked before what was accepted.
-	inconclusiveRetryCodes = append([]status.Code{status.NoRoute}, inconclusiveCodes...)
+	// nothing of an earlier one: the route and the key are checked before what was accepted.
+	inconclusiveRetryCodes = append([]status.Code{status.NoRoute, status.UnknownKey}, inconclusiveCodes...)
 )
 
 // handleReply takes a reply to a command or to a probe. Any reply of the replica
@@ -68,7 +68,7 @@
 	c.pending = slices.Delete(c.pending, index, index+1)
 	code := reply.Result.Code
 	if from == c.leader.primary && command.inFlight && !slices.Contains(inconclusiveCodes, code) {
-		c.sends.noteAnswered(command.sendIndex)
+		c.sends.noteCommandAnswered(command)
 		c.latency.observe(now - command.sentAt)
 	}
 	retried := command.sendCount > 1 && !state.IsReadOnly(command.command.Kind)
--- a/core/machine/message.go
+++ b/core/machine/message.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"strings"
 )
 
 // Message is one message between two processes. Body is encoded by Marshal and is
@@ -19,6 +20,14 @@
 	Body          []byte
 }
 
+// UrgentKeyPrefix begins the coalescing keys of messages that are to be handled before other
+// requests. To a receiver of an earlier release they are keys like any other.
+const UrgentKeyPrefix = "urgent/"
+
+// IsUrgent reports whether a message is to be handled before other requests. It can be told
+// without decoding the body.
+func (m Message) IsUrgent() bool { return strings.HasPrefix(m.CoalescingKey, UrgentKeyPrefix) }
+
 // ProtocolVersion is the version of the message format. Version 1 was encoded as JSON.
 const ProtocolVersion = 2
 
--- a/core/replica/commands.go
+++ b/core/replica/commands.go
@@ -221,7 +221,11 @@
 
 // overloaded says why a command is not admitted: too many wait for their commit, or they
 // have waited for longer than the command has time.
+// Calls of operators are few and always admitted.
 func (r *Replica) overloaded(now time.Duration, b wire.CommandRequest) (reason string, overloaded bool) {
+	if b.Urgent {
+		return "", false
+	}
 	if len(r.commands.pending) > maxPendingCommands {
 		return "too many writes are under way", true
 	}
--- a/core/state/command.go
+++ b/core/state/command.go
@@ -48,6 +48,17 @@
 	return false
 }
 
+// IsOperatorCommand says whether a kind of command is a call of an operator: on the
+// configuration, on what is drained, or on who leads. Such commands are few.
+func IsOperatorCommand(kind CommandKind) bool {
+	switch kind {
+	case KindChangeConfig, KindReadConfig, KindReadRequest, KindSetZoneDrained, KindDrainWorker,
+		KindConfirmWorkerDead, KindTransferLeadership:
+		return true
+	}
+	return false
+}
+
 // LogPosition is how far a replica of the state has come in the replicated log:
 // the Index of a command and the Epoch of the primary that wrote it.
 type LogPosition struct {
--- a/core/wire/requests.go
+++ b/core/wire/requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strconv"
 	"time"
 
 	"sorrelloom/core/machine"
@@ -19,10 +20,20 @@
 	// sender's estimate and never too early; 0 is none.
 	Deadline time.Duration `json:"deadline,omitempty"`
 	// Retry is set if the command was sent before.
-	Retry   bool          `json:"resent,omitempty"`
+	Retry bool `json:"resent,omitempty"`
+	// Urgent requests are handled before those of callers and workers.
+	Urgent  bool          `json:"urgent,omitempty"`
 	Command state.Command `json:"command"`
 }
 
+// CoalescingKey marks urgent requests. Each key is used once, so nothing is coalesced.
+func (r CommandRequest) CoalescingKey() string {
+	if !r.Urgent {
+		return ""
+	}
+	return machine.UrgentKeyPrefix + strconv.FormatUint(r.ID, 36)
+}
+
 // CommandReply answers a CommandRequest.
 type CommandReply struct {
 	ID uint64 `json:"id"`
--- a/daemon/transport/operator_commands_test.go
+++ b/daemon/transport/operator_commands_test.go
@@ -9,10 +9,10 @@
 	"sorrelloom/core/wire"
 )
 
-// commandMessage is a received message with a command.
+// commandMessage is a received message with a command, as leaderclient sends it.
 func commandMessage(id uint64, kind state.CommandKind) machine.Message {
 	outgoing := machine.OutgoingMessage{Kind: wire.KindCommand, Body: wire.CommandRequest{
-		ID: id, Command: state.Command{Kind: kind},
+		ID: id, Urgent: state.IsOperatorCommand(kind), Command: state.Command{Kind: kind},
 	}}
 	body, err := outgoing.Encode()
 	if err != nil {
--- a/daemon/transport/receive_queue.go
+++ b/daemon/transport/receive_queue.go
@@ -10,6 +10,7 @@
 const (
 	maxClusterFrames = 8192
 	maxClusterBytes  = 512 << 20
+	maxUrgentFrames  = 1024
 	maxRequestFrames = 8192
 	maxRequestBytes  = 64 << 20
 )
@@ -22,7 +23,8 @@
 }
 
 // ReceiveQueue holds what waits for the goroutine that steps the state machines. It gives
-// out the messages of other cluster members first, then replies and calls, then requests.
+// out the messages of other cluster members first, then replies and calls, then urgent and
+// then other requests.
 // Requests that have waited too long are dropped before their bodies are decoded.
 type ReceiveQueue struct {
 	now      func() time.Duration
@@ -36,6 +38,7 @@
 	closed   bool
 	cluster  boundedQueue
 	local    fifo[QueueItem]
+	urgent   boundedQueue
 	requests boundedQueue
 	// latestByKey are the waiting requests that a later one with the same key replaces.
 	latestByKey map[coalescingKey]*receivedMessage
@@ -94,7 +97,7 @@
 	q.counters.received(message.Kind, len(message.Body))
 	frame := &receivedMessage{message, q.now()}
 	q.mu.Lock()
-	switch ClassOf(message.Kind).Priority {
+	switch ClassOfMessage(message).Priority {
 	case PriorityCluster:
 		for q.cluster.isFull(len(message.Body), maxClusterFrames, maxClusterBytes) {
 			q.drop(q.cluster.dequeue(), DropOverflow)
@@ -102,6 +105,11 @@
 		q.cluster.enqueue(frame)
 	case PriorityReply:
 		q.local.push(QueueItem{Message: message})
+	case PriorityUrgent:
+		for q.urgent.isFull(len(message.Body), maxUrgentFrames, maxRequestBytes) {
+			q.drop(q.urgent.dequeue(), DropOverflow)
+		}
+		q.urgent.enqueue(frame)
 	default:
 		q.enqueueRequestLocked(frame)
 	}
@@ -120,7 +128,7 @@
 		return
 	}
 	for q.requests.isFull(len(frame.message.Body), maxRequestFrames, maxRequestBytes) {
-		q.drop(q.dequeueRequestLocked(), DropOverflow)
+		q.drop(q.dequeueRequestLocked(&q.requests), DropOverflow)
 	}
 	q.requests.enqueue(frame)
 	if key.key != "" {
@@ -128,8 +136,8 @@
 	}
 }
 
-func (q *ReceiveQueue) dequeueRequestLocked() *receivedMessage {
-	frame := q.requests.dequeue()
+func (q *ReceiveQueue) dequeueRequestLocked(queue *boundedQueue) *receivedMessage {
+	frame := queue.dequeue()
 	if frame.message.CoalescingKey != "" {
 		delete(q.latestByKey, coalescingKey{frame.message.Kind, frame.message.From, frame.message.CoalescingKey})
 	}
@@ -191,24 +199,27 @@
 	if q.local.len() > 0 {
 		return q.local.pop(), true
 	}
-	if message, ok := q.dequeueFreshRequestLocked(); ok {
+	if message, ok := q.dequeueFreshLocked(&q.urgent); ok {
+		return QueueItem{Message: message}, true
+	}
+	if message, ok := q.dequeueFreshLocked(&q.requests); ok {
 		return QueueItem{Message: message}, true
 	}
 	return QueueItem{}, false
 }
 
-// dequeueFreshRequestLocked returns the oldest request that has not expired, and drops
+// dequeueFreshLocked returns the oldest message of a queue that has not expired, and drops
 // the expired ones before it.
-func (q *ReceiveQueue) dequeueFreshRequestLocked() (machine.Message, bool) {
-	if q.requests.len() == 0 {
+func (q *ReceiveQueue) dequeueFreshLocked(queue *boundedQueue) (machine.Message, bool) {
+	if queue.len() == 0 {
 		return machine.Message{}, false
 	}
 	now := q.now()
-	for q.requests.len() > 0 {
-		frame := q.dequeueRequestLocked()
+	for queue.len() > 0 {
+		frame := q.dequeueRequestLocked(queue)
 		waited := now - frame.receivedAt
 		q.counters.waited(waited)
-		if limit := ClassOf(frame.message.Kind).MaxReceiveWait; limit == 0 || waited <= limit {
+		if limit := ClassOfMessage(frame.message).MaxReceiveWait; limit == 0 || waited <= limit {
 			return frame.message, true
 		}
 		q.drop(frame, DropExpired)
--- a/daemon/transport/traffic_class.go
+++ b/daemon/transport/traffic_class.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"sorrelloom/core/machine"
 	"sorrelloom/core/wire"
 )
 
@@ -29,6 +30,10 @@
 	PriorityCluster Priority = iota
 	// PriorityReply messages end a request of this process.
 	PriorityReply
+	// PriorityUrgent messages are the calls of operators, which are few. They are processed
+	// before other requests, so that a process that is short of processor still takes a
+	// configuration and tells which one is in force.
+	PriorityUrgent
 	// PriorityRequest messages are processed when nothing else waits, and expire.
 	PriorityRequest
 )
@@ -37,6 +42,8 @@
 	// requestMaxAge is how long commands and worker heartbeats may wait. Their senders
 	// repeat them after about this time.
 	requestMaxAge = 400 * time.Millisecond
+	// urgentMaxAge is how long calls of operators may wait: as long as their callers do.
+	urgentMaxAge = 850 * time.Millisecond
 	// defaultMaxAge is how long any other request, and any frame to be sent, may wait.
 	defaultMaxAge = 2 * time.Second
 	// clusterMaxAge is how long a frame to another member may wait to be sent. A later
@@ -61,6 +68,9 @@
 	requestClass = TrafficClass{
 		Channel: ChannelBulk, Priority: PriorityRequest, MaxReceiveWait: requestMaxAge, MaxSendWait: requestMaxAge,
 	}
+	urgentClass = TrafficClass{
+		Channel: ChannelBulk, Priority: PriorityUrgent, MaxReceiveWait: urgentMaxAge, MaxSendWait: urgentMaxAge,
+	}
 	defaultClass = TrafficClass{
 		Channel: ChannelBulk, Priority: PriorityRequest, MaxReceiveWait: defaultMaxAge, MaxSendWait: defaultMaxAge,
 	}
@@ -90,6 +100,14 @@
 	wire.KindFeedUpdate:      defaultClass,
 }
 
+// ClassOfMessage returns the class of a message.
+func ClassOfMessage(message machine.Message) TrafficClass {
+	if message.Kind == wire.KindCommand && message.IsUrgent() {
+		return urgentClass
+	}
+	return ClassOf(message.Kind)
+}
+
 // ClassOf returns the class of a kind. An unknown kind is handled as any other request.
 func ClassOf(kind string) TrafficClass {
 	if class, ok := classByKind[kind]; ok {
