Host: completed writes are handled before timers

At the large deployment a primary gave its lead away within 1 to 2 s, and so did the next four, so that nobody led for long enough to read the configuration back (CONFIG). Their logs say disk_slow, 521 to 857 ms, on disks that take 0.5 ms: after a long step the host fired the timers first, in whose step the primary took its disk for slow, although the write had long been completed and only waited to be handled.

Completed writes are now handled before timers, as messages of other members are.

TestDiskTakenForSlowByALateProcess fails with the order of before.

--- a/daemon/host/host.go
+++ b/daemon/host/host.go
@@ -95,16 +95,15 @@
 // Now returns the monotonic time since the start of the process.
 func (h *Host) Now() time.Duration { return time.Since(h.started) }
 
-// eventLoop steps the machines until the host is closed. Messages of other cluster
-// members are handled before timers: a machine that is late must not take itself for cut
-// off while the heartbeats that say otherwise are waiting.
+// eventLoop steps the machines until the host is closed. Completed writes and messages of
+// other cluster members are handled before timers: a machine that is late must not take its
+// disk for slow, or itself for cut off, while what says otherwise is waiting.
 func (h *Host) eventLoop() {
 	for !isClosed(h.closed) {
-		if message, ok := h.receiveQueue.DequeueCluster(); ok {
-			h.deliver(message)
-			continue
+		item, ok := h.receiveQueue.DequeueBeforeTimers()
+		if !ok {
+			item, ok = h.receiveQueue.Dequeue(h.fireTimers())
 		}
-		item, ok := h.receiveQueue.Dequeue(h.fireTimers())
 		switch {
 		case !ok:
 		case item.Call != nil:
--- /dev/null
+++ b/daemon/host/late_completion_test.go
@@ -0,0 +1,48 @@
+package host
+
+import (
+	"testing"
+	"time"
+
+	"sorrelloom/core/machine"
+	"sorrelloom/daemon/storage"
+)
+
+// TestDiskTakenForSlowByALateProcess has a write complete and a timer expire during one long
+// step: the machine must hear of the write first.
+func TestDiskTakenForSlowByALateProcess(t *testing.T) {
+	store, _, err := storage.Open(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	const longStep = 200 * time.Millisecond
+	r := &recorder{}
+	after := make(chan uint64, 1)
+	busy := false
+	r.do = func(now time.Duration, in machine.Input) (out machine.Output) {
+		switch {
+		case in.Request.Name == "write":
+			out.Writes = []machine.Write{{ID: 7}}
+		case in.Request.Name == "busy":
+			busy, r.timerAt = true, now
+			time.Sleep(longStep)
+		case busy:
+			busy, r.timerAt = false, 0
+			after <- in.CompletedWrite
+		}
+		return out
+	}
+	h := New("me", "127.0.0.1:0", store, func(err error) { t.Error(err) })
+	runner := h.Add(r)
+	if err := h.Run(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(h.Close)
+	runner.host.receiveQueue.EnqueueCall(func() {
+		runner.step(machine.Input{Request: machine.Request{ID: 1, Name: "write"}})
+		runner.step(machine.Input{Request: machine.Request{ID: 2, Name: "busy"}})
+	})
+	if completed := <-after; completed != 7 {
+		t.Errorf("after the long step the machine is stepped with the write %d", completed)
+	}
+}
--- a/daemon/host/runner.go
+++ b/daemon/host/runner.go
@@ -138,7 +138,7 @@
 				return
 			}
 			due := r.host.store.SnapshotDue()
-			r.host.receiveQueue.EnqueueCall(func() {
+			r.host.receiveQueue.EnqueueCompletion(func() {
 				r.step(machine.Input{CompletedWrite: write.ID, SnapshotDue: due})
 			})
 		}
--- a/daemon/transport/receive_queue.go
+++ b/daemon/transport/receive_queue.go
@@ -23,7 +23,7 @@
 }
 
 // ReceiveQueue holds what waits for the goroutine that steps the state machines. It gives
-// out the messages of other cluster members first, then replies and calls, then urgent and
+// out completed writes first, then the messages of other cluster members, then replies and calls, then urgent and
 // then other requests.
 // Requests that have waited too long are dropped before their bodies are decoded.
 type ReceiveQueue struct {
@@ -34,12 +34,13 @@
 	// timer ends the wait of Dequeue, which only one goroutine calls.
 	timer *time.Timer
 
-	mu       sync.Mutex
-	closed   bool
-	cluster  boundedQueue
-	local    fifo[QueueItem]
-	urgent   boundedQueue
-	requests boundedQueue
+	mu          sync.Mutex
+	closed      bool
+	completions fifo[QueueItem]
+	cluster     boundedQueue
+	local       fifo[QueueItem]
+	urgent      boundedQueue
+	requests    boundedQueue
 	// latestByKey are the waiting requests that a later one with the same key replaces.
 	latestByKey map[coalescingKey]*receivedMessage
 }
@@ -149,22 +150,38 @@
 }
 
 // EnqueueCall adds a call, and reports whether it will be given out.
-func (q *ReceiveQueue) EnqueueCall(call func()) bool {
+func (q *ReceiveQueue) EnqueueCall(call func()) bool { return q.enqueueCall(&q.local, call) }
+
+// EnqueueCompletion adds the call that handles a completed write.
+func (q *ReceiveQueue) EnqueueCompletion(call func()) { q.enqueueCall(&q.completions, call) }
+
+func (q *ReceiveQueue) enqueueCall(queue *fifo[QueueItem], call func()) bool {
 	q.mu.Lock()
 	closed := q.closed
 	if !closed {
-		q.local.push(QueueItem{Call: call})
+		queue.push(QueueItem{Call: call})
 	}
 	q.mu.Unlock()
 	signal(q.nonEmpty)
 	return !closed
 }
 
-// DequeueCluster returns the next message of another cluster member, if one waits.
-func (q *ReceiveQueue) DequeueCluster() (machine.Message, bool) {
+// DequeueBeforeTimers returns what must be handled before a timer may expire, if any of it
+// waits: the next completed write, or the next message of another cluster member.
+func (q *ReceiveQueue) DequeueBeforeTimers() (QueueItem, bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.dequeueClusterLocked()
+	return q.dequeueBeforeTimersLocked()
+}
+
+func (q *ReceiveQueue) dequeueBeforeTimersLocked() (QueueItem, bool) {
+	if q.completions.len() > 0 {
+		return q.completions.pop(), true
+	}
+	if message, ok := q.dequeueClusterLocked(); ok {
+		return QueueItem{Message: message}, true
+	}
+	return QueueItem{}, false
 }
 
 func (q *ReceiveQueue) dequeueClusterLocked() (machine.Message, bool) {
@@ -193,8 +210,8 @@
 func (q *ReceiveQueue) tryDequeue() (QueueItem, bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if message, ok := q.dequeueClusterLocked(); ok {
-		return QueueItem{Message: message}, true
+	if item, ok := q.dequeueBeforeTimersLocked(); ok {
+		return item, true
 	}
 	if q.local.len() > 0 {
 		return q.local.pop(), true
