Dispatch: a rebuild takes as many tasks a step as the workers allow

One update now compares 131,072 pairs of a task and a worker, so 546 tasks with 240 workers; up to 16 workers nothing changes.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -133,7 +133,7 @@
 			d.beginRebuild(store)
 		case change.Worker != "":
 			d.trust.observeWorker(store, change.Worker)
-			d.updateWorker(store, change.Worker, rebuildBatch)
+			d.updateWorker(store, change.Worker, rebuildBatch(store))
 		case change.Task < 0:
 			if _, ok := store.Job(change.Job); !ok {
 				d.forgetJob(change.Job)
--- a/core/dispatch/eligibility.go
+++ b/core/dispatch/eligibility.go
@@ -122,6 +122,6 @@
 		}
 	}
 	for _, id := range lost {
-		d.updateWorker(store, id, rebuildBatch)
+		d.updateWorker(store, id, rebuildBatch(store))
 	}
 }
--- a/core/dispatch/rebuild.go
+++ b/core/dispatch/rebuild.go
@@ -12,12 +12,20 @@
 // that no step takes long. What changes meanwhile is taken at once.
 
 const (
-	// rebuildBatch is how many tasks one Update takes, and unplacedBatch how many
-	// unplaced tasks it puts into the queue of a worker that can run them.
-	rebuildBatch  = 8192
-	unplacedBatch = 8192
+	// maxRebuildBatch is how many tasks one Update takes at most, and unplacedBatch how
+	// many unplaced tasks it puts into the queue of a worker that can run them.
+	maxRebuildBatch = 8192
+	unplacedBatch   = 8192
+	// rebuildComparisons is how many pairs of a task and a worker one Update compares: to
+	// choose a queue for a task, all workers are looked at.
+	rebuildComparisons = 1 << 17
 )
 
+// rebuildBatch is how many tasks one Update takes.
+func rebuildBatch(store *state.Store) int {
+	return min(maxRebuildBatch, rebuildComparisons/max(1, len(store.Workers())))
+}
+
 // rebuildProgress is what is left of a rebuild: the jobs, and the next task of the
 // first of them.
 type rebuildProgress struct {
@@ -49,7 +57,7 @@
 
 // continueRebuild takes the next batch.
 func (d *Dispatcher) continueRebuild(store *state.Store) {
-	left := rebuildBatch
+	left := rebuildBatch(store)
 	for _, worker := range slices.Sorted(maps.Keys(d.redistributing)) {
 		if left > 0 {
 			left = d.updateWorker(store, worker, left)
