Dispatch: look up a queue's owner and the queues with gangs only when asked for

Most queues hold nothing for the worker that pulls, yet for each of them the resources and the health of its owner were looked up first, and the groups of each were searched for gangs. No choice changes.

--- a/core/control/benchmark_test.go
+++ b/core/control/benchmark_test.go
@@ -50,6 +50,9 @@
 // BenchmarkWide has gangs of 40 and steps of 40 besides the rest, on full workers.
 func BenchmarkWide(b *testing.B) { benchmark(b, benchmarkLoad{74, 25 * time.Millisecond, 40}) }
 
+// BenchmarkLarge has more work than its 240 workers can take.
+func BenchmarkLarge(b *testing.B) { benchmark(b, benchmarkLoad{240, 8 * time.Millisecond, 40}) }
+
 func benchmark(b *testing.B, load benchmarkLoad) {
 	for range b.N {
 		n := newNet(nil)
--- a/core/dispatch/best_in_queue.go
+++ b/core/dispatch/best_in_queue.go
@@ -19,32 +19,38 @@
 	maxExaminedWithoutInputs = 2
 )
 
-// queueOwner is the worker to whom a queue belongs, if it is not the pulling one.
+// queueOwner is the worker to whom a queue belongs, if it is not the pulling one. Most
+// queues hold nothing for the pulling worker, so it is looked up when it is asked for.
 type queueOwner struct {
-	worker state.Worker
-	// free is what the owner could use itself.
-	free state.Resources
+	queue string
 	// canTake is false in the worker's own queue, and for gangs, which are every worker's own.
 	canTake bool
+	known   bool
+	worker  state.Worker
+	// free is what the owner could use itself.
+	free state.Resources
 }
 
-func (d *Dispatcher) ownerOf(pull *pullRequest, queue string, gangsOnly bool) queueOwner {
-	if queue == pull.id {
-		return queueOwner{}
+// couldRun reports whether the owner could run a task itself.
+func (o *queueOwner) couldRun(d *Dispatcher, pull *pullRequest, job state.Job, i int) bool {
+	if !o.canTake {
+		return false
 	}
-	worker, _ := pull.store.Worker(queue)
-	owner := queueOwner{worker: worker, canTake: !gangsOnly}
-	proposed := pull.inFlight.Resources[queue]
-	if d.health.mayPull(pull.store, worker, proposed.Slots) {
-		owner.free = pull.store.FreeResources(queue).Sub(proposed)
+	if !o.known {
+		o.known = true
+		o.worker, _ = pull.store.Worker(o.queue)
+		proposed := pull.inFlight.Resources[o.queue]
+		if d.health.mayPull(pull.store, o.worker, proposed.Slots) {
+			o.free = pull.store.FreeResources(o.queue).Sub(proposed)
+		}
 	}
-	return owner
+	return o.free.Covers(job.Spec.Tasks[i].Resources) && pull.store.Fits(job, i, o.worker) == status.OK
 }
 
 // bestInQueue returns the best task of one queue for the pulling worker.
 func (d *Dispatcher) bestInQueue(pull *pullRequest, queue string, gangsOnly bool) bestCandidate {
 	var best bestCandidate
-	owner := d.ownerOf(pull, queue, gangsOnly)
+	owner := queueOwner{queue: queue, canTake: queue != pull.id && !gangsOnly}
 	groups := d.queues.groups[queue]
 	for i := range groups {
 		group := &groups[i]
@@ -75,9 +81,7 @@
 	if d.withheld(p, group, job) || !p.shareAllows(key) {
 		return false, false
 	}
-	ownerTakes = owner.canTake && owner.free.Covers(key.resources) &&
-		p.store.Fits(job, head.Index, owner.worker) == status.OK
-	return true, ownerTakes
+	return true, owner.couldRun(d, p, job, head.Index)
 }
 
 // withheld reports whether the tasks of a group wait for another worker than this one. The
--- a/core/dispatch/pull.go
+++ b/core/dispatch/pull.go
@@ -98,8 +98,8 @@
 // bestGang looks for a gang that comes before the best task of the worker's own
 // queue. A gang is in one queue for all its members, and counts as every worker's own.
 func (d *Dispatcher) bestGang(pull *pullRequest, best bestCandidate) bestCandidate {
-	for _, queue := range d.queues.nonEmpty() {
-		if queue == pull.id || !d.queues.hasGang(queue) {
+	for _, queue := range d.queues.withGangs() {
+		if queue == pull.id {
 			continue
 		}
 		gang := d.bestInQueue(pull, queue, true)
--- a/core/dispatch/queues.go
+++ b/core/dispatch/queues.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"sort"
@@ -56,8 +57,12 @@
 	positions map[TaskRef]queuePosition
 	// versions count the tasks that ever came into a queue.
 	versions map[string]uint64
-	// nonEmptyCache holds the result of nonEmpty; nil is unknown.
-	nonEmptyCache []string
+	// gangs counts the gangs in each queue that has any.
+	gangs map[string]int
+	// nonEmptyCache holds the result of nonEmpty, withGangsCache that of withGangs; nil is
+	// unknown.
+	nonEmptyCache  []string
+	withGangsCache []string
 }
 
 type queuePosition struct {
@@ -71,7 +76,8 @@
 	q.groups = map[string][]taskGroup{}
 	q.slots = map[string]int{}
 	q.positions = map[TaskRef]queuePosition{}
-	q.nonEmptyCache = nil
+	q.gangs = map[string]int{}
+	q.nonEmptyCache, q.withGangsCache = nil, nil
 }
 
 func (q *workerQueues) contains(ref TaskRef) bool {
@@ -84,8 +90,9 @@
 	q.nonEmptyCache = nil
 	q.positions[task.ref] = queuePosition{worker, key, task.number}
 	q.slots[worker] += key.resources.Slots
+	q.countGang(worker, &key, 1)
 	groups := q.groups[worker]
-	i := slices.IndexFunc(groups, func(group taskGroup) bool { return group.key == key })
+	i := indexOfKey(groups, &key)
 	if i < 0 {
 		groups = append(groups, taskGroup{key: key})
 		i = len(groups) - 1
@@ -104,8 +111,9 @@
 	delete(q.positions, ref)
 	q.nonEmptyCache = nil
 	q.slots[position.worker] -= position.key.resources.Slots
+	q.countGang(position.worker, &position.key, -1)
 	groups := q.groups[position.worker]
-	i := slices.IndexFunc(groups, func(group taskGroup) bool { return group.key == position.key })
+	i := indexOfKey(groups, &position.key)
 	if i < 0 {
 		return true
 	}
@@ -163,8 +171,34 @@
 	return count
 }
 
-func (q *workerQueues) hasGang(worker string) bool {
-	return slices.ContainsFunc(q.groups[worker], func(group taskGroup) bool { return group.key.isGang() })
+// indexOfKey returns the index of the group with a key, or -1.
+func indexOfKey(groups []taskGroup, key *groupKey) int {
+	for i := range groups {
+		if groups[i].key == *key {
+			return i
+		}
+	}
+	return -1
+}
+
+// countGang counts a task that came into a queue, by 1, or left it, by -1, if it is a gang.
+func (q *workerQueues) countGang(worker string, key *groupKey, by int) {
+	if !key.isGang() {
+		return
+	}
+	if q.gangs[worker] += by; q.gangs[worker] == 0 {
+		delete(q.gangs, worker)
+	}
+	q.withGangsCache = nil
+}
+
+// withGangs returns the workers whose queues hold a gang, by name.
+func (q *workerQueues) withGangs() []string {
+	if q.withGangsCache == nil {
+		q.withGangsCache = slices.AppendSeq(make([]string, 0, len(q.gangs)), maps.Keys(q.gangs))
+		slices.Sort(q.withGangsCache)
+	}
+	return q.withGangsCache
 }
 
 func searchNumber(tasks []queuedTask, number uint64) (int, bool) {
