--- a/core/state/stalled.go
+++ b/core/state/stalled.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"sorrelloom/core/quota"
 )
 
 // A task is stalled once it has been ready for as long as this, although its service has
@@ -113,10 +115,12 @@
 }
 
 // roomFor says whether so many tasks like one fit twice over, by every rule of a grant, and
-// on how many workers. The tenant's limit needs room for them once.
+// on how many workers. Where a tenant uses half of its limit or more, its tasks wait for one
+// another.
 func (s *Store) roomFor(job *Job, i, tasks int) (workers int, fits bool) {
 	spec := &job.Spec.Tasks[i]
-	if !s.TenantAllows(job.Tenant, spec.Resources.Times(tasks)) {
+	belowHalf := job.Tenant == "" || quota.BelowHalf(s.TenantLimit(job.Tenant), s.TenantUsage(job.Tenant))
+	if !belowHalf || !s.TenantAllows(job.Tenant, spec.Resources.Times(tasks)) {
 		return 0, false
 	}
 	slots := stalledRoom * tasks * spec.Resources.Slots
