Gateway of the product: calls carry a tenant's key

The product's own HTTP API takes the key in an Authorization header; submissions, questions and cancels are judged by it, in the state and on the gateway's read replica, and sorrelctl has -tenant-key. A question that waits for a change is answered with 401 once its key is withdrawn. One parser of the header for both APIs.

--- a/core/config/tenant.go
+++ b/core/config/tenant.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 
 	"sorrelloom/core/status"
 )
@@ -28,6 +29,19 @@
 	return hex.EncodeToString(sum[:])
 }
 
+// authorizationScheme is that of the Authorization headers that carry a key (RFC 6750).
+const authorizationScheme = "Bearer"
+
+// DigestOfAuthorization returns the digest of the key in an Authorization header, empty if
+// there is none.
+func DigestOfAuthorization(header string) string {
+	scheme, key, found := strings.Cut(header, " ")
+	if !found || !strings.EqualFold(scheme, authorizationScheme) {
+		return ""
+	}
+	return DigestKey(strings.TrimSpace(key))
+}
+
 // TenantsByKey returns the name of the tenant that each key's digest belongs to.
 func (c Config) TenantsByKey() map[string]string {
 	tenants := map[string]string{}
--- a/core/gateway/jobs.go
+++ b/core/gateway/jobs.go
@@ -28,7 +28,13 @@
 func (g *Gateway) handleStatus(now time.Duration, pending pendingRequest, out *machine.Output) {
 	job, ok := g.replica.Store.Job(pending.request.Name)
 	if !ok || !g.replica.Fresh(now) {
-		g.submit(now, pending, state.Command{Kind: state.KindReadJob, Name: pending.request.Name}, out)
+		g.submit(now, pending, state.Command{
+			Kind: state.KindReadJob, Name: pending.request.Name, KeyDigest: pending.request.KeyDigest,
+		}, out)
+		return
+	}
+	if denied := g.replica.Store.CheckAccess(&job, pending.request.KeyDigest); !denied.Code.IsSuccess() {
+		g.respondResult(pending.request.ID, denied, out)
 		return
 	}
 	if pending.request.Wait <= 0 || hasEnded(job) {
@@ -40,7 +46,8 @@
 	g.requests[pending.request.ID] = pending
 }
 
-// scanStatus answers a status request once its job has changed or its time is over.
+// scanStatus answers a status request once its job has changed or its time is over, or the
+// key that it came with may not see the job any more.
 func (g *Gateway) scanStatus(now time.Duration, pending pendingRequest, out *machine.Output) {
 	job, ok := g.replica.Store.Job(pending.request.Name)
 	if !ok {
@@ -48,6 +55,10 @@
 		g.respondResult(pending.request.ID, unknown, out)
 		return
 	}
+	if denied := g.replica.Store.CheckAccess(&job, pending.request.KeyDigest); !denied.Code.IsSuccess() {
+		g.respondResult(pending.request.ID, denied, out)
+		return
+	}
 	if hasEnded(job) || job.State != pending.lastSeenState || now >= pending.deadline {
 		g.respondOK(pending.request.ID, g.waitingJobView(job), out)
 	}
--- a/core/gateway/request.go
+++ b/core/gateway/request.go
@@ -107,7 +107,7 @@
 	case RequestSubmit:
 		return g.acceptCommand(request)
 	case RequestCancel:
-		return state.Command{Kind: state.KindCancelJob, Name: request.Name}, state.Result{}
+		return state.Command{Kind: state.KindCancelJob, Name: request.Name, KeyDigest: request.KeyDigest}, state.Result{}
 	}
 	return g.operatorCommand(request)
 }
@@ -123,7 +123,7 @@
 	if result := g.replica.Store.ValidateJob(spec); g.replica.Loaded() && result.Code == status.InvalidJob {
 		return state.Command{}, result
 	}
-	return state.Command{Kind: state.KindAcceptJob, Job: spec}, state.Result{}
+	return state.Command{Kind: state.KindAcceptJob, Job: spec, KeyDigest: request.KeyDigest}, state.Result{}
 }
 
 // operatorCommand returns the command of an operator's write.
--- a/core/machine/machine.go
+++ b/core/machine/machine.go
@@ -55,6 +55,8 @@
 	Force       bool
 	// IdempotencyKey is the same for all repetitions of one request.
 	IdempotencyKey string
+	// KeyDigest is the digest of the key that the client presented; empty is none.
+	KeyDigest string
 	// Target is the address of the process that takes over a leadership.
 	Target string
 	// Enable tells the two directions of a switch apart, such as drain and undrain.
--- a/daemon/cmd/sorrelctl/main.go
+++ b/daemon/cmd/sorrelctl/main.go
@@ -63,6 +63,9 @@
 		return exitUsage
 	}
 	headers := map[string]string{idempotencyKeyHeader: o.idempotencyKey}
+	if o.tenantKey != "" {
+		headers["Authorization"] = "Bearer " + o.tenantKey
+	}
 	response, err := client.MustNew(o.gateways).Call(call.method, call.path, body, headers, o.timeout+o.wait)
 	if err != nil {
 		fmt.Fprintln(errs, "sorrelctl: no gateway answered:", err)
--- a/daemon/cmd/sorrelctl/options.go
+++ b/daemon/cmd/sorrelctl/options.go
@@ -53,6 +53,7 @@
 	baseGiven       bool
 	force           bool
 	idempotencyKey  string
+	tenantKey       string
 	printUsage      func()
 }
 
@@ -69,6 +70,8 @@
 	flags.BoolVar(&o.force, "force", false, "config put, patch: whatever the version is")
 	flags.StringVar(&o.idempotencyKey, "key", "",
 		"operators' writes: the idempotency key, to repeat a call that had no response; else a new one")
+	flags.StringVar(&o.tenantKey, "tenant-key", "",
+		"submit, status, cancel, why: the key of a tenant; also SORRELCTL_TENANT_KEY")
 	flags.StringVar(&statusAddresses, "status", "",
 		"members: comma-separated IP:port of status pages; else a gateway names the replicas")
 	flags.StringVar(&publicKeys, "keys", "",
--- a/daemon/web/api.go
+++ b/daemon/web/api.go
@@ -13,6 +13,7 @@
 
 	"github.com/cloudwego/hertz/pkg/app"
 
+	"sorrelloom/core/config"
 	"sorrelloom/core/gateway"
 	"sorrelloom/core/machine"
 	"sorrelloom/core/status"
@@ -21,6 +22,7 @@
 
 const (
 	idempotencyKeyHeader    = "Idempotency-Key"
+	authorizationHeader     = "Authorization"
 	maxIdempotencyKeyLength = 128
 )
 
@@ -91,6 +93,7 @@
 	request := machine.Request{
 		Kind: route.Kind, Enable: route.Enable, Name: validUTF8(c.Param("name")), Target: validUTF8(c.Query("to")),
 		IdempotencyKey: validUTF8(string(c.GetHeader(idempotencyKeyHeader))),
+		KeyDigest:      config.DigestOfAuthorization(string(c.GetHeader(authorizationHeader))),
 		Body:           append(json.RawMessage(nil), c.Request.Body()...),
 	}
 	if length := len(request.IdempotencyKey); length > maxIdempotencyKeyLength {
