--- a/core/config/validate.go
+++ b/core/config/validate.go
@@ -73,7 +73,8 @@
 
 // violations checks the rules across fields, which the schema can't express.
 func (c Config) violations() []Violation {
-	return slices.Concat(c.shareViolations(), c.routeViolations(), c.tenantViolations(), c.limitViolations(), c.policyViolations())
+	return slices.Concat(c.shareViolations(), c.routeViolations(), c.tenantViolations(), c.limitViolations(),
+		c.policyViolations())
 }
 
 func (c Config) shareViolations() []Violation {
