--- a/core/control/benchmark_test.go
+++ b/core/control/benchmark_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"sorrelloom/core/config"
 	"sorrelloom/core/machine"
 	"sorrelloom/core/state"
 	"sorrelloom/core/wire"
@@ -30,6 +31,7 @@
 	workers  int
 	interval time.Duration // between two jobs
 	wide     int           // tasks of gangs and wide steps; 0 is none of them
+	tenants  int           // the jobs' tenants; 0 is none
 }
 
 const (
@@ -41,24 +43,39 @@
 
 var benchmarkWorker = state.Resources{Slots: 64000, MemoryMB: 131072}
 
-func BenchmarkCalm(b *testing.B) { benchmark(b, benchmarkLoad{11, 200 * time.Millisecond, 0}) }
+func BenchmarkCalm(b *testing.B) {
+	benchmark(b, benchmarkLoad{workers: 11, interval: 200 * time.Millisecond})
+}
+
+func BenchmarkBacklog(b *testing.B) {
+	benchmark(b, benchmarkLoad{workers: 11, interval: 50 * time.Millisecond})
+}
 
-func BenchmarkBacklog(b *testing.B) { benchmark(b, benchmarkLoad{11, 50 * time.Millisecond, 0}) }
+func BenchmarkGrown(b *testing.B) {
+	benchmark(b, benchmarkLoad{workers: 74, interval: 33 * time.Millisecond})
+}
 
-func BenchmarkGrown(b *testing.B) { benchmark(b, benchmarkLoad{74, 33 * time.Millisecond, 0}) }
+// BenchmarkTenants is BenchmarkGrown with jobs of tenants that no limit holds back.
+func BenchmarkTenants(b *testing.B) {
+	benchmark(b, benchmarkLoad{workers: 74, interval: 33 * time.Millisecond, tenants: 20})
+}
 
 // BenchmarkWide has gangs of 40 and steps of 40 besides the rest, on full workers.
-func BenchmarkWide(b *testing.B) { benchmark(b, benchmarkLoad{74, 25 * time.Millisecond, 40}) }
+func BenchmarkWide(b *testing.B) {
+	benchmark(b, benchmarkLoad{workers: 74, interval: 25 * time.Millisecond, wide: 40})
+}
 
 // BenchmarkLarge has more work than its 240 workers can take.
-func BenchmarkLarge(b *testing.B) { benchmark(b, benchmarkLoad{240, 8 * time.Millisecond, 40}) }
+func BenchmarkLarge(b *testing.B) {
+	benchmark(b, benchmarkLoad{workers: 240, interval: 8 * time.Millisecond, wide: 40})
+}
 
 func benchmark(b *testing.B, load benchmarkLoad) {
 	for range b.N {
 		n := newNet(nil)
 		n.run(3 * time.Second)
 		n.command(state.Command{
-			Kind: state.KindChangeConfig, ConfigChange: state.ConfigChange{Body: []byte(threeClasses)},
+			Kind: state.KindChangeConfig, ConfigChange: state.ConfigChange{Body: load.config()},
 		})
 		starts := n.play(load)
 		b.ReportMetric(float64(starts), "starts")
@@ -78,6 +95,9 @@
 			jobs++
 			n.lastID++
 			command := state.Command{Kind: state.KindAcceptJob, Summary: true, Job: load.job(jobs)}
+			if load.tenants > 0 {
+				command.KeyDigest = config.DigestKey(fmt.Sprint(jobs % load.tenants))
+			}
 			request := wire.CommandRequest{ID: n.lastID, Command: command}
 			n.step(n.leader(), machine.Input{Message: newMessage(wire.KindCommand, "gateway", request)})
 		}
@@ -92,6 +112,19 @@
 	return starts
 }
 
+// config is that of the benchmark, with its tenants.
+func (l benchmarkLoad) config() []byte {
+	built, _ := config.Parse([]byte(threeClasses))
+	built.Tenants = map[string]config.Tenant{}
+	for i := range l.tenants {
+		key := fmt.Sprint(i)
+		built.Tenants["t"+key] = config.Tenant{
+			Keys: []string{config.DigestKey(key)}, Limit: config.Resources{Slots: 1 << 30, MemoryMB: 1 << 30},
+		}
+	}
+	return machine.MustJSON(built)
+}
+
 // job returns the job of a number: of two steps or, for some numbers, a gang or wide.
 func (l benchmarkLoad) job(number int) state.JobSpec {
 	const slots = benchmarkSlots
