--- a/core/goldentest/fill.go
+++ b/core/goldentest/fill.go
@@ -22,16 +22,17 @@
 // they are of. A filled value leaves them out, as the recordings do; each must be omitted
 // when it is empty, so that an earlier release is sent what it knows.
 var addedFields = map[string]string{
-	"servingSince":  "a tick",
-	"unconfirmed":   "a heartbeat on its way to the primary; no command or record carries it",
-	"tenant":        "a job, also a past one",
-	"keyDigest":     "a command",
-	"requiresKey":   "a class",
-	"tenants":       "a configuration, also the platform's",
-	"public":        "a route of the platform",
-	"strayByTenant": "a worker",
-	"urgent":        "a command on its way to the primary",
-	"formerLimits":  "the metadata of the state",
+	"servingSince":       "a tick",
+	"unconfirmed":        "a heartbeat on its way to the primary; no command or record carries it",
+	"tenant":             "a job, also a past one",
+	"keyDigest":          "a command",
+	"requiresKey":        "a class",
+	"tenants":            "a configuration, also the platform's",
+	"public":             "a route of the platform",
+	"strayByTenant":      "a worker",
+	"recountDifferences": "a replica's report of itself",
+	"urgent":             "a command on its way to the primary",
+	"formerLimits":       "the metadata of the state",
 }
 
 // filler gives values that depend on nothing but the path of encoded names, so that
