--- a/core/dispatch/best_in_queue.go
+++ b/core/dispatch/best_in_queue.go
@@ -26,13 +26,13 @@
 	// canTake is false in the worker's own queue, and for gangs, which are every worker's own.
 	canTake bool
 	known   bool
-	worker  state.Worker
+	worker  *state.Worker
 	// free is what the owner could use itself.
 	free state.Resources
 }
 
 // couldRun reports whether the owner could run a task itself.
-func (o *queueOwner) couldRun(d *Dispatcher, pull *pullRequest, job state.Job, i int) bool {
+func (o *queueOwner) couldRun(d *Dispatcher, pull *pullRequest, job *state.Job, i int) bool {
 	if !o.canTake {
 		return false
 	}
@@ -86,9 +86,9 @@
 
 // withheld reports whether the tasks of a group wait for another worker than this one. The
 // oldest speaks for all, so that a long queue is not looked through in vain.
-func (d *Dispatcher) withheld(p *pullRequest, group *taskGroup, job state.Job) bool {
+func (d *Dispatcher) withheld(p *pullRequest, group *taskGroup, job *state.Job) bool {
 	head := group.tasks[0]
-	return d.waitsForRack(p.store, job, head, &p.worker) || d.waitsForTrust(p.store, job, head.ref, p.worker)
+	return d.waitsForRack(p.store, job, head, p.worker) || d.waitsForTrust(p.store, job, head.ref, p.worker)
 }
 
 // shareAllows reports whether the class of a group may use more slots.
@@ -146,13 +146,13 @@
 }
 
 // excluded reports whether the worker may not take one task of a group that it fits.
-func (d *Dispatcher) excluded(pull *pullRequest, key *groupKey, job state.Job, task queuedTask) bool {
+func (d *Dispatcher) excluded(pull *pullRequest, key *groupKey, job *state.Job, task queuedTask) bool {
 	i := task.ref.Index
 	if key.isGang() && d.gangTriedRecently(pull.store, gangRef{task.ref.Job, job.Spec.Tasks[i].Gang}) {
 		return true
 	}
 	return pull.store.AtWorkerLimit(job, i, pull.id, 0) ||
-		d.waitsForRack(pull.store, job, task, &pull.worker) ||
+		d.waitsForRack(pull.store, job, task, pull.worker) ||
 		d.waitsForProof(pull.store, job, task.ref, pull.id) ||
 		d.failedOnWorker(pull.store, job, i, pull.worker) ||
 		d.keptForTenantsGang(pull.store, key, task.number) ||
--- a/core/dispatch/eligibility.go
+++ b/core/dispatch/eligibility.go
@@ -20,7 +20,7 @@
 	alive    bool
 }
 
-func eligibilityOf(store *state.Store, worker state.Worker) eligibility {
+func eligibilityOf(store *state.Store, worker *state.Worker) eligibility {
 	return eligibility{
 		service:  worker.Service,
 		zone:     worker.Zone,
@@ -98,14 +98,15 @@
 }
 
 // canEverRun reports whether a worker could run a task if it had nothing else to do.
-func canEverRun(store *state.Store, job state.Job, i int, worker state.Worker) bool {
+func canEverRun(store *state.Store, job *state.Job, i int, worker *state.Worker) bool {
 	return store.Fits(job, i, worker) == status.OK && worker.Capacity.Covers(job.Spec.Tasks[i].Resources)
 }
 
 // retrySilentWorkers has the unplaced tasks tried on the workers that are silent now
 // as soon as these are heard again. A worker falls silent without a change of the state.
 func (d *Dispatcher) retrySilentWorkers(store *state.Store) {
-	for _, worker := range store.Workers() {
+	for _, entry := range store.WorkerEntries() {
+		worker := entry.Record()
 		if !store.Live(worker) {
 			delete(d.triedEligibility, worker.ID())
 		}
--- a/core/dispatch/gang.go
+++ b/core/dispatch/gang.go
@@ -17,7 +17,7 @@
 
 // gangSlots returns the slots of all members of a task's gang that are not complete,
 // or those of the task itself if it is in no gang.
-func gangSlots(job state.Job, i int) int {
+func gangSlots(job *state.Job, i int) int {
 	task := &job.Spec.Tasks[i]
 	if task.Gang == "" {
 		return task.Resources.Slots
@@ -47,7 +47,7 @@
 	}
 	d.gangTriedAt[gang] = pull.store.Now()
 	members, ok := pull.gangMembers(best.job, gang)
-	if !ok || !d.tenantAllows(pull.store, &pull.inFlight, best.job.Tenant, memberResources(&best.job, members)) {
+	if !ok || !d.tenantAllows(pull.store, &pull.inFlight, best.job.Tenant, memberResources(best.job, members)) {
 		return false
 	}
 	for _, rack := range pull.candidateRacks(&best.job.Spec.Tasks[best.ref.Index]) {
@@ -66,10 +66,10 @@
 
 // gangMembers returns the members of a gang that are not complete, if all of them
 // can start.
-func (p *pullRequest) gangMembers(job state.Job, gang gangRef) ([]int, bool) {
+func (p *pullRequest) gangMembers(job *state.Job, gang gangRef) ([]int, bool) {
 	var members []int
 	for i := range job.Spec.Tasks {
-		task := &job.Tasks[i]
+		task := job.Tasks[i]
 		if job.Spec.Tasks[i].Gang != gang.gang || task.State == state.Done {
 			continue
 		}
@@ -96,7 +96,8 @@
 	}
 	add(task.PreferredRack)
 	add(p.worker.Rack)
-	for _, worker := range p.store.Workers() {
+	for _, entry := range p.store.WorkerEntries() {
+		worker := entry.Record()
 		add(worker.Rack)
 	}
 	return append(racks, "")
@@ -105,8 +106,8 @@
 // gangSearch looks for workers for the members of a gang, one member after the other.
 type gangSearch struct {
 	pull    *pullRequest
-	job     state.Job
-	workers []state.Worker
+	job     *state.Job
+	workers []*state.WorkerEntry
 	// uniform says that all members have the same needs, as those of a step do.
 	uniform bool
 	// The following are of one worker each, in the order of workers: whether it may
@@ -119,8 +120,8 @@
 // placeGang returns a worker for every member of a gang, in one rack if that is
 // named: near the gang's data if possible, then the pulling worker, then the one
 // with the most free slots.
-func (p *pullRequest) placeGang(job state.Job, members []int, rack string) ([]string, bool) {
-	search := gangSearch{pull: p, job: job, workers: p.store.Workers(), uniform: len(job.Spec.Steps) > 0}
+func (p *pullRequest) placeGang(job *state.Job, members []int, rack string) ([]string, bool) {
+	search := gangSearch{pull: p, job: job, workers: p.store.WorkerEntries(), uniform: len(job.Spec.Steps) > 0}
 	if fitting := search.collectEligible(members, rack); search.uniform && fitting < len(members) {
 		return nil, false
 	}
@@ -147,15 +148,15 @@
 	need := s.job.Spec.Tasks[members[0]].Resources
 	fitting := 0
 	for n := range s.workers {
-		worker := &s.workers[n]
+		worker := s.workers[n].Record()
 		if rack != "" && worker.Rack != rack {
 			continue
 		}
-		if s.uniform && store.Fits(s.job, members[0], *worker) != status.OK {
+		if s.uniform && store.Fits(s.job, members[0], worker) != status.OK {
 			continue
 		}
 		s.eligible[n] = true
-		s.free[n] = store.FreeResources(worker.ID()).Sub(s.pull.inFlight.Resources[worker.ID()])
+		s.free[n] = s.workers[n].FreeResources().Sub(s.pull.inFlight.Resources[worker.ID()])
 		if !s.uniform {
 			continue
 		}
@@ -173,11 +174,11 @@
 	limited := s.job.Spec.Tasks[first].MaxPerWorker > 0
 	chosen := -1
 	for n := range s.workers {
-		worker := &s.workers[n]
+		worker := s.workers[n].Record()
 		if !s.eligible[n] || !s.free[n].Covers(need) {
 			continue
 		}
-		if !s.uniform && store.Fits(s.job, member, *worker) != status.OK {
+		if !s.uniform && store.Fits(s.job, member, worker) != status.OK {
 			continue
 		}
 		if limited && store.AtWorkerLimit(s.job, member, worker.ID(), s.placed[n]) {
@@ -192,7 +193,7 @@
 
 // prefers reports whether worker n is better for a member than the one chosen so far.
 func (s *gangSearch) prefers(member, n, chosen int) bool {
-	worker, best := &s.workers[n], &s.workers[chosen]
+	worker, best := s.workers[n].Record(), s.workers[chosen].Record()
 	near, bestNear := isNearData(s.job, member, worker), isNearData(s.job, member, best)
 	if near != bestNear {
 		return near
--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -110,7 +110,7 @@
 // observeEnd takes the end of an attempt into the account of its worker. Ends that
 // are no fault of the worker change nothing. Usual is how long such a run takes, in seconds;
 // 0 is unknown.
-func (t *healthTracker) observeEnd(store *state.Store, job state.Job, i int, attempt runningAttempt, usual float64) {
+func (t *healthTracker) observeEnd(store *state.Store, job *state.Job, i int, attempt runningAttempt, usual float64) {
 	task, health := job.Tasks[i], t.workers[attempt.worker]
 	before := health
 	switch {
@@ -155,7 +155,7 @@
 
 // deprioritized reports whether a worker is to get less: it is unhealthy or slow,
 // and at least half of its service's live workers are neither.
-func (t *healthTracker) deprioritized(store *state.Store, worker state.Worker) bool {
+func (t *healthTracker) deprioritized(store *state.Store, worker *state.Worker) bool {
 	if !t.workers[worker.ID()].impaired() {
 		return false
 	}
@@ -169,7 +169,8 @@
 
 func (t *healthTracker) mostAreHealthy(store *state.Store, service string) bool {
 	healthy, total := 0, 0
-	for _, worker := range store.Workers() {
+	for _, entry := range store.WorkerEntries() {
+		worker := entry.Record()
 		if worker.Service != service || !store.Live(worker) || worker.Leaving {
 			continue
 		}
@@ -185,7 +186,7 @@
 // unhealthy worker may when its pause is over and it runs nothing, a slow one while
 // it uses no more than its slots divided by its slowdown. Slots are proposed
 // for the worker and not yet in the state.
-func (t *healthTracker) mayPull(store *state.Store, worker state.Worker, proposedSlots int) bool {
+func (t *healthTracker) mayPull(store *state.Store, worker *state.Worker, proposedSlots int) bool {
 	if !t.deprioritized(store, worker) {
 		return true
 	}
@@ -200,12 +201,13 @@
 
 // failedOnWorker reports whether a task has failed on this worker and could run on
 // another where it has not.
-func (d *Dispatcher) failedOnWorker(store *state.Store, job state.Job, i int, worker state.Worker) bool {
+func (d *Dispatcher) failedOnWorker(store *state.Store, job *state.Job, i int, worker *state.Worker) bool {
 	failedOn := job.Tasks[i].FailedOn
 	if d.options.WithoutFailedOn || !slices.Contains(failedOn, worker.ID()) {
 		return false
 	}
-	for _, other := range store.Workers() {
+	for _, entry := range store.WorkerEntries() {
+		other := entry.Record()
 		if !slices.Contains(failedOn, other.ID()) && canEverRun(store, job, i, other) {
 			return true
 		}
--- a/core/dispatch/health_running.go
+++ b/core/dispatch/health_running.go
@@ -62,7 +62,8 @@
 
 // noteSilent takes note of the workers that are silent: how long their runs take is not seen.
 func (t *healthTracker) noteSilent(store *state.Store) {
-	for _, worker := range store.Workers() {
+	for _, entry := range store.WorkerEntries() {
+		worker := entry.Record()
 		if !store.Live(worker) {
 			t.unobservedUntil[worker.ID()] = store.Now()
 		}
@@ -76,9 +77,9 @@
 
 // usualSeconds is how long runs of a task's class usually take on a worker: longer away from
 // the task's data.
-func (d *Dispatcher) usualSeconds(store *state.Store, job state.Job, i int, workerID string) float64 {
+func (d *Dispatcher) usualSeconds(store *state.Store, job *state.Job, i int, workerID string) float64 {
 	known := d.runTimes[state.ClassKey{Service: job.Spec.Service, Class: job.Spec.Class}]
-	if worker, ok := store.Worker(workerID); ok && !isNearData(job, i, &worker) && known.farRatio > 0 {
+	if worker, ok := store.Worker(workerID); ok && !isNearData(job, i, worker) && known.farRatio > 0 {
 		return known.typical * known.farRatio
 	}
 	return known.typical
--- a/core/dispatch/locality.go
+++ b/core/dispatch/locality.go
@@ -24,7 +24,7 @@
 
 // LocalityScore is |H ∩ D| / |D| (Fela, see docs/fela.md): H is what the worker has
 // completed, and D what the task depends on. Without dependencies it is 0 for every worker.
-func (d *Dispatcher) LocalityScore(job state.Job, ref TaskRef, worker string) float64 {
+func (d *Dispatcher) LocalityScore(job *state.Job, ref TaskRef, worker string) float64 {
 	dependencies := job.Spec.Tasks[ref.Index].Dependencies
 	if len(dependencies) == 0 || d.options.WithoutLocality {
 		return 0
@@ -44,7 +44,7 @@
 
 // countOutputs counts the complete ones of a job's tasks per worker that holds the
 // output, and reports whether all are complete.
-func countOutputs(job state.Job, tasks []int) (outputs map[string]int, complete bool) {
+func countOutputs(job *state.Job, tasks []int) (outputs map[string]int, complete bool) {
 	outputs, complete = map[string]int{}, true
 	for _, i := range tasks {
 		if job.Tasks[i].State == state.Done {
--- a/core/dispatch/near_data.go
+++ b/core/dispatch/near_data.go
@@ -12,14 +12,14 @@
 // costs more than twice what the better of the two would have, whatever the rack does.
 
 // isNearData reports whether a worker is in the rack that holds a task's data.
-func isNearData(job state.Job, i int, worker *state.Worker) bool {
+func isNearData(job *state.Job, i int, worker *state.Worker) bool {
 	rack := job.Spec.Tasks[i].PreferredRack
 	return rack == "" || rack == worker.Rack
 }
 
 // waitsForRack reports whether a task is still kept for the rack of its data, from a worker
 // elsewhere.
-func (d *Dispatcher) waitsForRack(store *state.Store, job state.Job, task queuedTask, worker *state.Worker) bool {
+func (d *Dispatcher) waitsForRack(store *state.Store, job *state.Job, task queuedTask, worker *state.Worker) bool {
 	i := task.ref.Index
 	if task.anyRack || d.options.WithoutNearPatience || isNearData(job, i, worker) {
 		return false
@@ -27,7 +27,7 @@
 	return store.Now()-job.Tasks[i].ReadyAt < d.nearPatience(job, i)
 }
 
-func (d *Dispatcher) nearPatience(job state.Job, i int) time.Duration {
+func (d *Dispatcher) nearPatience(job *state.Job, i int) time.Duration {
 	class := state.ClassKey{Service: job.Spec.Service, Class: job.Spec.Class}
 	return d.runTimes.nearPatience(class, job.Spec.Tasks[i].ExpectedRunTime.Duration)
 }
--- a/core/dispatch/order.go
+++ b/core/dispatch/order.go
@@ -21,7 +21,7 @@
 	return t.score < other.score
 }
 
-func tierOf(store *state.Store, job state.Job, i int) tier {
+func tierOf(store *state.Store, job *state.Job, i int) tier {
 	class := store.Config().Services[job.Spec.Service].Classes[job.Spec.Class]
 	if store.Policies().OrdersByPriority() {
 		return tier{class.Quick, float64(class.Priority)}
@@ -43,7 +43,7 @@
 // candidate is a task that a worker could take.
 type candidate struct {
 	ref      TaskRef
-	job      state.Job
+	job      *state.Job
 	tier     tier
 	level    int
 	locality float64
--- a/core/dispatch/placement.go
+++ b/core/dispatch/placement.go
@@ -27,7 +27,7 @@
 // one, it is the one that holds most of its inputs, then the one that has most tasks of its
 // step, whose outputs are likely to be needed together; then the least loaded, then
 // the one with the smallest name.
-func (d *Dispatcher) chooseQueue(store *state.Store, job state.Job, ref TaskRef) {
+func (d *Dispatcher) chooseQueue(store *state.Store, job *state.Job, ref TaskRef) {
 	if d.options.SingleQueue {
 		d.enqueue(job, ref, "", true)
 		return
@@ -83,16 +83,14 @@
 
 // collectCandidates returns the workers that fit a task, by name, in memory that
 // the next call uses again.
-func (d *Dispatcher) collectCandidates(store *state.Store, job state.Job, ref TaskRef) []queueCandidate {
+func (d *Dispatcher) collectCandidates(store *state.Store, job *state.Job, ref TaskRef) []queueCandidate {
 	candidates := d.candidates[:0]
 	resources, level := job.Spec.Tasks[ref.Index].Resources, job.Tasks[ref.Index].Level
-	workers := store.Workers()
-	for i := range workers {
-		// These two are part of the rules below, and spare most of a large copy's cost.
-		if workers[i].Service != job.Spec.Service || !workers[i].Capacity.Covers(resources) {
+	for _, entry := range store.WorkerEntries() {
+		worker := entry.Record()
+		if !worker.Capacity.Covers(resources) {
 			continue
 		}
-		worker := workers[i]
 		if store.Fits(job, ref.Index, worker) != status.OK || d.failedOnWorker(store, job, ref.Index, worker) {
 			continue
 		}
@@ -100,7 +98,7 @@
 		candidates = append(candidates, queueCandidate{
 			worker:        id,
 			deprioritized: d.health.deprioritized(store, worker) && !d.mayProbe(store, job, worker),
-			nearData:      d.options.WithoutNearData || isNearData(job, ref.Index, &worker),
+			nearData:      d.options.WithoutNearData || isNearData(job, ref.Index, worker),
 			locality:      d.LocalityScore(job, ref, id),
 			load:          d.load(store, worker),
 			stepPeers:     d.stepPeers(ref, level, id),
@@ -131,7 +129,7 @@
 }
 
 // load is the part of a worker's slots that are used or queued for. It may be over 1.
-func (d *Dispatcher) load(store *state.Store, worker state.Worker) float64 {
+func (d *Dispatcher) load(store *state.Store, worker *state.Worker) float64 {
 	id := worker.ID()
 	slots := d.queues.slots[id] + worker.Capacity.Slots - store.FreeResources(id).Slots
 	return float64(slots) / math.Max(1, float64(worker.Capacity.Slots))
@@ -139,7 +137,7 @@
 
 // mayProbe reports whether a deprioritized worker is to be tried again with this
 // task: not with a quick one, and only when its pause is over and it has nothing.
-func (d *Dispatcher) mayProbe(store *state.Store, job state.Job, worker state.Worker) bool {
+func (d *Dispatcher) mayProbe(store *state.Store, job *state.Job, worker *state.Worker) bool {
 	id := worker.ID()
 	return !isQuick(store, job.Spec.Service, job.Spec.Class) && store.Now() >= d.health.workers[id].pausedUntil &&
 		d.queues.slots[id] == 0 && store.LeaseCount(id) == 0
--- a/core/dispatch/preempt.go
+++ b/core/dispatch/preempt.go
@@ -23,7 +23,8 @@
 		return Proposal{}, false
 	}
 	seen := map[groupKey]bool{}
-	for _, worker := range store.Workers() {
+	for _, entry := range store.WorkerEntries() {
+		worker := entry.Record()
 		if worker.Zone != zone {
 			continue
 		}
@@ -56,7 +57,7 @@
 
 // lacksResources reports whether fewer tasks of a key can start soon than are both
 // queued and within the share of their class.
-func (d *Dispatcher) lacksResources(store *state.Store, key *groupKey, job state.Job, head queuedTask) bool {
+func (d *Dispatcher) lacksResources(store *state.Store, key *groupKey, job *state.Job, head queuedTask) bool {
 	usedSlots, shareSlots := store.ClassUse(job.Spec.Service, job.Spec.Class)
 	wanted := min(d.queues.countAlike(*key), (shareSlots-usedSlots)/key.resources.Slots)
 	return wanted > 0 && d.startableSoon(store, job, head) < wanted
@@ -65,11 +66,12 @@
 // startableSoon counts how many tasks like this one fit into what the workers have
 // free or are about to have. It leaves out workers whose heartbeat is late, those that may
 // not pull, and for a task that is kept for the rack of its data those elsewhere.
-func (d *Dispatcher) startableSoon(store *state.Store, job state.Job, task queuedTask) int {
+func (d *Dispatcher) startableSoon(store *state.Store, job *state.Job, task queuedTask) int {
 	i := task.ref.Index
 	count, need := 0, job.Spec.Tasks[i].Resources
-	for _, worker := range store.Workers() {
-		if store.Fits(job, i, worker) != status.OK || !d.mayPreemptOn(job, task, &worker) {
+	for _, entry := range store.WorkerEntries() {
+		worker := entry.Record()
+		if store.Fits(job, i, worker) != status.OK || !d.mayPreemptOn(job, task, worker) {
 			continue
 		}
 		if store.Now()-worker.LastSeenAt > heartbeatFreshness || !d.health.mayPull(store, worker, 0) {
@@ -85,6 +87,6 @@
 
 // mayPreemptOn reports whether room for a task may be made on a worker: a task that is kept
 // for the rack of its data wants it there.
-func (d *Dispatcher) mayPreemptOn(job state.Job, task queuedTask, worker *state.Worker) bool {
+func (d *Dispatcher) mayPreemptOn(job *state.Job, task queuedTask, worker *state.Worker) bool {
 	return d.options.WithoutRackPreemption || task.anyRack || isNearData(job, task.ref.Index, worker)
 }
--- a/core/dispatch/pull.go
+++ b/core/dispatch/pull.go
@@ -43,7 +43,7 @@
 type pullRequest struct {
 	store    *state.Store
 	id       string
-	worker   state.Worker
+	worker   *state.Worker
 	free     state.Resources
 	inFlight InFlight
 	round    PullRound
@@ -125,7 +125,7 @@
 	return proposal, true
 }
 
-func (p *Proposal) assign(job state.Job, ref TaskRef, worker string) {
+func (p *Proposal) assign(job *state.Job, ref TaskRef, worker string) {
 	task := job.Spec.Tasks[ref.Index].ID
 	p.Tasks = append(p.Tasks, ref)
 	p.Assignments = append(p.Assignments, state.Assignment{Job: ref.Job, Task: task, Worker: worker})
--- a/core/dispatch/queues.go
+++ b/core/dispatch/queues.go
@@ -206,7 +206,7 @@
 	return slices.BinarySearchFunc(tasks, number, compare)
 }
 
-func groupKeyOf(job state.Job, i int) groupKey {
+func groupKeyOf(job *state.Job, i int) groupKey {
 	spec := job.Spec.Tasks[i]
 	key := groupKey{
 		service:       job.Spec.Service,
--- a/core/dispatch/rebuild.go
+++ b/core/dispatch/rebuild.go
@@ -23,7 +23,7 @@
 
 // rebuildBatch is how many tasks one Update takes.
 func rebuildBatch(store *state.Store) int {
-	return min(maxRebuildBatch, rebuildComparisons/max(1, len(store.Workers())))
+	return min(maxRebuildBatch, rebuildComparisons/max(1, len(store.WorkerEntries())))
 }
 
 // rebuildProgress is what is left of a rebuild: the jobs, and the next task of the
@@ -41,7 +41,8 @@
 func (d *Dispatcher) beginRebuild(store *state.Store) {
 	d.reset()
 	d.health.unobservedUntil[""] = store.Now()
-	for _, worker := range store.Workers() {
+	for _, entry := range store.WorkerEntries() {
+		worker := entry.Record()
 		d.trust.observeWorker(store, worker.ID())
 	}
 	var quick, others []string
--- a/core/dispatch/reservation.go
+++ b/core/dispatch/reservation.go
@@ -24,7 +24,7 @@
 // reservation is that of the gang whose first member is the task.
 type reservation struct {
 	number uint64
-	job    state.Job
+	job    *state.Job
 	task   int
 }
 
@@ -67,7 +67,7 @@
 		if !ok || store.Now()-job.Tasks[task.ref.Index].ReadyAt < reserveAfter {
 			continue
 		}
-		if job.Tenant != "" && c.noteWaitingGang(store, &job, task) {
+		if job.Tenant != "" && c.noteWaitingGang(store, job, task) {
 			continue
 		}
 		if oldest, known := c.byService[group.key.service]; known && oldest.number <= task.number {
@@ -83,15 +83,15 @@
 
 // gangFitsIdleWorkers reports whether the present workers could run the whole gang
 // if they had nothing else to do.
-func gangFitsIdleWorkers(store *state.Store, job state.Job, i int) bool {
-	workers := store.Workers()
+func gangFitsIdleWorkers(store *state.Store, job *state.Job, i int) bool {
+	workers := store.WorkerEntries()
 	free := make([]state.Resources, len(workers))
 	for n := range workers {
-		free[n] = workers[n].Capacity
+		free[n] = workers[n].Record().Capacity
 	}
 	gang := job.Spec.Tasks[i].Gang
 	for member := range job.Spec.Tasks {
-		task := &job.Tasks[member]
+		task := job.Tasks[member]
 		if job.Spec.Tasks[member].Gang != gang || task.State == state.Done {
 			continue
 		}
@@ -106,10 +106,10 @@
 }
 
 // placeFirstFit takes a task's resources from the first worker that fits.
-func placeFirstFit(store *state.Store, job state.Job, i int, workers []state.Worker, free []state.Resources) bool {
+func placeFirstFit(store *state.Store, job *state.Job, i int, workers []*state.WorkerEntry, free []state.Resources) bool {
 	need := job.Spec.Tasks[i].Resources
 	for n := range workers {
-		if store.Fits(job, i, workers[n]) == status.OK && free[n].Covers(need) {
+		if store.Fits(job, i, workers[n].Record()) == status.OK && free[n].Covers(need) {
 			free[n] = free[n].Sub(need)
 			return true
 		}
@@ -119,7 +119,7 @@
 
 // reservedForGang reports whether a gang's reservation keeps a worker from the task
 // with this key and number.
-func (d *Dispatcher) reservedForGang(store *state.Store, worker state.Worker, key *groupKey, number uint64) bool {
+func (d *Dispatcher) reservedForGang(store *state.Store, worker *state.Worker, key *groupKey, number uint64) bool {
 	if d.options.WithoutReservation {
 		return false
 	}
--- a/core/dispatch/task_changes.go
+++ b/core/dispatch/task_changes.go
@@ -44,7 +44,7 @@
 }
 
 // startAttempt takes note of a lease in force.
-func (d *Dispatcher) startAttempt(ref TaskRef, task state.Task) {
+func (d *Dispatcher) startAttempt(ref TaskRef, task *state.Task) {
 	worker := task.Lease.Worker
 	if queue := d.queues.positions[ref].worker; queue != "" && queue != worker {
 		d.steals.begin(ref, queue)
@@ -55,7 +55,7 @@
 }
 
 // endAttempt takes note that a lease is over.
-func (d *Dispatcher) endAttempt(store *state.Store, job state.Job, ref TaskRef, attempt runningAttempt) {
+func (d *Dispatcher) endAttempt(store *state.Store, job *state.Job, ref TaskRef, attempt runningAttempt) {
 	d.trust.observeEnd(job, ref, attempt)
 	usual := 0.0
 	if d.health.observed(attempt) && !job.Spec.Tasks[ref.Index].LongRunning {
@@ -74,19 +74,19 @@
 }
 
 // observeRunTime takes the run time of an attempt that has succeeded.
-func (d *Dispatcher) observeRunTime(store *state.Store, job state.Job, i int, attempt runningAttempt) {
-	task := &job.Tasks[i]
+func (d *Dispatcher) observeRunTime(store *state.Store, job *state.Job, i int, attempt runningAttempt) {
+	task := job.Tasks[i]
 	if task.State != state.Done || task.CompletedOn != attempt.worker {
 		return
 	}
 	worker, known := store.Worker(attempt.worker)
-	far := known && !isNearData(job, i, &worker)
+	far := known && !isNearData(job, i, worker)
 	class := state.ClassKey{Service: job.Spec.Service, Class: job.Spec.Class}
 	d.runTimes.observe(class, (task.EndedAt - attempt.startedAt).Seconds(), far)
 }
 
 // completeTask takes note of which worker holds a task's output.
-func (d *Dispatcher) completeTask(ref TaskRef, task state.Task) {
+func (d *Dispatcher) completeTask(ref TaskRef, task *state.Task) {
 	worker := task.CompletedOn
 	if at := d.locations.byTask[ref]; at.worker != worker || at.role != outputHeld {
 		d.completed[worker]++
@@ -107,7 +107,7 @@
 }
 
 // enqueue puts a task into a worker's queue. AnyRack says that no worker near its data fits.
-func (d *Dispatcher) enqueue(job state.Job, ref TaskRef, worker string, anyRack bool) {
+func (d *Dispatcher) enqueue(job *state.Job, ref TaskRef, worker string, anyRack bool) {
 	task := job.Tasks[ref.Index]
 	d.changedWorkers[worker] = true
 	delete(d.unplaced, ref)
@@ -124,7 +124,7 @@
 
 // isGangHead reports whether a task is queued for itself. Of a gang only the first
 // member is, and stands for all.
-func isGangHead(job state.Job, i int) bool {
+func isGangHead(job *state.Job, i int) bool {
 	gang := job.Spec.Tasks[i].Gang
 	if gang == "" {
 		return true
--- a/core/dispatch/trust.go
+++ b/core/dispatch/trust.go
@@ -63,8 +63,8 @@
 }
 
 // observeEnd takes note of an attempt that has ended.
-func (t *trustTracker) observeEnd(job state.Job, ref TaskRef, attempt runningAttempt) {
-	task := &job.Tasks[ref.Index]
+func (t *trustTracker) observeEnd(job *state.Job, ref TaskRef, attempt runningAttempt) {
+	task := job.Tasks[ref.Index]
 	switch {
 	case task.State == state.Done:
 		delete(t.failedStarts, ref)
@@ -79,7 +79,7 @@
 
 // onProbation reports whether a worker has not been up for long enough, and at least half of
 // its service's workers have.
-func (t *trustTracker) onProbation(store *state.Store, worker state.Worker) bool {
+func (t *trustTracker) onProbation(store *state.Store, worker *state.Worker) bool {
 	if !t.lives[worker.ID()].isNew(store.Now()) {
 		return false
 	}
@@ -93,7 +93,8 @@
 
 func (t *trustTracker) mostArePast(store *state.Store, service string) bool {
 	past, total := 0, 0
-	for _, worker := range store.Workers() {
+	for _, entry := range store.WorkerEntries() {
+		worker := entry.Record()
 		if worker.Service != service || !store.Live(worker) {
 			continue
 		}
@@ -107,7 +108,7 @@
 
 // waitsForTrust reports whether a quick task waits for a worker that is neither deprioritized
 // nor on probation.
-func (d *Dispatcher) waitsForTrust(store *state.Store, job state.Job, ref TaskRef, worker state.Worker) bool {
+func (d *Dispatcher) waitsForTrust(store *state.Store, job *state.Job, ref TaskRef, worker *state.Worker) bool {
 	if d.options.WithoutTrust || !isQuick(store, job.Spec.Service, job.Spec.Class) ||
 		store.Now()-job.Tasks[ref.Index].ReadyAt > trustPatience {
 		return false
@@ -118,8 +119,8 @@
 // waitsForProof reports whether a task that would fail for good with its next failure waits
 // for another worker: one that has succeeded with what it began after the attempt that failed,
 // so that it does not fail for the same reason.
-func (d *Dispatcher) waitsForProof(store *state.Store, job state.Job, ref TaskRef, worker string) bool {
-	task := &job.Tasks[ref.Index]
+func (d *Dispatcher) waitsForProof(store *state.Store, job *state.Job, ref TaskRef, worker string) bool {
+	task := job.Tasks[ref.Index]
 	if d.options.WithoutTrust || task.Failures == 0 || task.Failures+1 < job.Spec.Tasks[ref.Index].MaxFailures ||
 		store.Now()-task.ReadyAt > trustPatience {
 		return false
--- a/core/dispatch/trust_test.go
+++ b/core/dispatch/trust_test.go
@@ -57,14 +57,16 @@
 	s.update()
 	tracker := &s.dispatcher.trust
 	ref := TaskRef{"q", 0}
-	job, _ := s.Store.Job("q")
-	job.Tasks = []state.Task{{State: state.Ready, Failures: 1, ReadyAt: s.Store.Now()}}
+	record, _ := s.Store.Job("q")
+	job := &state.Job{Spec: record.Spec}
+	job.Tasks = []*state.Task{{State: state.Ready, Failures: 1, ReadyAt: s.Store.Now()}}
 	tracker.observeEnd(job, ref, runningAttempt{worker: "w1", startedAt: time.Second})
 	if s.dispatcher.waitsForProof(s.Store, job, ref, "w2") != true {
 		t.Error("given to a worker that has shown nothing since")
 	}
-	done, _ := s.Store.Job("p")
-	done.Tasks = []state.Task{{State: state.Done, CompletedOn: "w2"}}
+	record, _ = s.Store.Job("p")
+	done := &state.Job{Spec: record.Spec}
+	done.Tasks = []*state.Task{{State: state.Done, CompletedOn: "w2"}}
 	tracker.observeEnd(done, TaskRef{"p", 0}, runningAttempt{worker: "w2", startedAt: time.Second})
 	if !s.dispatcher.waitsForProof(s.Store, job, ref, "w2") {
 		t.Error("given to a worker that has succeeded with what it began no later")
--- a/core/dispatch/victims.go
+++ b/core/dispatch/victims.go
@@ -29,13 +29,13 @@
 // another class or, for a quick task, any that are not quick, since quick work never waits
 // for other work to end. It is the worker on which the least work is lost.
 func (d *Dispatcher) preemptionVictims(
-	store *state.Store, job state.Job, task queuedTask, zone string,
+	store *state.Store, job *state.Job, task queuedTask, zone string,
 ) []state.Assignment {
-	victims := d.cheapestVictims(store, job, task, zone, func(lease state.Lease, other state.Job) bool {
+	victims := d.cheapestVictims(store, job, task, zone, func(lease *state.Lease, other *state.Job) bool {
 		return lease.Borrowed && other.Spec.Class != job.Spec.Class
 	})
 	if len(victims) == 0 && isQuick(store, job.Spec.Service, job.Spec.Class) {
-		return d.cheapestVictims(store, job, task, zone, func(_ state.Lease, other state.Job) bool {
+		return d.cheapestVictims(store, job, task, zone, func(_ *state.Lease, other *state.Job) bool {
 			return !isQuick(store, other.Spec.Service, other.Spec.Class)
 		})
 	}
@@ -45,13 +45,14 @@
 // cheapestVictims returns the leases whose end makes room for a task on the worker where that
 // costs the least, of those that may be stopped; none if no worker has enough of them.
 func (d *Dispatcher) cheapestVictims(
-	store *state.Store, job state.Job, task queuedTask, zone string, mayStop func(state.Lease, state.Job) bool,
+	store *state.Store, job *state.Job, task queuedTask, zone string, mayStop func(*state.Lease, *state.Job) bool,
 ) []state.Assignment {
 	var best []state.Assignment
 	bestCost := 0.0
-	for _, worker := range store.Workers() {
+	for _, entry := range store.WorkerEntries() {
+		worker := entry.Record()
 		if worker.Zone != zone || store.Fits(job, task.ref.Index, worker) != status.OK ||
-			!d.mayPreemptOn(job, task, &worker) {
+			!d.mayPreemptOn(job, task, worker) {
 			continue
 		}
 		victims := d.victimsOn(store, worker.ID(), mayStop)
@@ -65,12 +66,12 @@
 
 // victimsOn returns the leases on a worker that may be stopped, the cheapest for its slots first.
 func (d *Dispatcher) victimsOn(
-	store *state.Store, worker string, mayStop func(state.Lease, state.Job) bool,
+	store *state.Store, worker string, mayStop func(*state.Lease, *state.Job) bool,
 ) []victim {
 	var victims []victim
 	for _, leased := range store.LeasesOn(worker) {
 		job, _ := store.Job(leased.Job)
-		if leased.Lease.StopReason != "" || !mayStop(leased.Lease, job) {
+		if leased.Lease.StopReason != "" || !mayStop(&leased.Lease, job) {
 			continue
 		}
 		victims = append(victims, victim{
@@ -86,7 +87,7 @@
 }
 
 // victimCost is the work that is lost if a lease is stopped, with the rest of its gang.
-func (d *Dispatcher) victimCost(store *state.Store, job state.Job, leased state.LeasedAttempt) float64 {
+func (d *Dispatcher) victimCost(store *state.Store, job *state.Job, leased state.LeasedAttempt) float64 {
 	lost := store.Now() - leased.Lease.GrantedAt
 	if d.options.WithoutVictimCost {
 		return lost.Seconds() * float64(leased.Start.Resources.Slots)
--- a/core/dispatch/victims_test.go
+++ b/core/dispatch/victims_test.go
@@ -32,7 +32,7 @@
 			s.update()
 			job, _ := s.Store.Job("q")
 			task := queuedTask{ref: TaskRef{"q", 0}}
-			mayStop := func(state.Lease, state.Job) bool { return true }
+			mayStop := func(*state.Lease, *state.Job) bool { return true }
 			var got []string
 			for _, assignment := range s.dispatcher.cheapestVictims(s.Store, job, task, "a", mayStop) {
 				got = append(got, assignment.Task)
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -170,6 +170,6 @@
 		g.respondResult(id, result, out)
 		return
 	}
-	view := g.jobView(result.Job, state.Result{Code: result.Code})
+	view := g.jobView(&result.Job, state.Result{Code: result.Code})
 	g.respond(id, Reply{StatusCode: result.Code.HTTPStatus(), Body: view}, out)
 }
--- a/core/gateway/jobs.go
+++ b/core/gateway/jobs.go
@@ -33,7 +33,7 @@
 		}, out)
 		return
 	}
-	if denied := g.replica.Store.CheckAccess(&job, pending.request.KeyDigest); !denied.Code.IsSuccess() {
+	if denied := g.replica.Store.CheckAccess(job, pending.request.KeyDigest); !denied.Code.IsSuccess() {
 		g.respondResult(pending.request.ID, denied, out)
 		return
 	}
@@ -55,7 +55,7 @@
 		g.respondResult(pending.request.ID, unknown, out)
 		return
 	}
-	if denied := g.replica.Store.CheckAccess(&job, pending.request.KeyDigest); !denied.Code.IsSuccess() {
+	if denied := g.replica.Store.CheckAccess(job, pending.request.KeyDigest); !denied.Code.IsSuccess() {
 		g.respondResult(pending.request.ID, denied, out)
 		return
 	}
@@ -64,10 +64,10 @@
 	}
 }
 
-func hasEnded(job state.Job) bool { return job.EndedAt > 0 }
+func hasEnded(job *state.Job) bool { return job.EndedAt > 0 }
 
 // jobView returns the view of a job with an outcome.
-func (g *Gateway) jobView(job state.Job, result state.Result) JobView {
+func (g *Gateway) jobView(job *state.Job, result state.Result) JobView {
 	view := JobView{
 		Outcome:   outcomeOf(result),
 		ID:        job.Spec.ID,
@@ -85,13 +85,13 @@
 }
 
 // waitingJobView returns the view of a job with the reason why it has not ended.
-func (g *Gateway) waitingJobView(job state.Job) JobView {
+func (g *Gateway) waitingJobView(job *state.Job) JobView {
 	view := g.jobView(job, state.Result{})
 	view.WaitReason = g.replica.Store.Explain(job.Spec.ID)
 	return view
 }
 
-func (g *Gateway) taskView(id string, task state.Task) TaskView {
+func (g *Gateway) taskView(id string, task *state.Task) TaskView {
 	view := TaskView{
 		ID:       id,
 		State:    task.State,
@@ -108,7 +108,7 @@
 }
 
 // leasedTaskState returns the state in views of a task that is leased.
-func (g *Gateway) leasedTaskState(task state.Task) string {
+func (g *Gateway) leasedTaskState(task *state.Task) string {
 	worker, _ := g.replica.Store.Worker(task.Lease.Worker)
 	switch {
 	case task.Terminal():
--- a/core/gateway/query.go
+++ b/core/gateway/query.go
@@ -82,7 +82,8 @@
 	store := g.replica.Store
 	drainedZones := store.DrainedZones()
 	views := []WorkerView{}
-	for _, worker := range store.Workers() {
+	for _, entry := range store.WorkerEntries() {
+		worker := entry.Record()
 		view := WorkerView{
 			ID:       worker.ID(),
 			Zone:     worker.Zone,
@@ -103,7 +104,7 @@
 }
 
 // workerState returns the state of a worker in views.
-func workerState(worker state.Worker, live, zoneDrained bool) string {
+func workerState(worker *state.Worker, live, zoneDrained bool) string {
 	switch {
 	case worker.ConfirmedDead:
 		return workerConfirmedDead
--- a/core/replica/leader.go
+++ b/core/replica/leader.go
@@ -116,7 +116,7 @@
 func (r *Replica) hearsNoWorker(now time.Duration) bool {
 	store := r.log.store
 	heardAt := max(r.leadership.workersHeardAt, r.roleSince)
-	return len(store.Workers()) > 1 && now-heardAt > store.Config().Limits.HeartbeatTimeout.Duration
+	return len(store.WorkerEntries()) > 1 && now-heardAt > store.Config().Limits.HeartbeatTimeout.Duration
 }
 
 // needsNewBackups says whether the view's backups are too few, or one of them confirms
--- a/core/scheduler/leadership.go
+++ b/core/scheduler/leadership.go
@@ -32,8 +32,8 @@
 // zones returns the zones that the scheduler knows, by name.
 func (s *Scheduler) zones() []string {
 	set := map[string]bool{s.config.Zone: true}
-	for _, worker := range s.access.State().Workers() {
-		set[worker.Zone] = true
+	for _, entry := range s.access.State().WorkerEntries() {
+		set[entry.Record().Zone] = true
 	}
 	for zone := range s.unledZones {
 		set[zone] = true
--- a/core/scheduler/renewal.go
+++ b/core/scheduler/renewal.go
@@ -66,7 +66,8 @@
 	if !access.IsLocal() {
 		return
 	}
-	for _, worker := range access.State().Workers() {
+	for _, entry := range access.State().WorkerEntries() {
+		worker := entry.Record()
 		t.workers[worker.ID()] = lastHeartbeat{
 			incarnation: worker.Incarnation, number: worker.Number, leaseExpiry: worker.LeaseExpiresAt,
 		}
--- a/core/state/backlog.go
+++ b/core/state/backlog.go
@@ -28,7 +28,7 @@
 			class = &ClassBacklog{ClassKey: key}
 			byClass[key] = class
 		}
-		class.add(&job, s.now)
+		class.add(job, s.now)
 	}
 	backlog := make([]ClassBacklog, 0, len(byClass))
 	for _, class := range byClass {
@@ -46,7 +46,7 @@
 		b.WaitingJobs++
 	}
 	for i := range job.Tasks {
-		switch task := &job.Tasks[i]; {
+		switch task := job.Tasks[i]; {
 		case task.Lease.Held():
 			b.LeasedTasks++
 		case task.State == Ready:
--- a/core/state/demand.go
+++ b/core/state/demand.go
@@ -18,7 +18,7 @@
 }
 
 // demandOf is the demand of a task.
-func demandOf(job Job, i int) demand {
+func demandOf(job *Job, i int) demand {
 	spec := &job.Spec.Tasks[i]
 	wanted := demand{
 		service:   job.Spec.Service,
@@ -72,9 +72,9 @@
 }
 
 // anyHasBegun says whether a worker has ever begun one of the tasks.
-func anyHasBegun(tasks []Task) bool {
+func anyHasBegun(tasks []*Task) bool {
 	for i := range tasks {
-		task := &tasks[i]
+		task := tasks[i]
 		if task.Lease.StartedAt > 0 || task.State == Done || task.Failures+task.Losses > 0 {
 			return true
 		}
@@ -112,7 +112,7 @@
 		if wanted.labels != "" {
 			probe.Spec.Tasks[0].Labels = strings.Split(wanted.labels, labelSeparator)
 		}
-		if s.Fits(probe, 0, worker) == status.OK && worker.Capacity.Covers(wanted.resources) {
+		if s.Fits(&probe, 0, worker) == status.OK && worker.Capacity.Covers(wanted.resources) {
 			return true
 		}
 	}
--- a/core/state/explain.go
+++ b/core/state/explain.go
@@ -31,13 +31,13 @@
 }
 
 // explainTask says what a task waits for, nothing if it is over.
-func (s *Store) explainTask(job Job, i int) string {
-	name, task := job.Spec.Tasks[i].ID, &job.Tasks[i]
+func (s *Store) explainTask(job *Job, i int) string {
+	name, task := job.Spec.Tasks[i].ID, job.Tasks[i]
 	lease := &task.Lease
 	switch {
 	case lease.Held() && lease.StopReason != "":
 		return fmt.Sprintf("task %s is being stopped on %s: %s", name, lease.Worker, lease.StopReason)
-	case lease.Held() && !s.Live(s.workers[lease.Worker]):
+	case lease.Held() && !s.Live(s.workerRecord(lease.Worker)):
 		return fmt.Sprintf("task %s is %s", name, s.explainSilence(job, i))
 	case lease.StartedAt > 0:
 		return fmt.Sprintf("task %s runs on %s", name, lease.Worker)
@@ -52,9 +52,9 @@
 }
 
 // explainSilence says what a task on a silent worker waits for.
-func (s *Store) explainSilence(job Job, i int) string {
+func (s *Store) explainSilence(job *Job, i int) string {
 	lease := job.Tasks[i].Lease
-	silence := (s.now - s.workers[lease.Worker].LastSeenAt).Round(100 * time.Millisecond)
+	silence := (s.now - s.workerRecord(lease.Worker).LastSeenAt).Round(100 * time.Millisecond)
 	if s.heldForLostWorker(job, i) {
 		return fmt.Sprintf("held: %s has been silent for %s and may have ended it well; "+
 			"it goes on when the worker is heard, or an operator says that it is gone", lease.Worker, silence)
@@ -64,7 +64,7 @@
 }
 
 // missingDependencies names what a task waits for: other tasks, or its due time.
-func (s *Store) missingDependencies(job Job, i int) []string {
+func (s *Store) missingDependencies(job *Job, i int) []string {
 	var missing []string
 	for _, dependency := range job.Spec.Tasks[i].Dependencies {
 		if job.Tasks[dependency].State != Done {
@@ -86,7 +86,7 @@
 	withResources int
 }
 
-func (s *Store) countWorkers(job Job, i int) workerCounts {
+func (s *Store) countWorkers(job *Job, i int) workerCounts {
 	counts := workerCounts{byCode: map[status.Code]int{}}
 	for _, worker := range s.workers {
 		if worker.Service != job.Spec.Service {
@@ -125,7 +125,7 @@
 }
 
 // explainObstacle says, over the workers of the service, what keeps a ready task away.
-func (s *Store) explainObstacle(job Job, i int) string {
+func (s *Store) explainObstacle(job *Job, i int) string {
 	service, class, spec := job.Spec.Service, job.Spec.Class, &job.Spec.Tasks[i]
 	counts := s.countWorkers(job, i)
 	switch {
@@ -134,7 +134,7 @@
 	case counts.byCode[status.OK] == 0:
 		return counts.explainUnfit()
 	}
-	if reason := s.explainTenantLimit(&job, i); reason != "" {
+	if reason := s.explainTenantLimit(job, i); reason != "" {
 		return reason
 	}
 	if allowed, _ := s.CheckShare(job.Spec.classKey(), spec.Resources.Slots, nil); !allowed {
--- a/core/state/gang.go
+++ b/core/state/gang.go
@@ -18,8 +18,9 @@
 	}
 	for i, peer := range job.Tasks {
 		if inGangWith(job.Spec.Tasks, ref.index, i) && peer.Lease.Held() && peer.Lease.StopReason == "" {
-			peer.Lease.StopReason = stopReasonGang
-			s.setTask(taskRef{ref.job, i}, peer)
+			stopped := *peer
+			stopped.Lease.StopReason = stopReasonGang
+			s.setTask(taskRef{ref.job, i}, stopped)
 		}
 	}
 }
@@ -46,8 +47,9 @@
 	}
 	for i, peer := range job.Tasks {
 		if inGangWith(job.Spec.Tasks, ref.index, i) && peer.LastFailedAttempt != attemptNumber && !peer.Terminal() {
-			peer.Failures, peer.LastFailedAttempt = peer.Failures+1, attemptNumber
-			s.setTask(taskRef{ref.job, i}, peer)
+			failed := *peer
+			failed.Failures, failed.LastFailedAttempt = peer.Failures+1, attemptNumber
+			s.setTask(taskRef{ref.job, i}, failed)
 		}
 	}
 }
--- a/core/state/grant.go
+++ b/core/state/grant.go
@@ -64,7 +64,7 @@
 	job := s.jobs[grant.Assignments[0].Job]
 	first, _, _ := s.findTask(grant.Assignments[0].attempt())
 	gang := job.Spec.Tasks[first.index].Gang
-	if r := checkGangComplete(&job, gang, &check, len(grant.Assignments)); r.isSet() {
+	if r := checkGangComplete(job, gang, &check, len(grant.Assignments)); r.isSet() {
 		return r.result()
 	}
 	if r := s.checkTenantLimit(job.Tenant, check.resources); r.isSet() {
@@ -106,10 +106,10 @@
 		return newRejection(status.GangIncomplete, "one grant is one task or one gang")
 	}
 	job := s.jobs[jobID]
-	if r := s.checkLeasable(&job, ref.index, &task); r.isSet() {
+	if r := s.checkLeasable(job, ref.index, &task); r.isSet() {
 		return r
 	}
-	if r := s.checkWorker(check, &job, ref.index, assignment.Worker); r.isSet() {
+	if r := s.checkWorker(check, job, ref.index, assignment.Worker); r.isSet() {
 		return r
 	}
 	check.assigned[assignment.Worker]++
@@ -146,14 +146,14 @@
 		return newRejection(status.UnknownName, "no worker %s", workerID)
 	}
 	spec := &job.Spec.Tasks[i]
-	if code := s.Fits(*job, i, worker); code != status.OK {
+	if code := s.Fits(job, i, worker); code != status.OK {
 		return newRejection(code, "worker %s, task %s/%s", workerID, job.Spec.ID, spec.ID)
 	}
 	check.taken[workerID] = check.taken[workerID].Add(spec.Resources)
 	if free := s.FreeResources(workerID); !free.Covers(check.taken[workerID]) {
 		return newRejection(status.InsufficientResources, "worker %s has %+v", workerID, free)
 	}
-	if s.AtWorkerLimit(*job, i, workerID, check.assigned[workerID]) {
+	if s.AtWorkerLimit(job, i, workerID, check.assigned[workerID]) {
 		return newRejection(status.SpreadExceeded, "worker %s has %d tasks of this step", workerID, spec.MaxPerWorker)
 	}
 	return rejection{}
@@ -182,7 +182,7 @@
 // lease stores the lease of a task that passed all checks, and the number of the worker's
 // last heartbeat, if it is later than the last one in the state.
 func (s *Store) lease(ref taskRef, task Task, assignment *Assignment, attemptNumber int, borrowed bool) {
-	worker := s.workers[assignment.Worker]
+	worker := *s.workerRecord(assignment.Worker)
 	if assignment.HeartbeatNumber > worker.Number {
 		worker.Number = assignment.HeartbeatNumber
 		s.setWorker(worker)
--- a/core/state/heartbeat.go
+++ b/core/state/heartbeat.go
@@ -69,7 +69,8 @@
 // it runs and what has ended counts as far as it is leased to it. A reduced report from
 // another incarnation is rejected, but the leases of the earlier one are orphaned by it.
 func (s *Store) heartbeat(hb Heartbeat) Result {
-	old, known := s.workers[hb.Worker]
+	_, known := s.workers[hb.Worker]
+	old := s.workerRecord(hb.Worker)
 	if hb.Worker == "" || hb.Incarnation <= 0 || hb.Number == 0 || hb.Free.Slots < 0 {
 		return reject(status.Malformed, "a beat needs worker, incarnation, number and free room")
 	}
@@ -89,7 +90,7 @@
 	if !known && hb.Address != "" {
 		s.replaceWorkersAt(&hb)
 	}
-	update := heartbeatUpdate{worker: s.workerFrom(&hb, &old), result: Result{Code: status.OK}}
+	update := heartbeatUpdate{worker: s.workerFrom(&hb, old), result: Result{Code: status.OK}}
 	update.result.Heartbeat.LeaseDuration = s.config.Limits.LeaseDuration.Duration
 	// The sets are made here, so that small ones stay on the stack.
 	touched, listed := jobSet{}, map[Attempt]bool{}
--- a/core/state/heartbeat_delta.go
+++ b/core/state/heartbeat_delta.go
@@ -15,7 +15,8 @@
 // A worker that has said that it leaves does so for the rest of its incarnation, also where
 // its agent was restarted since and does not know it.
 func (s *Store) ReduceHeartbeat(hb Heartbeat) (reduced Heartbeat, changes bool) {
-	worker, known := s.workers[hb.Worker]
+	_, known := s.workers[hb.Worker]
+	worker := s.workerRecord(hb.Worker)
 	if known && worker.Incarnation == hb.Incarnation && worker.Leaving && !hb.Leaving {
 		hb.Leaving, hb.LeavesIn = true, worker.LeavesIn
 	}
@@ -58,7 +59,7 @@
 // freeResourcesMatter says whether a worker's word on its free resources makes a
 // difference. Less than before always does. More does not where its capacity less its
 // leases is all that it has: the report that ends one of these says so again.
-func (s *Store) freeResourcesMatter(worker Worker, free Resources) bool {
+func (s *Store) freeResourcesMatter(worker *Worker, free Resources) bool {
 	if !free.Covers(worker.Free) {
 		return true
 	}
--- a/core/state/indexes.go
+++ b/core/state/indexes.go
@@ -20,7 +20,7 @@
 type indexes struct {
 	// leases gives the leased tasks of each worker, usage what they sum up to.
 	leases map[string]map[taskRef]bool
-	usage  map[string]workerUsage
+	usage  map[string]*workerUsage
 	// tenantUsage is what each tenant has running, leased or not.
 	tenantUsage *quota.Usage
 	// unfinished counts the tasks of a class that are not terminal.
@@ -38,7 +38,7 @@
 func (s *Store) rebuildIndexes() {
 	s.indexes = indexes{
 		leases:      map[string]map[taskRef]bool{},
-		usage:       map[string]workerUsage{},
+		usage:       map[string]*workerUsage{},
 		tenantUsage: quota.NewUsage(),
 		unfinished:  map[ClassKey]int{},
 		waiting:     map[demand]int{},
@@ -46,6 +46,7 @@
 		timedTasks:  map[taskRef]bool{},
 	}
 	s.serviceLoads = map[string]*cachedServiceLoad{}
+	s.entries.reset()
 	s.requests.sortByAge(func(r Request) time.Duration { return r.AnsweredAt })
 	s.configRequests.sortByAge(func(r Request) time.Duration { return r.AnsweredAt })
 	s.pastJobs.sortByAge(func(p PastJob) time.Duration { return p.EndedAt })
@@ -69,8 +70,8 @@
 }
 
 // countTask adds a task to the indexes, by 1, or takes it out of them, by -1.
-func (s *Store) countTask(job Job, i, by int) {
-	task := &job.Tasks[i]
+func (s *Store) countTask(job *Job, i, by int) {
+	task := job.Tasks[i]
 	if !task.Terminal() {
 		s.unfinished[job.Spec.classKey()] += by
 	}
@@ -91,7 +92,7 @@
 }
 
 // countLease adds a leased task to its worker, or takes it off.
-func (s *Store) countLease(job Job, ref taskRef, by int) {
+func (s *Store) countLease(job *Job, ref taskRef, by int) {
 	worker := job.Tasks[ref.index].Lease.Worker
 	if s.leases[worker] == nil {
 		s.leases[worker] = map[taskRef]bool{}
@@ -101,7 +102,7 @@
 	} else {
 		delete(s.leases[worker], ref)
 	}
-	s.usage[worker] = s.usage[worker].adjusted(job, ref.index, by)
+	s.changeableUsage(worker).adjust(job, ref.index, by)
 	s.countForTenant(job.Tenant, job.Spec.Tasks[ref.index].Resources, by)
 	s.updateServiceLoad(worker, job.Spec.Class, by*job.Spec.Tasks[ref.index].Resources.Slots)
 }
@@ -115,12 +116,33 @@
 	// are still to be started.
 	stopCount, unstartedCount int
 	slotsByClass              map[string]int
+	leaseCount                int
 }
 
-// adjusted is the usage with a lease added, by 1, or taken off, by -1. The map of
-// classes is changed in place.
-func (u workerUsage) adjusted(job Job, i, by int) workerUsage {
-	lease, resources := &job.Tasks[i].Lease, job.Spec.Tasks[i].Resources
+// noUsage is that of a worker that never had a lease.
+var noUsage workerUsage
+
+// usageOf gives the usage of a worker, which must not be changed.
+func (s *Store) usageOf(worker string) *workerUsage {
+	if usage := s.usage[worker]; usage != nil {
+		return usage
+	}
+	return &noUsage
+}
+
+// changeableUsage gives the usage of a worker, to be changed in place.
+func (s *Store) changeableUsage(worker string) *workerUsage {
+	usage := s.usage[worker]
+	if usage == nil {
+		usage = &workerUsage{slotsByClass: map[string]int{}}
+		s.usage[worker] = usage
+	}
+	return usage
+}
+
+// adjust adds a lease, by 1, or takes one off, by -1.
+func (u *workerUsage) adjust(job *Job, i, by int) {
+	lease, resources := job.Tasks[i].Lease, job.Spec.Tasks[i].Resources
 	add := Resources.Add
 	if by < 0 {
 		add = Resources.Sub
@@ -134,9 +156,6 @@
 	} else if lease.StartedAt == 0 {
 		u.unstartedCount += by
 	}
-	if u.slotsByClass == nil {
-		u.slotsByClass = map[string]int{}
-	}
 	u.slotsByClass[job.Spec.Class] += by * resources.Slots
-	return u
+	u.leaseCount += by
 }
--- a/core/state/job.go
+++ b/core/state/job.go
@@ -105,7 +105,7 @@
 	Reason      string        `json:"why,omitempty"`
 	AcceptedAt  time.Duration `json:"acceptedAt"`
 	EndedAt     time.Duration `json:"endedAt,omitempty"`
-	Tasks       []Task        `json:"tasks,omitempty"`
+	Tasks       []*Task       `json:"tasks,omitempty"`
 }
 
 // Summary is the job without its tasks and payload.
@@ -115,19 +115,21 @@
 }
 
 // jobEnded says whether a job is over: all its tasks are, and none is leased.
-func jobEnded(job Job) bool {
+func jobEnded(job *Job) bool {
 	return job.State == Done || job.State == Failed || job.State == Cancelled
 }
 
-// Job gives a job that is not forgotten yet.
-func (s *Store) Job(id string) (Job, bool) {
-	job, ok := s.jobs[id]
-	return job, ok
+// Job gives a job that is not forgotten yet, and an empty record if there is none.
+func (s *Store) Job(id string) (*Job, bool) {
+	if job, known := s.jobs[id]; known {
+		return job, true
+	}
+	return &Job{}, false
 }
 
 // ActiveJobs gives every job that is not over, by acceptance.
-func (s *Store) ActiveJobs() []Job {
-	jobs := make([]Job, 0, len(s.activeJobs))
+func (s *Store) ActiveJobs() []*Job {
+	jobs := make([]*Job, 0, len(s.activeJobs))
 	for id := range s.activeJobs {
 		jobs = append(jobs, s.jobs[id])
 	}
--- a/core/state/job_lifecycle.go
+++ b/core/state/job_lifecycle.go
@@ -20,7 +20,7 @@
 	type answer struct{ known, done bool }
 	ofStep := map[*int]answer{}
 	for i, spec := range job.Spec.Tasks {
-		task := job.Tasks[i]
+		task := *job.Tasks[i]
 		if task.State != Waiting || job.EndingState != "" || task.DueAt > s.now {
 			continue
 		}
@@ -52,22 +52,23 @@
 	if state == job.State {
 		return
 	}
-	job.State = state
-	if jobEnded(job) {
+	changed := *job
+	changed.State = state
+	if jobEnded(&changed) {
 		s.audit.record(Decision{Kind: decisionEndJob, Job: id, Succeeded: state == Done})
-		job.EndedAt = s.now
+		changed.EndedAt = s.now
 		delete(s.activeJobs, id)
 		s.endedJobs = append(s.endedJobs, id)
 	}
-	s.jobs[id] = job
+	s.jobs[id] = &changed
 	s.changes = append(s.changes, Change{Job: id, Task: -1})
 }
 
 // jobState is the state that a job is in by its tasks: Done only if all of them are.
-func jobState(tasks []Task, endingState string) string {
+func jobState(tasks []*Task, endingState string) string {
 	state := Done
 	for i := range tasks {
-		task := &tasks[i]
+		task := tasks[i]
 		if !task.Terminal() || task.Lease.Held() {
 			if anyHasRun(tasks) {
 				return Running
@@ -82,7 +83,7 @@
 }
 
 // anyHasRun says whether one of the tasks runs or succeeded.
-func anyHasRun(tasks []Task) bool {
+func anyHasRun(tasks []*Task) bool {
 	for i := range tasks {
 		if tasks[i].Lease.StartedAt > 0 || tasks[i].State == Done {
 			return true
@@ -94,13 +95,14 @@
 // endJob closes what is left of a job that failed or was cancelled. What runs is
 // stopped, and the job is over once it has.
 func (s *Store) endJob(id, endingState, reason string) {
-	job := s.jobs[id]
-	if job.EndingState != "" || jobEnded(job) {
+	if job := s.jobs[id]; job.EndingState != "" || jobEnded(job) {
 		return
 	}
+	job := *s.jobs[id]
 	job.EndingState, job.Reason = endingState, reason
-	s.jobs[id] = job
-	for i, task := range job.Tasks {
+	s.jobs[id] = &job
+	for i := range job.Tasks {
+		task := *job.Tasks[i]
 		if task.Terminal() {
 			continue
 		}
@@ -122,24 +124,24 @@
 		}
 	}
 	if past, ok := s.PastJob(id); ok {
-		if result := s.CheckAccess(&past, cmd.KeyDigest); !result.Code.IsSuccess() {
+		if result := s.CheckAccess(past, cmd.KeyDigest); !result.Code.IsSuccess() {
 			return result
 		}
-		return Result{Code: status.AlreadyDone, Job: past}
+		return Result{Code: status.AlreadyDone, Job: *past}
 	}
 	job, ok := s.jobs[id]
 	if !ok {
 		return s.RejectUnknownJob(id)
 	}
-	if result := s.CheckAccess(&job, cmd.KeyDigest); !result.Code.IsSuccess() {
+	if result := s.CheckAccess(job, cmd.KeyDigest); !result.Code.IsSuccess() {
 		return result
 	}
 	if jobEnded(job) || job.EndingState != "" {
-		return s.jobResult(cmd, status.AlreadyDone, job)
+		return s.jobResult(cmd, status.AlreadyDone, *job)
 	}
 	s.audit.record(Decision{Kind: decisionCancelJob, Job: id})
 	s.endJob(id, Cancelled, endReasonCancelled)
-	return s.jobResult(cmd, status.OK, s.jobs[id])
+	return s.jobResult(cmd, status.OK, *s.jobs[id])
 }
 
 // forgetJob drops the record of a job; what is left is remembered as a PastJob.
--- a/core/state/lease.go
+++ b/core/state/lease.go
@@ -165,7 +165,7 @@
 	if lease.OrphanUntil > 0 {
 		return lease.OrphanUntil
 	}
-	limits, worker, startedAt := s.config.Limits, s.workers[lease.Worker], lease.StartedAt
+	limits, worker, startedAt := s.config.Limits, s.workerRecord(lease.Worker), lease.StartedAt
 	expiresAt := max(worker.LeaseExpiresAt, lease.GrantedAt+limits.LeaseDuration.Duration)
 	if limits.KilledAtLeaseExpiry {
 		return expiresAt + limits.ExpiryMargin.Duration
@@ -178,13 +178,13 @@
 
 // heldForLostWorker says whether only a word, the worker's or an operator's, frees a
 // task whose worker is silent: it may have succeeded, and must not start again.
-func (s *Store) heldForLostWorker(job Job, i int) bool {
-	task, policy := &job.Tasks[i], job.Spec.Tasks[i].LostWorkerPolicy
+func (s *Store) heldForLostWorker(job *Job, i int) bool {
+	task, policy := job.Tasks[i], job.Spec.Tasks[i].LostWorkerPolicy
 	if policy == "" {
 		policy = s.config.Services[job.Spec.Service].Classes[job.Spec.Class].LostWorkerPolicy
 	}
 	return task.Lease.Held() && !task.Terminal() && policy != config.RestartOnLostWorker &&
-		task.Lease.OrphanUntil == 0 && !s.workers[task.Lease.Worker].ConfirmedDead
+		task.Lease.OrphanUntil == 0 && !s.workerRecord(task.Lease.Worker).ConfirmedDead
 }
 
 // leaseLapsed says whether a lease is over by the silence of its worker.
@@ -218,7 +218,7 @@
 	switch {
 	case lease.StopReason != "":
 	case lease.StartedAt > 0 && !limits.KilledAtLeaseExpiry &&
-		s.workers[lease.Worker].LastSeenAt > lease.StartedAt+lease.RunLimit:
+		s.workerRecord(lease.Worker).LastSeenAt > lease.StartedAt+lease.RunLimit:
 		return stopReasonRunLimit
 	case lease.StartedAt == 0 && s.specAt(ref).Gang != "" && now > lease.GrantedAt+limits.StartTimeout.Duration:
 		return stopReasonGang
--- a/core/state/loader.go
+++ b/core/state/loader.go
@@ -82,7 +82,6 @@
 	job := l.store.jobs[record.Key]
 	job.Spec.Tasks = resolveDependencies(job.Spec)
 	job.Tasks = newTasks(job)
-	l.store.jobs[record.Key] = job
 	return nil
 }
 
@@ -92,7 +91,7 @@
 	if !ok || ref.index >= len(job.Tasks) {
 		return ErrUnknownTask
 	}
-	return json.Unmarshal(record.Value, &job.Tasks[ref.index])
+	return json.Unmarshal(record.Value, job.Tasks[ref.index])
 }
 
 func (l *Loader) addMetadata(record machine.Record) error {
--- a/core/state/orders.go
+++ b/core/state/orders.go
@@ -23,7 +23,7 @@
 // startOrder is the order to start what a task is leased for.
 func (s *Store) startOrder(ref taskRef) StartOrder {
 	job := s.jobs[ref.job]
-	spec, task := &job.Spec.Tasks[ref.index], &job.Tasks[ref.index]
+	spec, task := &job.Spec.Tasks[ref.index], job.Tasks[ref.index]
 	payload := spec.Payload
 	if payload == nil {
 		payload = job.Spec.Payload
@@ -77,9 +77,9 @@
 
 // HasPendingOrders says whether a worker has something to be started or stopped.
 func (s *Store) HasPendingOrders(worker string) bool {
-	usage := s.usage[worker]
+	usage := s.usageOf(worker)
 	return usage.stopCount+usage.unstartedCount > 0
 }
 
 // LeaseCount is how many leases a worker holds.
-func (s *Store) LeaseCount(worker string) int { return len(s.leases[worker]) }
+func (s *Store) LeaseCount(worker string) int { return s.usageOf(worker).leaseCount }
--- a/core/state/past_job.go
+++ b/core/state/past_job.go
@@ -18,10 +18,10 @@
 }
 
 // PastJob gives what is left of a job whose record is gone.
-func (s *Store) PastJob(id string) (Job, bool) {
+func (s *Store) PastJob(id string) (*Job, bool) {
 	past, ok := s.pastJobs.byKey[id]
 	spec := JobSpec{ID: id, Service: past.Service, Class: past.Class}
-	return Job{Spec: spec, Tenant: past.Tenant, State: past.State, EndedAt: past.EndedAt}, ok
+	return &Job{Spec: spec, Tenant: past.Tenant, State: past.State, EndedAt: past.EndedAt}, ok
 }
 
 // RejectUnknownJob is the result for a job of which nothing is known. It says how far
--- a/core/state/preempt.go
+++ b/core/state/preempt.go
@@ -55,5 +55,5 @@
 	}
 	usedSlots, shareSlots := s.ClassUse(job.Spec.Service, job.Spec.Class)
 	return usedSlots+job.Spec.Tasks[ref.index].Resources.Slots <= shareSlots &&
-		s.Fits(job, ref.index, s.workers[worker]) == status.OK
+		s.Fits(job, ref.index, s.workerRecord(worker)) == status.OK
 }
--- a/core/state/read.go
+++ b/core/state/read.go
@@ -12,17 +12,17 @@
 	}
 	switch cmd.Kind {
 	case KindReadJob:
-		job, ok := s.jobs[cmd.Name]
+		job, ok := s.Job(cmd.Name)
 		if !ok {
 			job, ok = s.PastJob(cmd.Name)
 		}
 		if !ok {
 			return s.RejectUnknownJob(cmd.Name)
 		}
-		if result := s.CheckAccess(&job, cmd.KeyDigest); !result.Code.IsSuccess() {
+		if result := s.CheckAccess(job, cmd.KeyDigest); !result.Code.IsSuccess() {
 			return result
 		}
-		return s.jobResult(cmd, status.OK, job)
+		return s.jobResult(cmd, status.OK, *job)
 	case KindReadWaitingCount:
 		route, _ := s.config.FindRoute(cmd.Host, cmd.Path)
 		return Result{Code: status.OK, WaitingCount: s.waitingJobs(route.Service, route.Class)}
--- a/core/state/records_test.go
+++ b/core/state/records_test.go
@@ -38,8 +38,8 @@
 // by commit 40d3d2c, and loads a store from records that have these names.
 func TestBucketsAreNamedAsRecorded(t *testing.T) {
 	snapshot := Snapshot{
-		jobs:    map[string]Job{"j": {Spec: JobSpec{ID: "j", Tasks: []TaskSpec{{ID: "t"}}}, Tasks: []Task{{Number: 7}}}},
-		workers: map[string]Worker{"w": {}}, drainedZones: map[string]bool{"s": true},
+		jobs:    map[string]*Job{"j": {Spec: JobSpec{ID: "j", Tasks: []TaskSpec{{ID: "t"}}}, Tasks: []*Task{{Number: 7}}}},
+		workers: map[string]*Worker{"w": {}}, drainedZones: map[string]bool{"s": true},
 		leaderships: map[string]Leadership{"d": {}}, schedulers: map[string]Scheduler{"f": {}},
 		requests: map[string]Request{"r": {}}, pastJobs: map[string]PastJob{"p": {}},
 	}
--- a/core/state/service_load.go
+++ b/core/state/service_load.go
@@ -32,7 +32,7 @@
 	load := &cachedServiceLoad{ServiceLoad{Used: map[string]int{}}, math.MaxInt64}
 	for id, worker := range s.workers {
 		if worker.Service == service && s.countsForShares(worker) {
-			load.addWorker(s, worker, s.usage[id])
+			load.addWorker(s, worker, s.usageOf(id))
 		}
 	}
 	s.serviceLoads[service] = load
@@ -40,13 +40,13 @@
 }
 
 // countsForShares says whether a worker's slots are among those that shares are parts of.
-func (s *Store) countsForShares(worker Worker) bool {
+func (s *Store) countsForShares(worker *Worker) bool {
 	return !worker.Leaving && !worker.Drained && !s.drainedZones[worker.Zone] &&
 		(s.now <= worker.LeaseExpiresAt || s.Live(worker))
 }
 
 // addWorker counts a worker with its leases.
-func (l *cachedServiceLoad) addWorker(s *Store, worker Worker, usage workerUsage) {
+func (l *cachedServiceLoad) addWorker(s *Store, worker *Worker, usage *workerUsage) {
 	for class, slots := range usage.slotsByClass {
 		l.addUse(class, slots)
 	}
@@ -68,7 +68,7 @@
 
 // updateServiceLoad takes a lease that came to a worker or left it.
 func (s *Store) updateServiceLoad(worker, class string, slots int) {
-	record := s.workers[worker]
+	record := s.workerRecord(worker)
 	load, known := s.serviceLoads[record.Service]
 	if !known || !s.countsForShares(record) {
 		return
@@ -81,7 +81,7 @@
 
 // invalidateServiceLoad has that of a worker's service counted anew, unless the worker
 // counts there as it did before.
-func (s *Store) invalidateServiceLoad(old, now Worker) {
+func (s *Store) invalidateServiceLoad(old, now *Worker) {
 	if old.Service == now.Service && s.countsForShares(old) == s.countsForShares(now) &&
 		s.Live(old) == s.Live(now) && old.Capacity.Slots == now.Capacity.Slots {
 		return
--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -36,8 +36,8 @@
 type Snapshot struct {
 	metadata     metadata
 	config       config.Config
-	jobs         map[string]Job
-	workers      map[string]Worker
+	jobs         map[string]*Job
+	workers      map[string]*Worker
 	drainedZones map[string]bool
 	leaderships  map[string]Leadership
 	schedulers   map[string]Scheduler
@@ -155,12 +155,13 @@
 
 // withoutTasks leaves out the tasks, which are records of their own, and what the
 // steps of a job say already.
-func withoutTasks(job Job) Job {
-	job.Tasks = nil
+func withoutTasks(job *Job) Job {
+	record := *job
+	record.Tasks = nil
 	if len(job.Spec.Steps) > 0 {
-		job.Spec.Tasks = nil
+		record.Spec.Tasks = nil
 	}
-	return job
+	return record
 }
 
 // Records encodes the snapshot, one record at a time.
--- a/core/state/stalled.go
+++ b/core/state/stalled.go
@@ -46,7 +46,7 @@
 			underHalfUsed[service] = s.underHalfUsed(service)
 		}
 		if underHalfUsed[service] {
-			stalled = s.appendStalled(stalled, &job)
+			stalled = s.appendStalled(stalled, job)
 		}
 	}
 	slices.SortFunc(stalled, func(a, b StalledTask) int {
@@ -59,7 +59,7 @@
 func (s *Store) appendStalled(stalled []StalledTask, job *Job) []StalledTask {
 	gangs := map[string]bool{}
 	for i := range job.Tasks {
-		task, gang := &job.Tasks[i], job.Spec.Tasks[i].Gang
+		task, gang := job.Tasks[i], job.Spec.Tasks[i].Gang
 		if gangs[gang] || task.State != Ready || task.Lease.Held() || s.now-task.ReadyAt < stalledWait(job, i) {
 			continue
 		}
@@ -108,7 +108,7 @@
 	var capacity, used Resources
 	for id, worker := range s.workers {
 		if worker.Service == service && s.Live(worker) && !worker.Leaving {
-			capacity, used = capacity.Add(worker.Capacity), used.Add(s.usage[id].used)
+			capacity, used = capacity.Add(worker.Capacity), used.Add(s.usageOf(id).used)
 		}
 	}
 	return capacity.Covers(used.Add(used))
@@ -129,7 +129,7 @@
 	}
 	byRack := map[string]int{}
 	for id, worker := range s.workers {
-		if s.Fits(*job, i, worker) != 0 || s.AtWorkerLimit(*job, i, id, 0) {
+		if s.Fits(job, i, worker) != 0 || s.AtWorkerLimit(job, i, id, 0) {
 			continue
 		}
 		places := placesFor(s.FreeResources(id), spec.Resources, tasks*stalledRoom)
@@ -140,7 +140,7 @@
 			continue
 		}
 		workers++
-		byRack[rackOf(spec, &worker)] += places
+		byRack[rackOf(spec, worker)] += places
 	}
 	for _, places := range byRack {
 		fits = fits || places >= stalledRoom*tasks
--- a/core/state/steps.go
+++ b/core/state/steps.go
@@ -1,6 +1,10 @@
 package state
 
-import "fmt"
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
 
 // expandSteps writes a job's steps out as tasks, repetition by repetition and step
 // by step. The tasks of a step share their slice of dependencies.
@@ -32,6 +36,40 @@
 	return tasks
 }
 
+// taskIndex is the index of the task with an ID, or -1.
+func (spec *JobSpec) taskIndex(id string) int {
+	if i := spec.stepTaskIndex(id); i >= 0 && i < len(spec.Tasks) && spec.Tasks[i].ID == id {
+		return i
+	}
+	for i := range spec.Tasks {
+		if spec.Tasks[i].ID == id {
+			return i
+		}
+	}
+	return -1
+}
+
+// stepTaskIndex is where the task "repetition.step.number" of a job in steps is, if there is
+// one; -1 for an ID of another form.
+func (spec *JobSpec) stepTaskIndex(id string) int {
+	repetitionText, rest, _ := strings.Cut(id, ".")
+	stepText, numberText, _ := strings.Cut(rest, ".")
+	repetition, err := strconv.Atoi(repetitionText)
+	step, stepErr := strconv.Atoi(stepText)
+	number, numberErr := strconv.Atoi(numberText)
+	if err != nil || stepErr != nil || numberErr != nil || step < 0 || step >= len(spec.Steps) {
+		return -1
+	}
+	perRepetition, before := 0, 0
+	for i := range spec.Steps {
+		if i < step {
+			before += spec.Steps[i].Count
+		}
+		perRepetition += spec.Steps[i].Count
+	}
+	return repetition*perRepetition + before + number
+}
+
 // resolveDependencies works out the tasks of a job with the indexes of what they
 // depend on. Names that do not exist are left out; the job's validation rejects them.
 func resolveDependencies(spec JobSpec) []TaskSpec {
@@ -111,14 +149,14 @@
 
 // AtWorkerLimit says whether a worker runs as many tasks of a task's step as may run
 // on one. Those in pending are about to be leased to it as well.
-func (s *Store) AtWorkerLimit(job Job, i int, worker string, pending int) bool {
+func (s *Store) AtWorkerLimit(job *Job, i int, worker string, pending int) bool {
 	limit := job.Spec.Tasks[i].MaxPerWorker
 	if limit <= 0 {
 		return false
 	}
 	count := pending
 	for j := range job.Tasks {
-		lease := &job.Tasks[j].Lease
+		lease := job.Tasks[j].Lease
 		if j != i && lease.Held() && lease.Worker == worker && job.sameStep(i, j) {
 			count++
 		}
--- a/core/state/store.go
+++ b/core/state/store.go
@@ -36,8 +36,8 @@
 )
 
 // Store is the state. It is not safe for concurrent use; Snapshot gives a view that
-// another goroutine may read. What its methods return are copies of records, never the
-// maps behind; the slices and maps in them are shared and must not be changed.
+// another goroutine may read. The records that its methods return are shared and must not
+// be changed; they stay as they are when the state changes later.
 type Store struct {
 	position LogPosition
 	// now is state time: the latest time that a command was stamped with.
@@ -50,8 +50,8 @@
 	// formerLimits are the limits of tenants that a configuration has left out while jobs
 	// of theirs had not ended.
 	formerLimits map[string]Resources
-	jobs         map[string]Job
-	workers      map[string]Worker
+	jobs         map[string]*Job
+	workers      map[string]*Worker
 	drainedZones map[string]bool
 	// zoneOrders gives the log index of the last order to drain or refill each zone.
 	zoneOrders  map[string]uint64
@@ -66,8 +66,8 @@
 
 	indexes
 	cache queryCache
-	// workerList has the workers in order of their names; nil until it is asked for.
-	workerList []Worker
+	// entries follow the records of the workers and their usage.
+	entries workerEntries
 	// serviceLoads are counted when they are asked for; a missing one is counted anew.
 	serviceLoads map[string]*cachedServiceLoad
 
@@ -92,8 +92,8 @@
 	s := &Store{
 		nextTaskNumber: 1,
 		formerLimits:   map[string]Resources{},
-		jobs:           map[string]Job{},
-		workers:        map[string]Worker{},
+		jobs:           map[string]*Job{},
+		workers:        map[string]*Worker{},
 		drainedZones:   map[string]bool{},
 		zoneOrders:     map[string]uint64{},
 		leaderships:    map[string]Leadership{},
--- a/core/state/submit.go
+++ b/core/state/submit.go
@@ -72,25 +72,25 @@
 	}
 	job := Job{Spec: spec, Tenant: s.tenantsByKey[cmd.KeyDigest], Digest: submitted}
 	s.addJob(job, cmd.WallTime)
-	return s.jobResult(cmd, status.OK, s.jobs[spec.ID])
+	return s.jobResult(cmd, status.OK, *s.jobs[spec.ID])
 }
 
 // acceptedBefore is the result for a job whose id is known already.
 func (s *Store) acceptedBefore(cmd Command, submitted string) (result Result, known bool) {
 	id := cmd.Job.ID
-	job, exists := s.jobs[id]
+	job, exists := s.Job(id)
 	past, remembered := s.pastJobs.byKey[id]
 	if !exists && remembered {
 		job, _ = s.PastJob(id)
 	}
-	foreign := (exists || remembered) && !s.CheckAccess(&job, cmd.KeyDigest).Code.IsSuccess()
+	foreign := (exists || remembered) && !s.CheckAccess(job, cmd.KeyDigest).Code.IsSuccess()
 	switch {
 	case foreign, exists && job.Digest != submitted, !exists && remembered && past.Digest != submitted:
 		return reject(status.JobConflict, "job %s was accepted before with other content", id), true
 	case exists:
-		return s.jobResult(cmd, status.AlreadyDone, job), true
+		return s.jobResult(cmd, status.AlreadyDone, *job), true
 	case remembered:
-		return Result{Code: status.AlreadyDone, Job: job}, true
+		return Result{Code: status.AlreadyDone, Job: *job}, true
 	}
 	return Result{}, false
 }
@@ -100,7 +100,7 @@
 func (s *Store) addJob(job Job, wallTime time.Time) {
 	job.Spec.Tasks = resolveDependencies(job.Spec)
 	job.FirstTaskNumber, job.State, job.AcceptedAt = s.nextTaskNumber, Waiting, s.now
-	job.Tasks = newTasks(job)
+	job.Tasks = newTasks(&job)
 	spec := &job.Spec
 	if spec.Repeat.Count > 0 {
 		for i, task := range spec.Tasks {
@@ -109,10 +109,10 @@
 		}
 	}
 	s.nextTaskNumber += uint64(len(spec.Tasks))
-	s.jobs[spec.ID], s.activeJobs[spec.ID] = job, true
+	s.jobs[spec.ID], s.activeJobs[spec.ID] = &job, true
 	s.audit.record(Decision{Kind: decisionAcceptJob, Job: spec.ID, Digest: job.Digest})
 	for i := range job.Tasks {
-		s.countTask(job, i, 1)
+		s.countTask(&job, i, 1)
 	}
 	s.makeTasksReady(spec.ID)
 }
@@ -150,11 +150,11 @@
 }
 
 // newTasks is how the tasks of a job begin.
-func newTasks(job Job) []Task {
+func newTasks(job *Job) []*Task {
 	levels := taskLevels(job.Spec)
-	tasks := make([]Task, len(job.Spec.Tasks))
+	tasks := make([]*Task, len(job.Spec.Tasks))
 	for i := range tasks {
-		tasks[i] = Task{Number: job.FirstTaskNumber + uint64(i), State: Waiting, Level: levels[i]}
+		tasks[i] = &Task{Number: job.FirstTaskNumber + uint64(i), State: Waiting, Level: levels[i]}
 	}
 	return tasks
 }
--- a/core/state/task.go
+++ b/core/state/task.go
@@ -60,7 +60,7 @@
 
 // taskAt gives a task to be looked at. It is shared with snapshots and must not be
 // changed: a change is made to a copy, which setTask stores.
-func (s *Store) taskAt(ref taskRef) *Task { return &s.jobs[ref.job].Tasks[ref.index] }
+func (s *Store) taskAt(ref taskRef) *Task { return s.jobs[ref.job].Tasks[ref.index] }
 
 // specAt gives the specification of a task, which must not be changed.
 func (s *Store) specAt(ref taskRef) *TaskSpec { return &s.jobs[ref.job].Spec.Tasks[ref.index] }
@@ -71,25 +71,26 @@
 	if !ok {
 		return taskRef{}, Task{}, false
 	}
-	i := slices.IndexFunc(job.Spec.Tasks, func(spec TaskSpec) bool { return spec.ID == attempt.Task })
+	i := job.Spec.taskIndex(attempt.Task)
 	if i < 0 {
 		return taskRef{}, Task{}, false
 	}
-	return taskRef{attempt.Job, i}, job.Tasks[i], true
+	return taskRef{attempt.Job, i}, *job.Tasks[i], true
 }
 
-// setTask is the only way a task changes; it keeps the indexes right. The job's
-// task slice is copied once for a command, so that copies handed out before stay
-// as they were.
+// setTask is the only way a task changes; it keeps the indexes right. The job's record
+// is copied once for a command, with its slice of tasks, so that records handed out
+// before stay as they were.
 func (s *Store) setTask(ref taskRef, task Task) {
 	s.cache = queryCache{}
 	job := s.jobs[ref.job]
 	s.countTask(job, ref.index, -1)
 	if !s.clonedJobs[ref.job] {
-		job.Tasks, s.clonedJobs[ref.job] = slices.Clone(job.Tasks), true
+		cloned := *job
+		cloned.Tasks = slices.Clone(job.Tasks)
+		job, s.jobs[ref.job], s.clonedJobs[ref.job] = &cloned, &cloned, true
 	}
-	job.Tasks[ref.index] = task
-	s.jobs[ref.job] = job
+	job.Tasks[ref.index] = &task
 	s.countTask(job, ref.index, 1)
 	s.changes = append(s.changes, Change{Job: ref.job, Task: ref.index})
 }
@@ -101,6 +102,6 @@
 }
 
 // allDone says whether all tasks with the given indexes are done.
-func allDone(tasks []Task, indexes []int) bool {
+func allDone(tasks []*Task, indexes []int) bool {
 	return !slices.ContainsFunc(indexes, func(i int) bool { return tasks[i].State != Done })
 }
--- a/core/state/tenant.go
+++ b/core/state/tenant.go
@@ -104,7 +104,7 @@
 
 // countUnleased adds what a worker runs without leases to the usage of the tenants, by 1, or
 // takes it off, by -1.
-func (s *Store) countUnleased(worker Worker, by int) {
+func (s *Store) countUnleased(worker *Worker, by int) {
 	for tenant, resources := range worker.UnleasedByTenant {
 		s.countForTenant(tenant, resources, by)
 	}
--- a/core/state/worker.go
+++ b/core/state/worker.go
@@ -1,7 +1,6 @@
 package state
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -29,19 +28,27 @@
 // ID is the worker's name.
 func (w Worker) ID() string { return w.Heartbeat.Worker }
 
-// Worker gives a worker by its name.
-func (s *Store) Worker(id string) (Worker, bool) {
-	worker, ok := s.workers[id]
-	return worker, ok
+// Worker gives a worker by its name, and an empty record if it is unknown.
+func (s *Store) Worker(id string) (*Worker, bool) {
+	if worker, known := s.workers[id]; known {
+		return worker, true
+	}
+	return &Worker{}, false
 }
 
 // Live says whether a worker was heard lately.
-func (s *Store) Live(worker Worker) bool {
+func (s *Store) Live(worker *Worker) bool {
 	return s.now-worker.LastSeenAt <= s.config.Limits.HeartbeatTimeout.Duration
 }
 
+// workerRecord gives a worker as Worker does.
+func (s *Store) workerRecord(id string) *Worker {
+	worker, _ := s.Worker(id)
+	return worker
+}
+
 // Fits checks the standing rules between a task and a worker, without resources.
-func (s *Store) Fits(job Job, i int, worker Worker) status.Code {
+func (s *Store) Fits(job *Job, i int, worker *Worker) status.Code {
 	if worker.Service != job.Spec.Service {
 		return status.WorkerMismatch
 	}
@@ -53,7 +60,7 @@
 	if worker.Leaving || worker.Drained {
 		return status.Draining
 	}
-	if s.drainedZones[worker.Zone] {
+	if len(s.drainedZones) > 0 && s.drainedZones[worker.Zone] {
 		return status.ZoneDrained
 	}
 	if !s.Live(worker) {
@@ -65,48 +72,27 @@
 // setWorker is the only way a worker changes; it keeps the ordered list right.
 func (s *Store) setWorker(worker Worker) {
 	id := worker.ID()
-	s.invalidateServiceLoad(s.workers[id], worker)
-	s.countUnleased(s.workers[id], -1)
-	s.workers[id] = worker
-	s.countUnleased(worker, 1)
-	if s.workerList == nil {
-		return
-	}
-	i, known := s.workerIndex(id)
-	if !known {
-		s.workerList = slices.Insert(s.workerList, i, worker)
-		return
-	}
-	s.workerList[i] = worker
+	old := s.workerRecord(id)
+	s.invalidateServiceLoad(old, &worker)
+	s.countUnleased(old, -1)
+	s.workers[id] = &worker
+	s.countUnleased(&worker, 1)
+	s.entries.set(&worker, s.changeableUsage(id))
 }
 
 // forgetWorker drops the record of a worker.
 func (s *Store) forgetWorker(id string) {
-	delete(s.serviceLoads, s.workers[id].Service)
-	s.countUnleased(s.workers[id], -1)
-	delete(s.workers, id)
-	if i, known := s.workerIndex(id); known {
-		s.workerList = slices.Delete(s.workerList, i, i+1)
+	worker, known := s.workers[id]
+	if !known {
+		return
 	}
-}
-
-// workerIndex is where a worker is in the ordered list, or where it belongs.
-func (s *Store) workerIndex(id string) (int, bool) {
-	return slices.BinarySearchFunc(s.workerList, id, func(worker Worker, id string) int {
-		return cmp.Compare(worker.ID(), id)
-	})
-}
-
-// Workers gives all workers by name. The list is shared: it is not to be changed,
-// and good until the next command.
-func (s *Store) Workers() []Worker {
-	if s.workerList == nil {
-		s.workerList = make([]Worker, 0, len(s.workers))
-		for _, id := range slices.Sorted(maps.Keys(s.workers)) {
-			s.workerList = append(s.workerList, s.workers[id])
-		}
+	delete(s.serviceLoads, worker.Service)
+	s.countUnleased(worker, -1)
+	delete(s.workers, id)
+	s.entries.remove(id)
+	if s.usageOf(id).leaseCount == 0 {
+		delete(s.usage, id)
 	}
-	return s.workerList
 }
 
 // drainWorker drains a worker, or takes that back. What it runs may end.
@@ -115,13 +101,14 @@
 	if !ok {
 		return rejectUnknownName("worker", id, slices.Sorted(maps.Keys(s.workers)))
 	}
-	worker.Drained = drain
+	drained := *worker
+	drained.Drained = drain
 	kind := decisionDrainWorker
 	if !drain {
 		kind = decisionUndrainWorker
 	}
 	s.audit.record(Decision{Kind: kind, Worker: id})
-	s.setWorker(worker)
+	s.setWorker(drained)
 	s.changes = append(s.changes, Change{Worker: id})
 	return Result{Code: status.OK}
 }
@@ -138,9 +125,10 @@
 	case worker.ConfirmedDead:
 		return Result{Code: status.AlreadyDone}
 	}
-	worker.ConfirmedDead = true
+	dead := *worker
+	dead.ConfirmedDead = true
 	s.audit.record(Decision{Kind: decisionWorkerDead, Worker: id})
-	s.setWorker(worker)
+	s.setWorker(dead)
 	s.changes = append(s.changes, Change{Worker: id})
 	return Result{Code: status.OK}
 }
--- a/core/statetest/fixture.go
+++ b/core/statetest/fixture.go
@@ -186,7 +186,7 @@
 	job, _ := f.Store.Job(to.Job)
 	for i, spec := range job.Spec.Tasks {
 		if spec.ID == to.Task {
-			return job.Tasks[i]
+			return *job.Tasks[i]
 		}
 	}
 	f.T.Fatalf("no task %s", path)
--- a/tool/sim/control_result.go
+++ b/tool/sim/control_result.go
@@ -21,7 +21,8 @@
 			s.world.logf("open %s: %+v; %s", job.spec.ID, store.Explain(job.spec.ID), machine.MustJSON(stored.Tasks))
 		}
 	}
-	for _, worker := range store.Workers() {
+	for _, entry := range store.WorkerEntries() {
+		worker := entry.Record()
 		s.world.logf("worker %s live %v free %+v of %s",
 			worker.ID(), store.Live(worker), store.FreeResources(worker.ID()), machine.MustJSON(worker))
 	}
