Dispatch: bounds of what queues hold, and rows of workers, in place of look-ups by name

Cause, by profile: choosing a queue looked up eight maps by name for each of 240 workers, and a pull that may steal went through every group of every queue that is not empty. Change: each queue keeps lower bounds of what its tasks need and its first tier, a pull passes over the queues that cannot have anything better; the list of queues that are not empty is kept in order; workers stand beside their queues in one list; locality and step peers are looked at only among the workers about as loaded as the least loaded. The choices are the same: the benchmarks make the same starts.

--- a/core/dispatch/best_in_queue.go
+++ b/core/dispatch/best_in_queue.go
@@ -22,7 +22,7 @@
 // queueOwner is the worker to whom a queue belongs, if it is not the pulling one. Most
 // queues hold nothing for the pulling worker, so it is looked up when it is asked for.
 type queueOwner struct {
-	queue string
+	id string
 	// canTake is false in the worker's own queue, and for gangs, which are every worker's own.
 	canTake bool
 	known   bool
@@ -38,27 +38,29 @@
 	}
 	if !o.known {
 		o.known = true
-		o.worker, _ = pull.store.Worker(o.queue)
-		proposed := pull.inFlight.Resources[o.queue]
+		o.worker, _ = pull.store.Worker(o.id)
+		proposed := pull.inFlight.Resources[o.id]
 		if d.health.mayPull(pull.store, o.worker, proposed.Slots) {
-			o.free = pull.store.FreeResources(o.queue).Sub(proposed)
+			o.free = pull.store.FreeResources(o.id).Sub(proposed)
 		}
 	}
 	return o.free.Covers(job.Spec.Tasks[i].Resources) && pull.store.Fits(job, i, o.worker) == status.OK
 }
 
 // bestInQueue returns the best task of one queue for the pulling worker.
-func (d *Dispatcher) bestInQueue(pull *pullRequest, queue string, gangsOnly bool) bestCandidate {
+func (d *Dispatcher) bestInQueue(pull *pullRequest, queue *workerQueue, gangsOnly bool) bestCandidate {
 	var best bestCandidate
-	owner := queueOwner{queue: queue, canTake: queue != pull.id && !gangsOnly}
-	groups := d.queues.groups[queue]
-	for i := range groups {
-		group := &groups[i]
+	if gangsOnly && !queue.upToDate().mayFitGang(&pull.free) ||
+		!queue.upToDate().mayFit(&pull.free, pull.round.QuickOnly) {
+		return best
+	}
+	owner := queueOwner{id: queue.worker, canTake: queue.worker != pull.id && !gangsOnly}
+	for _, group := range queue.groups {
 		if gangsOnly && !group.key.isGang() {
 			continue
 		}
 		if admitted, ownerTakes := d.admit(pull, group, &owner); admitted {
-			d.examineGroup(pull, queue, group, ownerTakes, &best)
+			d.examineGroup(pull, queue.worker, group, ownerTakes, &best)
 		}
 	}
 	return best
@@ -68,10 +70,10 @@
 // whether the queue's owner could run them as well.
 func (d *Dispatcher) admit(p *pullRequest, group *taskGroup, owner *queueOwner) (admitted, ownerTakes bool) {
 	key, head := &group.key, group.head()
-	if p.round.QuickOnly && !isQuick(p.store, key.service, key.class) {
+	if p.round.QuickOnly && !key.quick || !p.free.Covers(key.resources) {
 		return false, false
 	}
-	if !p.free.Covers(key.resources) || !d.tenantAllows(p.store, &p.inFlight, key.tenant, key.resources) {
+	if !d.tenantAllows(p.store, &p.inFlight, key.tenant, key.resources) {
 		return false, false
 	}
 	job, ok := p.store.Job(head.Job)
@@ -127,7 +129,7 @@
 		best.consider(&candidate{
 			ref:      task.ref,
 			job:      job,
-			tier:     tierOf(pull.store, job, task.ref.Index),
+			tier:     tierOf(pull.store, &group.key, job, task.ref.Index),
 			level:    group.key.level,
 			locality: d.LocalityScore(job, task.ref, pull.id),
 			number:   task.number,
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -88,6 +88,8 @@
 	changedWorkers map[string]bool
 	// candidates is the memory of the last chooseQueue, used again.
 	candidates []queueCandidate
+	// rows are those of the workers that the store had last.
+	rows workerRows
 }
 
 // New returns a dispatcher that knows of no task yet.
@@ -103,7 +105,7 @@
 		health:         newHealthTracker(options),
 		trust:          newTrustTracker(),
 		runTimes:       runTimes{},
-		queues:         workerQueues{versions: map[string]uint64{}},
+		queues:         newWorkerQueues(),
 	}
 	d.reset()
 	return d
@@ -155,7 +157,7 @@
 }
 
 // QueueVersion changes whenever a task comes into a worker's queue.
-func (d *Dispatcher) QueueVersion(worker string) uint64 { return d.queues.versions[worker] }
+func (d *Dispatcher) QueueVersion(worker string) uint64 { return d.queues.of(worker).version }
 
 // QueueLengths returns the number of tasks in each worker's queue.
 func (d *Dispatcher) QueueLengths() map[string]int { return d.queues.lengths() }
--- a/core/dispatch/eligibility.go
+++ b/core/dispatch/eligibility.go
@@ -46,7 +46,7 @@
 func (d *Dispatcher) requeueUnfit(store *state.Store, id string, limit int) int {
 	worker, known := store.Worker(id)
 	delete(d.redistributing, id)
-	for _, group := range slices.Clone(d.queues.groups[id]) {
+	for _, group := range slices.Clone(d.queues.of(id).groups) {
 		head := group.head()
 		if job, ok := store.Job(head.Job); known && ok && store.Fits(job, head.Index, worker) == status.OK {
 			continue
@@ -93,7 +93,7 @@
 			return
 		}
 		left--
-		d.enqueue(job, ref, id, true)
+		d.enqueue(store, job, ref, id, true)
 	}
 }
 
@@ -117,7 +117,8 @@
 // unknown or silent.
 func (d *Dispatcher) RequeueFromLostWorkers(store *state.Store) {
 	var lost []string
-	for _, id := range d.queues.nonEmpty() {
+	for _, queue := range d.queues.nonEmpty {
+		id := queue.worker
 		if worker, ok := store.Worker(id); id != "" && (!ok || !store.Live(worker)) {
 			lost = append(lost, id)
 		}
--- a/core/dispatch/fixture_test.go
+++ b/core/dispatch/fixture_test.go
@@ -48,7 +48,7 @@
 		for i, spec := range job.Spec.Tasks {
 			if job.Spec.ID+"/"+spec.ID == ref {
 				s.dispatcher.dequeue(TaskRef{job.Spec.ID, i})
-				s.dispatcher.enqueue(job, TaskRef{job.Spec.ID, i}, worker, true)
+				s.dispatcher.enqueue(s.Store, job, TaskRef{job.Spec.ID, i}, worker, true)
 			}
 		}
 	}
--- a/core/dispatch/locality.go
+++ b/core/dispatch/locality.go
@@ -25,9 +25,29 @@
 // LocalityScore is |H ∩ D| / |D| (Fela, see docs/fela.md): H is what the worker has
 // completed, and D what the task depends on. Without dependencies it is 0 for every worker.
 func (d *Dispatcher) LocalityScore(job *state.Job, ref TaskRef, worker string) float64 {
+	return d.localityScores(job, ref).of(worker)
+}
+
+// localityScores are those of one task.
+type localityScores struct {
+	// outputs counts, per worker, the inputs of the task that it holds, of so many.
+	outputs map[string]int
+	inputs  int
+}
+
+// of returns the score of a worker.
+func (l localityScores) of(worker string) float64 {
+	if l.inputs == 0 {
+		return 0
+	}
+	return float64(l.outputs[worker]) / float64(l.inputs)
+}
+
+// localityScores returns the scores of a task for all workers.
+func (d *Dispatcher) localityScores(job *state.Job, ref TaskRef) localityScores {
 	dependencies := job.Spec.Tasks[ref.Index].Dependencies
 	if len(dependencies) == 0 || d.options.WithoutLocality {
-		return 0
+		return localityScores{}
 	}
 	key := inputKey{ref.Job, dependencies[0], len(dependencies)}
 	outputs, known := d.inputs[key]
@@ -39,7 +59,7 @@
 			d.inputs[key] = outputs
 		}
 	}
-	return float64(outputs[worker]) / float64(len(dependencies))
+	return localityScores{outputs, len(dependencies)}
 }
 
 // countOutputs counts the complete ones of a job's tasks per worker that holds the
--- a/core/dispatch/locations.go
+++ b/core/dispatch/locations.go
@@ -1,5 +1,7 @@
 package dispatch
 
+import "sorrelloom/core/state"
+
 // location is the worker at which a task is, and in which role. No task is at the
 // worker with the empty name.
 type location struct {
@@ -75,11 +77,27 @@
 	}
 }
 
-// stepPeers counts the other tasks of a task's step at a worker.
-func (t *taskLocations) stepPeers(ref TaskRef, level int, worker string) int {
-	count := t.byStep[stepKey{ref.Job, level}][worker]
-	if t.byTask[ref].worker == worker {
+// stepPeers counts the other tasks of one task's step at each worker.
+type stepPeers struct {
+	byWorker map[string]int
+	// own is the worker at which the task itself is counted.
+	own string
+}
+
+// at returns the count at a worker.
+func (p stepPeers) at(worker string) int {
+	count := p.byWorker[worker]
+	if count > 0 && worker == p.own {
 		count--
 	}
 	return count
 }
+
+// peersOf returns the counts for a task.
+func (d *Dispatcher) peersOf(job *state.Job, ref TaskRef) stepPeers {
+	if d.options.WithoutStepPeers {
+		return stepPeers{}
+	}
+	level := job.Tasks[ref.Index].Level
+	return stepPeers{d.locations.byStep[stepKey{ref.Job, level}], d.locations.byTask[ref].worker}
+}
--- a/core/dispatch/order.go
+++ b/core/dispatch/order.go
@@ -21,14 +21,14 @@
 	return t.score < other.score
 }
 
-func tierOf(store *state.Store, job *state.Job, i int) tier {
-	class := store.Config().Services[job.Spec.Service].Classes[job.Spec.Class]
+// tierOf returns the tier of a task in a group with the given key.
+func tierOf(store *state.Store, key *groupKey, job *state.Job, i int) tier {
 	if store.Policies().OrdersByPriority() {
-		return tier{class.Quick, float64(class.Priority)}
+		return tier{key.quick, float64(key.priority)}
 	}
 	usedSlots, shareSlots := store.ClassUse(job.Spec.Service, job.Spec.Class)
 	score := store.Policies().Order(config.OrderInput{
-		Priority:      class.Priority,
+		Priority:      key.priority,
 		Level:         job.Tasks[i].Level,
 		WaitedSeconds: (store.Now() - job.Tasks[i].ReadyAt).Seconds(),
 		Share:         shareSlots,
@@ -37,7 +37,7 @@
 		Service:       job.Spec.Service,
 		Slots:         job.Spec.Tasks[i].Resources.Slots,
 	})
-	return tier{class.Quick, math.Floor(score)}
+	return tier{key.quick, math.Floor(score)}
 }
 
 // candidate is a task that a worker could take.
--- a/core/dispatch/placement.go
+++ b/core/dispatch/placement.go
@@ -13,12 +13,50 @@
 
 // queueCandidate is a worker that may take a task into its queue.
 type queueCandidate struct {
-	worker        string
-	deprioritized bool
-	nearData      bool
-	locality      float64
-	load          float64
-	stepPeers     int
+	entry *state.WorkerEntry
+	queue *workerQueue
+	// soundness ranks candidates before all else.
+	soundness int
+	nearData  bool
+	load      float64
+	// locality and stepPeers are found only for candidates that are eligible by the rest.
+	locality  float64
+	stepPeers int
+}
+
+// nearAndSound is the soundness of a worker near a task's data that is not deprioritized, and
+// deprioritized that of one that is.
+const (
+	deprioritized = iota
+	awayFromData
+	nearAndSound
+)
+
+// workerRow is a worker with its queue.
+type workerRow struct {
+	entry *state.WorkerEntry
+	queue *workerQueue
+}
+
+// workerRows are the rows of all workers by name, of one version of a store's list.
+type workerRows struct {
+	store   *state.Store
+	version uint64
+	rows    []workerRow
+}
+
+// currentRows returns the rows of all workers, by name.
+func (d *Dispatcher) currentRows(store *state.Store) []workerRow {
+	entries := store.WorkerEntries()
+	cached := &d.rows
+	if cached.store == store && cached.version == store.WorkerListVersion() {
+		return cached.rows
+	}
+	cached.store, cached.version, cached.rows = store, store.WorkerListVersion(), cached.rows[:0]
+	for _, entry := range entries {
+		cached.rows = append(cached.rows, workerRow{entry, d.queues.of(entry.ID())})
+	}
+	return cached.rows
 }
 
 // chooseQueue puts a runnable task into the queue of a worker that fits. Workers
@@ -29,85 +67,85 @@
 // the one with the smallest name.
 func (d *Dispatcher) chooseQueue(store *state.Store, job *state.Job, ref TaskRef) {
 	if d.options.SingleQueue {
-		d.enqueue(job, ref, "", true)
+		d.enqueue(store, job, ref, "", true)
 		return
 	}
 	candidates := d.collectCandidates(store, job, ref)
-	best, anyRack := d.bestQueue(candidates)
+	best, anyRack := d.bestQueue(candidates, job, ref)
 	if best < 0 {
 		d.unplaced[ref] = true
 		d.retrySilentWorkers(store)
 		return
 	}
-	d.enqueue(job, ref, candidates[best].worker, anyRack)
+	d.enqueue(store, job, ref, candidates[best].queue.worker, anyRack)
 }
 
 // bestQueue returns the index of the best candidate, or -1, and whether none of them is a
 // sound worker near the task's data.
-func (d *Dispatcher) bestQueue(candidates []queueCandidate) (best int, anyRack bool) {
-	soundest := 0
+func (d *Dispatcher) bestQueue(candidates []queueCandidate, job *state.Job, ref TaskRef) (best int, anyRack bool) {
+	soundest := deprioritized
 	for i := range candidates {
-		soundest = max(soundest, d.soundness(&candidates[i]))
+		soundest = max(soundest, candidates[i].soundness)
 	}
 	anyRack = soundest < nearAndSound
 	leastLoad := math.Inf(1)
 	for i := range candidates {
-		if d.soundness(&candidates[i]) == soundest {
+		if candidates[i].soundness == soundest {
 			leastLoad = math.Min(leastLoad, candidates[i].load)
 		}
 	}
+	localities, peers := d.localityScores(job, ref), d.peersOf(job, ref)
 	best = -1
 	for i := range candidates {
 		candidate := &candidates[i]
-		eligible := d.soundness(candidate) == soundest && candidate.load <= leastLoad+loadTolerance
-		if eligible && (best < 0 || candidate.precedes(&candidates[best])) {
+		if candidate.soundness != soundest || candidate.load > leastLoad+loadTolerance {
+			continue
+		}
+		candidate.locality = localities.of(candidate.queue.worker)
+		candidate.stepPeers = peers.at(candidate.queue.worker)
+		if best < 0 || candidate.precedes(&candidates[best]) {
 			best = i
 		}
 	}
 	return best, anyRack
 }
 
-// nearAndSound is the soundness of a worker near a task's data that is not deprioritized.
-const nearAndSound = 2
-
-// soundness ranks candidates before all else.
-func (d *Dispatcher) soundness(candidate *queueCandidate) int {
-	switch {
-	case candidate.deprioritized:
-		return 0
-	case candidate.nearData || d.options.WithoutNearPatience:
-		return nearAndSound
-	}
-	return 1
-}
-
 // collectCandidates returns the workers that fit a task, by name, in memory that
 // the next call uses again.
 func (d *Dispatcher) collectCandidates(store *state.Store, job *state.Job, ref TaskRef) []queueCandidate {
 	candidates := d.candidates[:0]
-	resources, level := job.Spec.Tasks[ref.Index].Resources, job.Tasks[ref.Index].Level
-	for _, entry := range store.WorkerEntries() {
-		worker := entry.Record()
-		if !worker.Capacity.Covers(resources) {
+	resources := &job.Spec.Tasks[ref.Index].Resources
+	for _, row := range d.currentRows(store) {
+		worker := row.entry.Record()
+		if !worker.Capacity.Covers(*resources) || store.Fits(job, ref.Index, worker) != status.OK ||
+			d.failedOnWorker(store, job, ref.Index, worker) {
 			continue
 		}
-		if store.Fits(job, ref.Index, worker) != status.OK || d.failedOnWorker(store, job, ref.Index, worker) {
-			continue
-		}
-		id := worker.ID()
+		nearData := d.options.WithoutNearData || isNearData(job, ref.Index, worker)
 		candidates = append(candidates, queueCandidate{
-			worker:        id,
-			deprioritized: d.health.deprioritized(store, worker) && !d.mayProbe(store, job, worker),
-			nearData:      d.options.WithoutNearData || isNearData(job, ref.Index, worker),
-			locality:      d.LocalityScore(job, ref, id),
-			load:          d.load(store, worker),
-			stepPeers:     d.stepPeers(ref, level, id),
+			entry:     row.entry,
+			queue:     row.queue,
+			soundness: d.soundness(store, job, row, nearData),
+			nearData:  nearData,
+			load:      d.load(row),
 		})
 	}
 	d.candidates = candidates
 	return candidates
 }
 
+// soundness ranks a worker for a task by its health and its distance from the data.
+func (d *Dispatcher) soundness(store *state.Store, job *state.Job, row workerRow, nearData bool) int {
+	worker := row.entry.Record()
+	switch {
+	case d.health.deprioritized(store, worker) && !d.mayProbe(store, job, worker):
+		return deprioritized
+	case nearData || d.options.WithoutNearPatience:
+		return nearAndSound
+	}
+	return awayFromData
+}
+
 func (c *queueCandidate) precedes(other *queueCandidate) bool {
 	switch {
 	case c.nearData != other.nearData:
@@ -120,19 +158,11 @@
 	return c.load < other.load
 }
 
-// stepPeers counts the other tasks of a task's step at a worker.
-func (d *Dispatcher) stepPeers(ref TaskRef, level int, worker string) int {
-	if d.options.WithoutStepPeers {
-		return 0
-	}
-	return d.locations.stepPeers(ref, level, worker)
-}
-
 // load is the part of a worker's slots that are used or queued for. It may be over 1.
-func (d *Dispatcher) load(store *state.Store, worker *state.Worker) float64 {
-	id := worker.ID()
-	slots := d.queues.slots[id] + worker.Capacity.Slots - store.FreeResources(id).Slots
-	return float64(slots) / math.Max(1, float64(worker.Capacity.Slots))
+func (d *Dispatcher) load(row workerRow) float64 {
+	capacity := row.entry.Record().Capacity.Slots
+	slots := row.queue.slots + capacity - row.entry.FreeResources().Slots
+	return float64(slots) / math.Max(1, float64(capacity))
 }
 
 // mayProbe reports whether a deprioritized worker is to be tried again with this
@@ -140,9 +170,9 @@
 func (d *Dispatcher) mayProbe(store *state.Store, job *state.Job, worker *state.Worker) bool {
 	id := worker.ID()
 	return !isQuick(store, job.Spec.Service, job.Spec.Class) && store.Now() >= d.health.workers[id].pausedUntil &&
-		d.queues.slots[id] == 0 && store.LeaseCount(id) == 0
+		d.queues.of(id).slots == 0 && store.LeaseCount(id) == 0
 }
 
 func isQuick(store *state.Store, service, class string) bool {
-	return store.Config().Services[service].Classes[class].Quick
+	return store.Class(service, class).Quick
 }
--- a/core/dispatch/preempt.go
+++ b/core/dispatch/preempt.go
@@ -28,9 +28,7 @@
 		if worker.Zone != zone {
 			continue
 		}
-		groups := d.queues.groups[worker.ID()]
-		for i := range groups {
-			group := &groups[i]
+		for _, group := range d.queues.of(worker.ID()).groups {
 			head := group.tasks[0]
 			ref := head.ref
 			job, ok := store.Job(ref.Job)
--- a/core/dispatch/pull.go
+++ b/core/dispatch/pull.go
@@ -60,7 +60,7 @@
 	}
 	proposed := inFlight.Resources[worker]
 	free := store.FreeResources(worker).Sub(proposed)
-	if free.Slots < 1 || !d.health.mayPull(store, w, proposed.Slots) {
+	if free.Slots < 1 || !d.queues.currentFloor().mayFit(&free, round.QuickOnly) || !d.health.mayPull(store, w, proposed.Slots) {
 		return Proposal{}, false
 	}
 	pull := pullRequest{store: store, id: worker, worker: w, free: free, inFlight: inFlight, round: round}
@@ -86,9 +86,9 @@
 
 func (d *Dispatcher) bestForPull(pull *pullRequest) bestCandidate {
 	if d.options.SingleQueue {
-		return d.bestInQueue(pull, "", false)
+		return d.bestInQueue(pull, d.queues.of(""), false)
 	}
-	best := d.bestInQueue(pull, pull.id, false)
+	best := d.bestInQueue(pull, d.queues.of(pull.id), false)
 	if pull.round.Steal {
 		return d.bestToSteal(pull, best)
 	}
@@ -98,8 +98,8 @@
 // bestGang looks for a gang that comes before the best task of the worker's own
 // queue. A gang is in one queue for all its members, and counts as every worker's own.
 func (d *Dispatcher) bestGang(pull *pullRequest, best bestCandidate) bestCandidate {
-	for _, queue := range d.queues.withGangs() {
-		if queue == pull.id {
+	for _, queue := range d.queues.withGangs {
+		if queue.worker == pull.id {
 			continue
 		}
 		gang := d.bestInQueue(pull, queue, true)
--- a/core/dispatch/queues.go
+++ b/core/dispatch/queues.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"fmt"
-	"maps"
 	"math"
 	"slices"
 	"sort"
@@ -29,6 +28,9 @@
 	// spreadKey is set for tasks of which a worker may run a limited number at once.
 	// It keeps those of other steps in groups of their own.
 	spreadKey string
+	// quick and priority are those of the class.
+	quick    bool
+	priority int
 }
 
 func (k *groupKey) isGang() bool { return k.gangSlots > 0 }
@@ -49,57 +51,105 @@
 // head returns the task with the smallest number.
 func (g *taskGroup) head() TaskRef { return g.tasks[0].ref }
 
+// workerQueue holds the runnable tasks of one worker.
+type workerQueue struct {
+	worker string
+	groups []*taskGroup
+	// length is the number of tasks, slots are those of all tasks together, and gangs is the
+	// number of gangs.
+	length int
+	slots  int
+	gangs  int
+	// version counts the tasks that ever came into the queue.
+	version uint64
+	// summary tells in short what the queue holds.
+	summary queueSummary
+}
+
 // workerQueues holds a queue of runnable tasks per worker.
 type workerQueues struct {
-	groups map[string][]taskGroup
-	// slots are those of all tasks in a queue together.
-	slots     map[string]int
+	byWorker  map[string]*workerQueue
 	positions map[TaskRef]queuePosition
-	// versions count the tasks that ever came into a queue.
-	versions map[string]uint64
-	// gangs counts the gangs in each queue that has any.
-	gangs map[string]int
-	// nonEmptyCache holds the result of nonEmpty, withGangsCache that of withGangs; nil is
-	// unknown.
-	nonEmptyCache  []string
-	withGangsCache []string
+	// nonEmpty are the queues that hold a task, and withGangs those that hold a gang, by
+	// the names of their workers.
+	nonEmpty  queueList
+	withGangs queueList
+	// floor is a lower bound of what the queued tasks need.
+	floor needFloor
 }
 
+// queuePosition is where a task is queued.
 type queuePosition struct {
-	worker string
-	key    groupKey
+	queue  *workerQueue
+	group  *taskGroup
 	number uint64
 }
 
+func newWorkerQueues() workerQueues {
+	queues := workerQueues{byWorker: map[string]*workerQueue{}}
+	queues.reset()
+	return queues
+}
+
 // reset empties all queues. The versions stay, since they only ever grow.
 func (q *workerQueues) reset() {
-	q.groups = map[string][]taskGroup{}
-	q.slots = map[string]int{}
+	for _, queue := range q.byWorker {
+		*queue = workerQueue{worker: queue.worker, version: queue.version}
+	}
 	q.positions = map[TaskRef]queuePosition{}
-	q.gangs = map[string]int{}
-	q.nonEmptyCache, q.withGangsCache = nil, nil
+	q.nonEmpty, q.withGangs = nil, nil
+	q.floor = needFloor{}
 }
 
+// of returns the queue of a worker.
+func (q *workerQueues) of(worker string) *workerQueue {
+	queue := q.byWorker[worker]
+	if queue == nil {
+		queue = &workerQueue{worker: worker}
+		q.byWorker[worker] = queue
+	}
+	return queue
+}
+
+// contains reports whether a task is in a queue.
 func (q *workerQueues) contains(ref TaskRef) bool {
 	_, ok := q.positions[ref]
 	return ok
 }
 
+// workerOf returns the worker in whose queue a task is.
+func (q *workerQueues) workerOf(ref TaskRef) (worker string, queued bool) {
+	position, queued := q.positions[ref]
+	if !queued {
+		return "", false
+	}
+	return position.queue.worker, true
+}
+
 func (q *workerQueues) insert(task queuedTask, worker string, key groupKey) {
-	q.versions[worker]++
-	q.nonEmptyCache = nil
-	q.positions[task.ref] = queuePosition{worker, key, task.number}
-	q.slots[worker] += key.resources.Slots
-	q.countGang(worker, &key, 1)
-	groups := q.groups[worker]
-	i := indexOfKey(groups, &key)
-	if i < 0 {
-		groups = append(groups, taskGroup{key: key})
-		i = len(groups) - 1
-	}
-	j, _ := searchNumber(groups[i].tasks, task.number)
-	groups[i].tasks = slices.Insert(groups[i].tasks, j, task)
-	q.groups[worker] = groups
+	queue := q.of(worker)
+	group := queue.group(&key)
+	if group == nil {
+		group = &taskGroup{key: key}
+		queue.groups = append(queue.groups, group)
+		queue.summary.add(&group.key)
+		q.floor.add(&group.key)
+	}
+	i, _ := searchNumber(group.tasks, task.number)
+	group.tasks = slices.Insert(group.tasks, i, task)
+	q.positions[task.ref] = queuePosition{queue, group, task.number}
+	queue.version++
+	queue.length++
+	queue.slots += key.resources.Slots
+	if queue.length == 1 {
+		q.nonEmpty.add(queue)
+	}
+	if !key.isGang() {
+		return
+	}
+	if queue.gangs++; queue.gangs == 1 {
+		q.withGangs.add(queue)
+	}
 }
 
 // remove reports whether the task was in a queue.
@@ -109,51 +159,42 @@
 		return false
 	}
 	delete(q.positions, ref)
-	q.nonEmptyCache = nil
-	q.slots[position.worker] -= position.key.resources.Slots
-	q.countGang(position.worker, &position.key, -1)
-	groups := q.groups[position.worker]
-	i := indexOfKey(groups, &position.key)
-	if i < 0 {
-		return true
+	queue, group := position.queue, position.group
+	if i, found := searchNumber(group.tasks, position.number); found {
+		group.tasks = slices.Delete(group.tasks, i, i+1)
 	}
-	if j, found := searchNumber(groups[i].tasks, position.number); found {
-		groups[i].tasks = slices.Delete(groups[i].tasks, j, j+1)
+	if len(group.tasks) == 0 {
+		i := slices.Index(queue.groups, group)
+		queue.groups = slices.Delete(queue.groups, i, i+1)
+		queue.summary.stale = true
+		q.floor.stale = true
 	}
-	if len(groups[i].tasks) == 0 {
-		groups = slices.Delete(groups, i, i+1)
+	queue.slots -= group.key.resources.Slots
+	if queue.length--; queue.length == 0 {
+		q.nonEmpty.remove(queue)
 	}
-	q.groups[position.worker] = groups
-	return true
-}
-
-// nonEmpty returns the workers whose queues hold a task, by name.
-func (q *workerQueues) nonEmpty() []string {
-	if q.nonEmptyCache == nil {
-		q.nonEmptyCache = make([]string, 0, len(q.groups))
-		for worker, groups := range q.groups {
-			if len(groups) > 0 {
-				q.nonEmptyCache = append(q.nonEmptyCache, worker)
-			}
+	if group.key.isGang() {
+		if queue.gangs--; queue.gangs == 0 {
+			q.withGangs.remove(queue)
 		}
-		slices.Sort(q.nonEmptyCache)
 	}
-	return q.nonEmptyCache
+	return true
 }
 
-// length returns the number of tasks in a worker's queue.
-func (q *workerQueues) length(worker string) int {
-	length := 0
-	for _, group := range q.groups[worker] {
-		length += len(group.tasks)
+// group returns the group with a key, or nil.
+func (w *workerQueue) group(key *groupKey) *taskGroup {
+	for _, group := range w.groups {
+		if group.key == *key {
+			return group
+		}
 	}
-	return length
+	return nil
 }
 
 func (q *workerQueues) lengths() map[string]int {
 	lengths := map[string]int{}
-	for _, position := range q.positions {
-		lengths[position.worker]++
+	for _, queue := range q.nonEmpty {
+		lengths[queue.worker] = queue.length
 	}
 	return lengths
 }
@@ -161,44 +202,33 @@
 // countAlike counts the tasks of a key in all queues.
 func (q *workerQueues) countAlike(key groupKey) int {
 	count := 0
-	for _, groups := range q.groups {
-		for _, group := range groups {
-			if group.key == key {
-				count += len(group.tasks)
-			}
+	for _, queue := range q.nonEmpty {
+		if group := queue.group(&key); group != nil {
+			count += len(group.tasks)
 		}
 	}
 	return count
 }
 
-// indexOfKey returns the index of the group with a key, or -1.
-func indexOfKey(groups []taskGroup, key *groupKey) int {
-	for i := range groups {
-		if groups[i].key == *key {
-			return i
-		}
+// queueList is a list of queues by the names of their workers.
+type queueList []*workerQueue
+
+func (l *queueList) add(queue *workerQueue) {
+	if i, found := l.search(queue.worker); !found {
+		*l = slices.Insert(*l, i, queue)
 	}
-	return -1
 }
 
-// countGang counts a task that came into a queue, by 1, or left it, by -1, if it is a gang.
-func (q *workerQueues) countGang(worker string, key *groupKey, by int) {
-	if !key.isGang() {
-		return
-	}
-	if q.gangs[worker] += by; q.gangs[worker] == 0 {
-		delete(q.gangs, worker)
+func (l *queueList) remove(queue *workerQueue) {
+	if i, found := l.search(queue.worker); found {
+		*l = slices.Delete(*l, i, i+1)
 	}
-	q.withGangsCache = nil
 }
 
-// withGangs returns the workers whose queues hold a gang, by name.
-func (q *workerQueues) withGangs() []string {
-	if q.withGangsCache == nil {
-		q.withGangsCache = slices.AppendSeq(make([]string, 0, len(q.gangs)), maps.Keys(q.gangs))
-		slices.Sort(q.withGangsCache)
-	}
-	return q.withGangsCache
+func (l *queueList) search(worker string) (int, bool) {
+	return slices.BinarySearchFunc(*l, worker, func(queue *workerQueue, worker string) int {
+		return cmp.Compare(queue.worker, worker)
+	})
 }
 
 func searchNumber(tasks []queuedTask, number uint64) (int, bool) {
@@ -206,9 +236,12 @@
 	return slices.BinarySearchFunc(tasks, number, compare)
 }
 
-func groupKeyOf(job *state.Job, i int) groupKey {
-	spec := job.Spec.Tasks[i]
+func groupKeyOf(store *state.Store, job *state.Job, i int) groupKey {
+	spec := &job.Spec.Tasks[i]
+	class := store.Class(job.Spec.Service, job.Spec.Class)
 	key := groupKey{
+		quick:         class.Quick,
+		priority:      class.Priority,
 		service:       job.Spec.Service,
 		class:         job.Spec.Class,
 		tenant:        job.Tenant,
--- a/core/dispatch/reservation.go
+++ b/core/dispatch/reservation.go
@@ -50,10 +50,10 @@
 		return
 	}
 	*cache = reservationCache{store.Now(), map[string]reservation{}, map[string]waitingGang{}}
-	for _, groups := range d.queues.groups {
-		for i := range groups {
-			if groups[i].key.isGang() {
-				cache.addGroup(store, &groups[i])
+	for _, queue := range d.queues.withGangs {
+		for _, group := range queue.groups {
+			if group.key.isGang() {
+				cache.addGroup(store, group)
 			}
 		}
 	}
--- a/core/dispatch/steal.go
+++ b/core/dispatch/steal.go
@@ -33,18 +33,21 @@
 // in own, is stolen from nobody unless another's is of a higher tier.
 func (d *Dispatcher) bestToSteal(pull *pullRequest, own bestCandidate) bestCandidate {
 	best := own
-	for _, queue := range d.queues.nonEmpty() {
-		if queue == pull.id {
+	byPriority := pull.store.Policies().OrdersByPriority()
+	for _, queue := range d.queues.nonEmpty {
+		if queue.worker == pull.id || !queue.upToDate().mayFit(&pull.free, pull.round.QuickOnly) {
+			continue
+		}
+		bound := bestCandidate{candidate: candidate{tier: queue.summary.topTier()}, found: true}
+		bound.helpers, bound.progress = d.straggler(queue)
+		if byPriority && !bound.shouldBeStolenBefore(&best, pull.id) {
 			continue
 		}
 		other := d.bestInQueue(pull, queue, false)
 		if !other.found {
 			continue
 		}
-		other.helpers, other.progress = d.steals.helpers[queue], d.Progress(queue)
-		if d.options.WithoutHelperOrder {
-			other.helpers, other.progress = 0, 0
-		}
+		other.helpers, other.progress = bound.helpers, bound.progress
 		if other.shouldBeStolenBefore(&best, pull.id) {
 			best = other
 		}
@@ -52,6 +55,14 @@
 	return best
 }
 
+// straggler returns how many help a queue's worker, and its progress.
+func (d *Dispatcher) straggler(queue *workerQueue) (helpers int, progress float64) {
+	if d.options.WithoutHelperOrder {
+		return 0, 0
+	}
+	return d.steals.helpers[queue.worker], d.Progress(queue.worker)
+}
+
 // shouldBeStolenBefore compares a straggler's best task with the best found so far,
 // which may be of the worker's own queue.
 func (b *bestCandidate) shouldBeStolenBefore(best *bestCandidate, ownQueue string) bool {
@@ -69,7 +80,7 @@
 // Progress is the completed part of a worker's tasks: those completed, running and queued.
 func (d *Dispatcher) Progress(worker string) float64 {
 	completed := d.completed[worker]
-	left := d.queues.length(worker) + d.locations.running[worker]
+	left := d.queues.of(worker).length + d.locations.running[worker]
 	if left == 0 {
 		return 1
 	}
--- a/core/dispatch/task_changes.go
+++ b/core/dispatch/task_changes.go
@@ -46,7 +46,7 @@
 // startAttempt takes note of a lease in force.
 func (d *Dispatcher) startAttempt(ref TaskRef, task *state.Task) {
 	worker := task.Lease.Worker
-	if queue := d.queues.positions[ref].worker; queue != "" && queue != worker {
+	if queue, queued := d.queues.workerOf(ref); queued && queue != "" && queue != worker {
 		d.steals.begin(ref, queue)
 	}
 	d.dequeue(ref)
@@ -107,12 +107,12 @@
 }
 
 // enqueue puts a task into a worker's queue. AnyRack says that no worker near its data fits.
-func (d *Dispatcher) enqueue(job *state.Job, ref TaskRef, worker string, anyRack bool) {
+func (d *Dispatcher) enqueue(store *state.Store, job *state.Job, ref TaskRef, worker string, anyRack bool) {
 	task := job.Tasks[ref.Index]
 	d.changedWorkers[worker] = true
 	delete(d.unplaced, ref)
 	d.locations.move(ref, location{worker, task.Level, taskQueued})
-	d.queues.insert(queuedTask{ref, task.Number, anyRack}, worker, groupKeyOf(job, ref.Index))
+	d.queues.insert(queuedTask{ref, task.Number, anyRack}, worker, groupKeyOf(store, job, ref.Index))
 }
 
 func (d *Dispatcher) dequeue(ref TaskRef) {
--- a/core/state/store.go
+++ b/core/state/store.go
@@ -118,6 +118,11 @@
 // Config is the configuration in force.
 func (s *Store) Config() config.Config { return s.config }
 
+// Class is the configuration in force of a class, the zero value if there is none.
+func (s *Store) Class(service, class string) config.Class {
+	return s.config.Services[service].Classes[class]
+}
+
 // setConfig puts a configuration in force, with what is derived from it.
 func (s *Store) setConfig(c config.Config) {
 	s.config, s.policies, s.tenantsByKey = c, c.Compile(), c.TenantsByKey()
