Dispatch: the tasks of a step that become ready together share their candidates

Choosing a queue looked at all workers for each task of a step. The next task of the step has the same candidates, of which only the one chosen last has changed, until anything else does.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -86,8 +86,10 @@
 
 	// changedWorkers are those into whose queues a task came, or whose lease ended.
 	changedWorkers map[string]bool
-	// candidates is the memory of the last chooseQueue, used again.
+	// candidates are those of the last chooseQueue, and placement is what it chose; it is
+	// valid until anything changes that the candidates depend on.
 	candidates []queueCandidate
+	placement  lastPlacement
 	// rows are those of the workers that the store had last.
 	rows workerRows
 }
@@ -128,6 +130,7 @@
 
 // Update takes the changes of the state, and continues a rebuild that is under way.
 func (d *Dispatcher) Update(store *state.Store, changes []state.Change) {
+	d.placement = lastPlacement{}
 	for _, change := range changes {
 		switch {
 		case change.All:
--- a/core/dispatch/placement.go
+++ b/core/dispatch/placement.go
@@ -70,7 +70,7 @@
 		d.enqueue(store, job, ref, "", true)
 		return
 	}
-	candidates := d.collectCandidates(store, job, ref)
+	candidates := d.candidatesFor(store, job, ref)
 	best, anyRack := d.bestQueue(candidates, job, ref)
 	if best < 0 {
 		d.unplaced[ref] = true
@@ -78,6 +78,43 @@
 		return
 	}
 	d.enqueue(store, job, ref, candidates[best].queue.worker, anyRack)
+	d.placement = d.placementOf(job, ref, best)
+}
+
+// lastPlacement is that of the last task for which a queue was chosen. The next one of its
+// step has the same candidates, of which only the one chosen has changed.
+type lastPlacement struct {
+	valid            bool
+	job              string
+	step, repetition int
+	// chosen is the index of the candidate chosen.
+	chosen int
+}
+
+// placementOf returns the placement of a task at a candidate. It stands for the other tasks
+// of its step, which are alike but for the workers that they have failed on.
+func (d *Dispatcher) placementOf(job *state.Job, ref TaskRef, chosen int) lastPlacement {
+	spec := &job.Spec.Tasks[ref.Index]
+	return lastPlacement{
+		valid:      len(job.Spec.Steps) > 0 && len(job.Tasks[ref.Index].FailedOn) == 0,
+		job:        ref.Job,
+		step:       spec.Step,
+		repetition: spec.Repetition,
+		chosen:     chosen,
+	}
+}
+
+// candidatesFor returns the workers that fit a task, by name, in memory that the next call
+// uses again.
+func (d *Dispatcher) candidatesFor(store *state.Store, job *state.Job, ref TaskRef) []queueCandidate {
+	last := &d.placement
+	if !last.valid || *last != d.placementOf(job, ref, last.chosen) {
+		return d.collectCandidates(store, job, ref)
+	}
+	changed := &d.candidates[last.chosen]
+	row := workerRow{changed.entry, changed.queue}
+	changed.soundness, changed.load = d.soundness(store, job, row, changed.nearData), d.load(row)
+	return d.candidates
 }
 
 // bestQueue returns the index of the best candidate, or -1, and whether none of them is a
@@ -110,8 +147,7 @@
 	return best, anyRack
 }
 
-// collectCandidates returns the workers that fit a task, by name, in memory that
-// the next call uses again.
+// collectCandidates finds the workers that fit a task.
 func (d *Dispatcher) collectCandidates(store *state.Store, job *state.Job, ref TaskRef) []queueCandidate {
 	candidates := d.candidates[:0]
 	resources := &job.Spec.Tasks[ref.Index].Resources
--- a/core/dispatch/requeue.go
+++ b/core/dispatch/requeue.go
@@ -15,6 +15,7 @@
 			ref.Index--
 		}
 	}
+	d.placement = lastPlacement{}
 	d.dequeue(ref)
 	d.updateTask(store, ref)
 }
--- a/core/dispatch/task_changes.go
+++ b/core/dispatch/task_changes.go
@@ -64,6 +64,7 @@
 	}
 	d.health.observeEnd(store, job, ref.Index, attempt, usual)
 	delete(d.running, ref)
+	d.placement = lastPlacement{}
 	if at := d.locations.byTask[ref]; at.worker == attempt.worker && at.role == outputHeld {
 		// An earlier attempt of this worker has completed the task. completeTask, which
 		// is called next, counts this attempt as another completion.
@@ -110,6 +111,7 @@
 func (d *Dispatcher) enqueue(store *state.Store, job *state.Job, ref TaskRef, worker string, anyRack bool) {
 	task := job.Tasks[ref.Index]
 	d.changedWorkers[worker] = true
+	d.placement = lastPlacement{}
 	delete(d.unplaced, ref)
 	d.locations.move(ref, location{worker, task.Level, taskQueued})
 	d.queues.insert(queuedTask{ref, task.Number, anyRack}, worker, groupKeyOf(store, job, ref.Index))
@@ -118,6 +120,7 @@
 func (d *Dispatcher) dequeue(ref TaskRef) {
 	delete(d.unplaced, ref)
 	if d.queues.remove(ref) {
+		d.placement = lastPlacement{}
 		d.locations.move(ref, location{})
 	}
 }
