--- a/core/dispatch/pull.go
+++ b/core/dispatch/pull.go
@@ -60,7 +60,8 @@
 	}
 	proposed := inFlight.Resources[worker]
 	free := store.FreeResources(worker).Sub(proposed)
-	if free.Slots < 1 || !d.queues.currentFloor().mayFit(&free, round.QuickOnly) || !d.health.mayPull(store, w, proposed.Slots) {
+	if free.Slots < 1 || !d.queues.currentFloor().mayFit(&free, round.QuickOnly) ||
+		!d.health.mayPull(store, w, proposed.Slots) {
 		return Proposal{}, false
 	}
 	pull := pullRequest{store: store, id: worker, worker: w, free: free, inFlight: inFlight, round: round}
--- a/core/dispatch/reservation.go
+++ b/core/dispatch/reservation.go
@@ -106,7 +106,9 @@
 }
 
 // placeFirstFit takes a task's resources from the first worker that fits.
-func placeFirstFit(store *state.Store, job *state.Job, i int, workers []*state.WorkerEntry, free []state.Resources) bool {
+func placeFirstFit(
+	store *state.Store, job *state.Job, i int, workers []*state.WorkerEntry, free []state.Resources,
+) bool {
 	need := job.Spec.Tasks[i].Resources
 	for n := range workers {
 		if store.Fits(job, i, workers[n].Record()) == status.OK && free[n].Covers(need) {
