Time of steps by kind of work, waits by kind of message, and what is dropped

Callers saw jobs start late on 240 workers, and no log or figure said what the primary's time went into.

A machine now says which phase of a step it is in; the clock is the host's (machine.PhaseMeter), so steps stay deterministic. daemon/host sums up steps by input and phases, logs an interval in which over half of the time went into steps (process_busy) and a step of 0.1 s or more (step_long). daemon/transport keeps the waits of received messages by kind, and logs long ones also where nothing was dropped (frames_delayed).

--- a/core/control/control.go
+++ b/core/control/control.go
@@ -34,6 +34,8 @@
 	BootID uint64
 	// BackupCount is how many backups the replica's view should have.
 	BackupCount int
+	// Phases measures the steps of the process; nil measures nothing.
+	Phases *machine.PhaseMeter
 }
 
 var _ machine.Machine = (*Control)(nil)
@@ -53,12 +55,14 @@
 func New(config Config, stored machine.StoredState) (*Control, error) {
 	ownReplica, err := replica.New(replica.Config{
 		Address: config.Address, Zone: config.Zone, Founders: config.Founders, NewID: config.NewID, BootID: config.BootID,
-		BackupCount: config.BackupCount, HasDispatcher: true,
+		BackupCount: config.BackupCount, HasDispatcher: true, Phases: config.Phases,
 	}, stored)
 	if err != nil {
 		return nil, err
 	}
-	schedulerConfig := scheduler.Config{Address: config.Address, Zone: config.Zone, FirstCommandID: config.BootID}
+	schedulerConfig := scheduler.Config{
+		Address: config.Address, Zone: config.Zone, FirstCommandID: config.BootID, Phases: config.Phases,
+	}
 	return &Control{
 		replica:   ownReplica,
 		scheduler: scheduler.NewWith(schedulerConfig, &localState{replica: ownReplica}),
--- a/core/replica/commands.go
+++ b/core/replica/commands.go
@@ -197,6 +197,8 @@
 
 // appendCommand applies a command and has it logged.
 func (r *Replica) appendCommand(cmd state.EncodedCommand) state.Result {
+	interrupted := r.config.Phases.Enter(machine.PhaseApply)
+	defer r.config.Phases.Enter(interrupted)
 	r.disk.appendCommand(cmd.Encoded)
 	return r.log.append(cmd)
 }
--- a/core/replica/config.go
+++ b/core/replica/config.go
@@ -1,6 +1,10 @@
 package replica
 
-import "time"
+import (
+	"time"
+
+	"sorrelloom/core/machine"
+)
 
 // Config is what a process is started with.
 type Config struct {
@@ -17,6 +21,8 @@
 	BackupCount int
 	// HasDispatcher says that a dispatcher in the same process takes the state's changes.
 	HasDispatcher bool
+	// Phases measures the steps of the replica; nil measures nothing.
+	Phases *machine.PhaseMeter
 }
 
 const (
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -199,6 +199,8 @@
 
 // runTimers does what is due by time alone.
 func (r *Replica) runTimers(now time.Duration, out *machine.Output) {
+	interrupted := r.config.Phases.Enter(machine.PhaseTimers)
+	defer r.config.Phases.Enter(interrupted)
 	r.nextTimer = now + heartbeatInterval/3
 	if !r.identitySynced {
 		return
@@ -232,6 +234,8 @@
 // flush writes what changed since the last batch and, on the primary, sends the new
 // commands along at the same moment.
 func (r *Replica) flush(now time.Duration, out *machine.Output) {
+	interrupted := r.config.Phases.Enter(machine.PhaseReplicate)
+	defer r.config.Phases.Enter(interrupted)
 	if r.leadership.serving && !r.stopping {
 		// What arrives within the interval goes out as one message to each peer and one write.
 		if next := r.leadership.flushedAt + batchInterval; now < next {
--- a/core/scheduler/scan.go
+++ b/core/scheduler/scan.go
@@ -87,6 +87,8 @@
 // scan proposes grants for the workers with free resources, and preemptions, then
 // answers the heartbeats for which there are orders or that have waited long enough.
 func (s *Scheduler) scan(now time.Duration, out *machine.Output) {
+	interrupted := s.config.Phases.Enter(machine.PhaseSchedule)
+	defer s.config.Phases.Enter(interrupted)
 	s.scans.next, s.scans.last = now+fullScanInterval, now
 	full := !s.access.IsLocal() || now >= s.scans.nextFull
 	workers := s.workersToScan(full)
@@ -97,9 +99,11 @@
 	if !s.stopping && s.access.Fresh(now) {
 		s.proposeGrants(now, workers, out)
 		if now >= s.nextPreemption || !s.access.IsLocal() {
+			s.config.Phases.Enter(machine.PhasePreempt)
 			s.proposePreemptions(now, out)
 		}
 	}
+	s.config.Phases.Enter(machine.PhaseOrders)
 	uncommitted := s.uncommittedAttempts()
 	for _, worker := range workers {
 		if pending := s.heartbeats[worker]; pending.recorded {
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -37,6 +37,8 @@
 	FirstCommandID uint64
 	// Dispatch switches mechanisms of the dispatcher off, for measurements.
 	Dispatch dispatch.Options
+	// Phases measures the steps of the scheduler; nil measures nothing.
+	Phases *machine.PhaseMeter
 }
 
 // Scheduler is the state machine of one scheduler. It is not safe for concurrent use.
@@ -136,7 +138,9 @@
 		s.handleResult(now, result, &out)
 	}
 	changes := s.access.State().TakeChanges()
+	interrupted := s.config.Phases.Enter(machine.PhaseEnqueue)
 	s.dispatcher.Update(s.access.State(), changes)
+	s.config.Phases.Enter(interrupted)
 	if now >= s.nextRegistration {
 		s.register(now, &out)
 	}
--- a/daemon/host/host.go
+++ b/daemon/host/host.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"sorrelloom/core/machine"
+	"sorrelloom/daemon/logging"
 	"sorrelloom/daemon/pool"
 	"sorrelloom/daemon/storage"
 	"sorrelloom/daemon/transport"
@@ -39,6 +40,7 @@
 	onWriteError WriteErrorHandler
 	runners      []*Runner
 	requests     *pendingRequests
+	load         *loadMeter
 
 	stopOnce sync.Once
 	stopped  chan struct{}
@@ -54,9 +56,22 @@
 		stopped: make(chan struct{}), closed: make(chan struct{}),
 	}
 	h.receiveQueue = transport.NewReceiveQueue(h.Now, h.counters)
+	h.load = newLoadMeter(h.Now)
 	return h
 }
 
+// Phases is the meter of the phases of steps, for machines that tell them apart.
+func (h *Host) Phases() *machine.PhaseMeter { return h.load.phases }
+
+// Figures are what a host tells of itself to those who operate it, since its start.
+type Figures struct {
+	Load   Load
+	Frames transport.Counts
+}
+
+// Figures returns the figures as they are now.
+func (h *Host) Figures() Figures { return Figures{h.load.Total(), h.counters.Totals()} }
+
 // Add adds a machine that receives the messages of these kinds or, if none is given, all
 // that no other machine receives. All machines are added before Run.
 func (h *Host) Add(m machine.Machine, kinds ...string) *Runner {
@@ -84,6 +99,7 @@
 		h.eventLoop()
 	})
 	<-begun
+	pool.Go(h.logLoad)
 	if h.store != nil {
 		for _, r := range h.runners {
 			pool.Go(r.writeLoop)
@@ -114,6 +130,22 @@
 	}
 }
 
+// logLoad logs the load of every interval in which the process was busy.
+func (h *Host) logLoad() {
+	ticker := time.NewTicker(loadLogInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-h.closed:
+			return
+		case <-ticker.C:
+		}
+		if load, share := h.load.takeInterval(h.Now()); share >= busyShare {
+			logging.Warn("process_busy", append([]any{"busyPercent", int(100 * share)}, load.fields()...)...)
+		}
+	}
+}
+
 // fireTimers steps the machines whose timers have expired, and returns the time until the
 // next timer.
 func (h *Host) fireTimers() time.Duration {
--- a/daemon/host/runner.go
+++ b/daemon/host/runner.go
@@ -86,9 +86,12 @@
 func (r *Runner) stepLocked(in machine.Input) machine.Output {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := r.host.Now()
+	now, meter := r.host.Now(), r.host.load
 	in.WallTime = time.Now()
+	meter.phases.BeginStep()
+	defer meter.endStep(now, in)
 	out := r.machine.Step(now, in)
+	meter.phases.Enter(machine.PhaseSend)
 	for _, event := range out.LogEvents {
 		logging.Log(event.Level, event.Name, event.Fields...)
 	}
--- a/daemon/transport/counters.go
+++ b/daemon/transport/counters.go
@@ -35,27 +35,39 @@
 // Flow counts frames, and their bytes without headers.
 type Flow struct{ Frames, Bytes uint64 }
 
+// Waits are the times that received frames waited before they were processed or dropped.
+type Waits struct {
+	Frames         uint64
+	Total, Longest time.Duration
+}
+
 // Counts is what was counted since the last Counters.TakeAndReset.
 type Counts struct {
 	Received map[string]Flow
 	Sent     map[string]Flow
 	Dropped  map[DropKey]uint64
+	// Waits are those of received frames, by kind.
+	Waits map[string]Waits
 	// LongestWait is the longest time that a frame waited before it was processed or dropped.
 	LongestWait time.Duration
 }
 
 func newCounts() Counts {
-	return Counts{Received: map[string]Flow{}, Sent: map[string]Flow{}, Dropped: map[DropKey]uint64{}}
+	return Counts{
+		Received: map[string]Flow{}, Sent: map[string]Flow{}, Dropped: map[DropKey]uint64{}, Waits: map[string]Waits{},
+	}
 }
 
 // Counters count frames. They are safe for concurrent use.
 type Counters struct {
 	mu      sync.Mutex
 	current Counts
+	// earlier sums up what was taken before.
+	earlier Counts
 }
 
 // NewCounters returns counters at zero.
-func NewCounters() *Counters { return &Counters{current: newCounts()} }
+func NewCounters() *Counters { return &Counters{current: newCounts(), earlier: newCounts()} }
 
 func (c *Counters) received(kind string, bytes int) {
 	c.mu.Lock()
@@ -75,28 +87,69 @@
 	c.current.Dropped[drop]++
 }
 
-func (c *Counters) waited(wait time.Duration) {
+// waitedToBeSent counts the wait of an outgoing frame.
+func (c *Counters) waitedToBeSent(wait time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.current.LongestWait = max(c.current.LongestWait, wait)
 }
 
+// waited counts the wait of a received frame.
+func (c *Counters) waited(kind string, wait time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.current.LongestWait = max(c.current.LongestWait, wait)
+	c.current.Waits[kind] = c.current.Waits[kind].plus(Waits{1, wait, wait})
+}
+
 // TakeAndReset returns the counts and sets them to zero.
 func (c *Counters) TakeAndReset() Counts {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	taken := c.current
+	c.earlier.add(taken)
 	c.current = newCounts()
 	return taken
 }
 
+// Totals returns what was counted since the start.
+func (c *Counters) Totals() Counts {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	totals := newCounts()
+	totals.add(c.earlier)
+	totals.add(c.current)
+	return totals
+}
+
+// add adds other counts.
+func (c *Counts) add(other Counts) {
+	for kind, flow := range other.Received {
+		c.Received[kind] = Flow{c.Received[kind].Frames + flow.Frames, c.Received[kind].Bytes + flow.Bytes}
+	}
+	for kind, flow := range other.Sent {
+		c.Sent[kind] = Flow{c.Sent[kind].Frames + flow.Frames, c.Sent[kind].Bytes + flow.Bytes}
+	}
+	for drop, frames := range other.Dropped {
+		c.Dropped[drop] += frames
+	}
+	for kind, waits := range other.Waits {
+		c.Waits[kind] = c.Waits[kind].plus(waits)
+	}
+	c.LongestWait = max(c.LongestWait, other.LongestWait)
+}
+
+func (w Waits) plus(other Waits) Waits {
+	return Waits{w.Frames + other.Frames, w.Total + other.Total, max(w.Longest, other.Longest)}
+}
+
 func (f Flow) plus(bytes int) Flow { return Flow{f.Frames + 1, f.Bytes + uint64(bytes)} }
 
 // Fields returns the counts as the keys and values of a log line.
 func (c Counts) Fields() []any {
 	return []any{
 		"dropped", c.formatDrops(), "received", formatFlows(c.Received), "sent", formatFlows(c.Sent),
-		"longestWaitMs", c.LongestWait.Milliseconds(),
+		"longestWaitMs", c.LongestWait.Milliseconds(), "waitsMs", formatWaits(c.Waits),
 	}
 }
 
@@ -104,23 +157,37 @@
 func (c Counts) formatDrops() string {
 	order := func(a, b DropKey) int {
 		return cmp.Or(
-			cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Reason, b.Reason), cmp.Compare(a.direction(), b.direction()),
+			cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Reason, b.Reason), cmp.Compare(a.Direction(), b.Direction()),
 		)
 	}
 	var parts []string
 	for _, drop := range slices.SortedFunc(maps.Keys(c.Dropped), order) {
-		parts = append(parts, fmt.Sprintf("%s/%s/%s:%d", drop.Kind, drop.direction(), drop.Reason, c.Dropped[drop]))
+		parts = append(parts, fmt.Sprintf("%s/%s/%s:%d", drop.Kind, drop.Direction(), drop.Reason, c.Dropped[drop]))
 	}
 	return strings.Join(parts, ",")
 }
 
-func (d DropKey) direction() string {
+// Direction is "in" or "out".
+func (d DropKey) Direction() string {
 	if d.Outgoing {
 		return "out"
 	}
 	return "in"
 }
 
+// formatWaits lists kind:mean/longest in milliseconds, without kinds that never waited for one.
+func formatWaits(byKind map[string]Waits) string {
+	var parts []string
+	for _, kind := range slices.Sorted(maps.Keys(byKind)) {
+		waits := byKind[kind]
+		if waits.Longest >= time.Millisecond {
+			mean := waits.Total / time.Duration(waits.Frames)
+			parts = append(parts, fmt.Sprintf("%s:%d/%d", kind, mean.Milliseconds(), waits.Longest.Milliseconds()))
+		}
+	}
+	return strings.Join(parts, ",")
+}
+
 // formatFlows lists kind:frames/bytes.
 func formatFlows(byKind map[string]Flow) string {
 	var parts []string
--- a/daemon/transport/receive_queue.go
+++ b/daemon/transport/receive_queue.go
@@ -189,7 +189,7 @@
 		return machine.Message{}, false
 	}
 	frame := q.cluster.dequeue()
-	q.counters.waited(q.now() - frame.receivedAt)
+	q.counters.waited(frame.message.Kind, q.now()-frame.receivedAt)
 	return frame.message, true
 }
 
@@ -235,7 +235,7 @@
 	for queue.len() > 0 {
 		frame := q.dequeueRequestLocked(queue)
 		waited := now - frame.receivedAt
-		q.counters.waited(waited)
+		q.counters.waited(frame.message.Kind, waited)
 		if limit := ClassOfMessage(frame.message).MaxReceiveWait; limit == 0 || waited <= limit {
 			return frame.message, true
 		}
--- a/daemon/transport/send_queue.go
+++ b/daemon/transport/send_queue.go
@@ -72,7 +72,7 @@
 	for bytes := 0; q.frames.len() > 0 && (bytes == 0 || bytes+q.frames.first().size() <= maxBatchBytes); {
 		frame := q.popLocked()
 		waited := now - frame.queuedAt
-		q.counters.waited(waited)
+		q.counters.waitedToBeSent(waited)
 		if waited > ClassOf(frame.kind).MaxSendWait {
 			q.drop(frame, DropExpired)
 			continue
--- a/daemon/transport/transport.go
+++ b/daemon/transport/transport.go
@@ -25,8 +25,10 @@
 	acceptRetryDelay = 100 * time.Millisecond
 	// closeTimeout is how long Close waits for frames that are still to be sent.
 	closeTimeout = 250 * time.Millisecond
-	// dropLogInterval is how often dropped frames are logged.
-	dropLogInterval = 10 * time.Second
+	// frameLogInterval is how often dropped and delayed frames are logged, and longWait the
+	// wait of a frame from which on it is.
+	frameLogInterval = 10 * time.Second
+	longWait         = requestMaxAge / 2
 )
 
 // Transport holds all connections of one process. Its methods are safe for concurrent use.
@@ -60,7 +62,7 @@
 		outgoing: map[destination]*connection{}, incoming: map[net.Conn]bool{},
 	}
 	pool.Go(t.accept)
-	pool.Go(t.logDrops)
+	pool.Go(t.logFrames)
 	return t, nil
 }
 
@@ -199,9 +201,9 @@
 	return true
 }
 
-// logDrops logs the counters of every interval in which frames were dropped.
-func (t *Transport) logDrops() {
-	ticker := time.NewTicker(dropLogInterval)
+// logFrames logs the counters of every interval in which frames were dropped or waited long.
+func (t *Transport) logFrames() {
+	ticker := time.NewTicker(frameLogInterval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -209,8 +211,12 @@
 			return
 		case <-ticker.C:
 		}
-		if counts := t.counters.TakeAndReset(); len(counts.Dropped) > 0 {
+		counts := t.counters.TakeAndReset()
+		switch {
+		case len(counts.Dropped) > 0:
 			logging.Warn("frames_dropped", counts.Fields()...)
+		case counts.LongestWait >= longWait:
+			logging.Warn("frames_delayed", counts.Fields()...)
 		}
 	}
 }
