--- a/core/dispatch/task_changes.go
+++ b/core/dispatch/task_changes.go
@@ -46,7 +46,7 @@
 // startAttempt takes note of a lease in force.
 func (d *Dispatcher) startAttempt(ref TaskRef, task *state.Task) {
 	worker := task.Lease.Worker
-	if queue := d.queues.positions[ref].worker; queue != "" && queue != worker {
+	if queue, queued := d.queues.workerOf(ref); queued && queue != "" && queue != worker {
 		d.steals.begin(ref, queue)
 	}
 	d.dequeue(ref)
@@ -64,6 +64,7 @@
 	}
 	d.health.observeEnd(store, job, ref.Index, attempt, usual)
 	delete(d.running, ref)
+	d.placement = lastPlacement{}
 	if at := d.locations.byTask[ref]; at.worker == attempt.worker && at.role == outputHeld {
 		// An earlier attempt of this worker has completed the task. completeTask, which
 		// is called next, counts this attempt as another completion.
@@ -107,17 +108,19 @@
 }
 
 // enqueue puts a task into a worker's queue. AnyRack says that no worker near its data fits.
-func (d *Dispatcher) enqueue(job *state.Job, ref TaskRef, worker string, anyRack bool) {
+func (d *Dispatcher) enqueue(store *state.Store, job *state.Job, ref TaskRef, worker string, anyRack bool) {
 	task := job.Tasks[ref.Index]
 	d.changedWorkers[worker] = true
+	d.placement = lastPlacement{}
 	delete(d.unplaced, ref)
 	d.locations.move(ref, location{worker, task.Level, taskQueued})
-	d.queues.insert(queuedTask{ref, task.Number, anyRack}, worker, groupKeyOf(job, ref.Index))
+	d.queues.insert(queuedTask{ref, task.Number, anyRack}, worker, groupKeyOf(store, job, ref.Index))
 }
 
 func (d *Dispatcher) dequeue(ref TaskRef) {
 	delete(d.unplaced, ref)
 	if d.queues.remove(ref) {
+		d.placement = lastPlacement{}
 		d.locations.move(ref, location{})
 	}
 }
