Dispatch: preemption looks at each kind of waiting task once, not at all queues

Callers saw starts come seconds late on 240 workers with a backlog: a third of the primary's time went into looking for leases to preempt. Each look went through all queues once for each zone, counted alike tasks in all of them for every kind of task, asked for the health and the free resources of all workers anew, and built start orders for all leases of a zone.

The queued tasks are now kept by kind and class as they come and go (waiting_groups.go). One look serves all zones. What the workers have free is worked out once in a look. The state keeps each worker's leases in a list by task number, which is walked without a copy, and their sums by class, which rule out workers that can't make room (lease_list.go). The choice of the worker and of its leases is unchanged.

TestPreempt and TestVictims call the changed functions; they ask for the same as before.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -92,6 +92,9 @@
 	placement  lastPlacement
 	// rows are those of the workers that the store had last.
 	rows workerRows
+	// preemptionRoom and victims are the memory of the last Preempt, used again.
+	preemptionRoom []state.Resources
+	victims        []victim
 }
 
 // New returns a dispatcher that knows of no task yet.
--- a/core/dispatch/preempt_test.go
+++ b/core/dispatch/preempt_test.go
@@ -10,8 +10,10 @@
 )
 
 // preempt proposes a preemption in the only zone.
-func (s fixture) preempt() (Proposal, bool) {
-	return s.dispatcher.Preempt(s.Store, "a", InFlight{})
+func (s fixture) preempt() (found Proposal, ok bool) {
+	propose := func(_ string, proposal Proposal) { found, ok = proposal, true }
+	s.dispatcher.Preempt(s.Store, []string{"a"}, InFlight{}, propose)
+	return found, ok
 }
 
 func preemptCommand(assignments []state.Assignment, preemptFor state.Assignment) state.Command {
--- a/core/dispatch/queues.go
+++ b/core/dispatch/queues.go
@@ -74,6 +74,8 @@
 	// the names of their workers.
 	nonEmpty  queueList
 	withGangs queueList
+	// waiting holds the tasks of all queues by key.
+	waiting waitingGroups
 	// floor is a lower bound of what the queued tasks need.
 	floor needFloor
 }
@@ -98,6 +100,7 @@
 	}
 	q.positions = map[TaskRef]queuePosition{}
 	q.nonEmpty, q.withGangs = nil, nil
+	q.waiting = newWaitingGroups()
 	q.floor = needFloor{}
 }
 
@@ -138,6 +141,7 @@
 	i, _ := searchNumber(group.tasks, task.number)
 	group.tasks = slices.Insert(group.tasks, i, task)
 	q.positions[task.ref] = queuePosition{queue, group, task.number}
+	q.waiting.insert(task, &key)
 	queue.version++
 	queue.length++
 	queue.slots += key.resources.Slots
@@ -160,6 +164,7 @@
 	}
 	delete(q.positions, ref)
 	queue, group := position.queue, position.group
+	q.waiting.remove(position.number, &group.key)
 	if i, found := searchNumber(group.tasks, position.number); found {
 		group.tasks = slices.Delete(group.tasks, i, i+1)
 	}
@@ -199,17 +204,6 @@
 	return lengths
 }
 
-// countAlike counts the tasks of a key in all queues.
-func (q *workerQueues) countAlike(key groupKey) int {
-	count := 0
-	for _, queue := range q.nonEmpty {
-		if group := queue.group(&key); group != nil {
-			count += len(group.tasks)
-		}
-	}
-	return count
-}
-
 // queueList is a list of queues by the names of their workers.
 type queueList []*workerQueue
 
--- a/core/dispatch/victims.go
+++ b/core/dispatch/victims.go
@@ -1,8 +1,6 @@
 package dispatch
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"sorrelloom/core/state"
@@ -19,10 +17,61 @@
 
 // victim is a lease that may be stopped.
 type victim struct {
-	assignment state.Assignment
-	resources  state.Resources
+	job       *state.Job
+	index     int
+	resources state.Resources
 	// cost is the work that is lost with it: slots times seconds.
 	cost float64
+	// chosen says that it is among those that make room for the task.
+	chosen bool
+}
+
+// costPerSlot is what a slot of the lease costs.
+func (v *victim) costPerSlot() float64 { return v.cost / float64(max(1, v.resources.Slots)) }
+
+// victimRule says which leases may be stopped for a task of a class: borrowed ones of
+// another class or, with notQuick, any of a class that is not quick.
+type victimRule struct {
+	store    *state.Store
+	class    string
+	notQuick bool
+}
+
+// mayStop reports whether a lease of a class may be stopped.
+func (r victimRule) mayStop(class state.ClassKey, lease *state.Lease) bool {
+	if r.notQuick {
+		return !isQuick(r.store, class.Service, class.Class)
+	}
+	return lease.Borrowed && class.Class != r.class
+}
+
+// stoppable returns the resources of the leases on a worker that may be stopped.
+func (r victimRule) stoppable(worker *state.WorkerEntry) (sum state.Resources) {
+	for _, leases := range worker.PreemptibleLeases() {
+		switch {
+		case r.notQuick && !isQuick(r.store, leases.Class.Service, leases.Class.Class):
+			sum = sum.Add(leases.All)
+		case !r.notQuick && leases.Class.Class != r.class:
+			sum = sum.Add(leases.Borrowed)
+		}
+	}
+	return sum
+}
+
+// victimSearch looks for the worker on which making room for a task costs the least.
+type victimSearch struct {
+	store *state.Store
+	// victimCost says what stopping a lease costs.
+	victimCost func(job *state.Job, i int) float64
+	need       state.Resources
+	rule       victimRule
+	// candidates are the leases on the last worker looked at, chosen those of them that make
+	// room for the task, in the order of the choice.
+	candidates []victim
+	chosen     []*victim
+
+	best     []state.Assignment
+	bestCost float64
 }
 
 // preemptionVictims chooses the leases to stop for a task, all on one worker: borrowed ones of
@@ -31,13 +80,11 @@
 func (d *Dispatcher) preemptionVictims(
 	store *state.Store, job *state.Job, task queuedTask, zone string,
 ) []state.Assignment {
-	victims := d.cheapestVictims(store, job, task, zone, func(lease *state.Lease, other *state.Job) bool {
-		return lease.Borrowed && other.Spec.Class != job.Spec.Class
-	})
+	rule := victimRule{store: store, class: job.Spec.Class}
+	victims := d.cheapestVictims(store, job, task, zone, rule)
 	if len(victims) == 0 && isQuick(store, job.Spec.Service, job.Spec.Class) {
-		return d.cheapestVictims(store, job, task, zone, func(_ *state.Lease, other *state.Job) bool {
-			return !isQuick(store, other.Spec.Service, other.Spec.Class)
-		})
+		rule.notQuick = true
+		return d.cheapestVictims(store, job, task, zone, rule)
 	}
 	return victims
 }
@@ -45,55 +92,93 @@
 // cheapestVictims returns the leases whose end makes room for a task on the worker where that
 // costs the least, of those that may be stopped; none if no worker has enough of them.
 func (d *Dispatcher) cheapestVictims(
-	store *state.Store, job *state.Job, task queuedTask, zone string, mayStop func(*state.Lease, *state.Job) bool,
+	store *state.Store, job *state.Job, task queuedTask, zone string, rule victimRule,
 ) []state.Assignment {
-	var best []state.Assignment
-	bestCost := 0.0
+	search := victimSearch{
+		store: store, need: job.Spec.Tasks[task.ref.Index].Resources, rule: rule, candidates: d.victims,
+		victimCost: func(job *state.Job, i int) float64 { return d.victimCost(store, job, i) },
+	}
 	for _, entry := range store.WorkerEntries() {
 		worker := entry.Record()
-		if worker.Zone != zone || store.Fits(job, task.ref.Index, worker) != status.OK ||
-			!d.mayPreemptOn(job, task, worker) {
-			continue
+		if worker.Zone == zone && d.mayPreemptOn(job, task, worker) &&
+			store.Fits(job, task.ref.Index, worker) == status.OK {
+			search.lookAt(entry)
+		}
+	}
+	d.victims = search.candidates
+	return search.best
+}
+
+// lookAt compares one worker with the best so far. The sums of its leases rule out most
+// workers that can't make room.
+func (s *victimSearch) lookAt(worker *state.WorkerEntry) {
+	room := worker.FreeResources().Add(worker.StoppingResources())
+	if room.Covers(s.need) || !room.Add(s.rule.stoppable(worker)).Covers(s.need) {
+		return
+	}
+	s.collectCandidates(worker)
+	cost := 0.0
+	for !room.Covers(s.need) {
+		next := s.cheapestCandidate()
+		if next == nil {
+			return
 		}
-		victims := d.victimsOn(store, worker.ID(), mayStop)
-		chosen, cost := chooseVictims(store, worker.ID(), job.Spec.Tasks[task.ref.Index].Resources, victims)
-		if len(chosen) > 0 && (len(best) == 0 || cost < bestCost) {
-			best, bestCost = chosen, cost
+		next.chosen = true
+		s.chosen = append(s.chosen, next)
+		room = room.Add(next.resources)
+		cost += next.cost
+		if len(s.best) > 0 && cost >= s.bestCost {
+			return
 		}
 	}
-	return best
+	s.bestCost = cost
+	s.keepChosen(worker.ID())
 }
 
-// victimsOn returns the leases on a worker that may be stopped, the cheapest for its slots first.
-func (d *Dispatcher) victimsOn(
-	store *state.Store, worker string, mayStop func(*state.Lease, *state.Job) bool,
-) []victim {
-	var victims []victim
-	for _, leased := range store.LeasesOn(worker) {
-		job, _ := store.Job(leased.Job)
-		if leased.Lease.StopReason != "" || !mayStop(&leased.Lease, job) {
+// collectCandidates lists the leases on a worker that may be stopped, by task number.
+func (s *victimSearch) collectCandidates(worker *state.WorkerEntry) {
+	s.candidates, s.chosen = s.candidates[:0], s.chosen[:0]
+	for job, i := range s.store.LeasedTasks(worker) {
+		lease := &job.Tasks[i].Lease
+		class := state.ClassKey{Service: job.Spec.Service, Class: job.Spec.Class}
+		if lease.StopReason != "" || !s.rule.mayStop(class, lease) {
 			continue
 		}
-		victims = append(victims, victim{
-			assignment: state.Assignment{Job: leased.Job, Task: leased.Task, Worker: worker},
-			resources:  leased.Start.Resources,
-			cost:       d.victimCost(store, job, leased),
+		s.candidates = append(s.candidates, victim{
+			job: job, index: i, resources: job.Spec.Tasks[i].Resources, cost: s.victimCost(job, i),
 		})
 	}
-	slices.SortStableFunc(victims, func(a, b victim) int {
-		return cmp.Compare(a.cost/float64(max(1, a.resources.Slots)), b.cost/float64(max(1, b.resources.Slots)))
-	})
-	return victims
+}
+
+// cheapestCandidate returns the candidate that is not chosen yet and the cheapest for its
+// slots, of equal ones the first; nil if all are chosen.
+func (s *victimSearch) cheapestCandidate() *victim {
+	var cheapest *victim
+	for n := range s.candidates {
+		candidate := &s.candidates[n]
+		if !candidate.chosen && (cheapest == nil || candidate.costPerSlot() < cheapest.costPerSlot()) {
+			cheapest = candidate
+		}
+	}
+	return cheapest
+}
+
+// keepChosen makes the chosen candidates the best so far.
+func (s *victimSearch) keepChosen(worker string) {
+	s.best = s.best[:0]
+	for _, chosen := range s.chosen {
+		task := chosen.job.Spec.Tasks[chosen.index].ID
+		s.best = append(s.best, state.Assignment{Job: chosen.job.Spec.ID, Task: task, Worker: worker})
+	}
 }
 
 // victimCost is the work that is lost if a lease is stopped, with the rest of its gang.
-func (d *Dispatcher) victimCost(store *state.Store, job *state.Job, leased state.LeasedAttempt) float64 {
-	lost := store.Now() - leased.Lease.GrantedAt
+func (d *Dispatcher) victimCost(store *state.Store, job *state.Job, i int) float64 {
+	spec := &job.Spec.Tasks[i]
+	lost := store.Now() - job.Tasks[i].Lease.GrantedAt
 	if d.options.WithoutVictimCost {
-		return lost.Seconds() * float64(leased.Start.Resources.Slots)
+		return lost.Seconds() * float64(spec.Resources.Slots)
 	}
-	i := leased.Index
-	spec := &job.Spec.Tasks[i]
 	switch {
 	case spec.LongRunning:
 		lost = longRunningLoss
@@ -102,22 +187,3 @@
 	}
 	return lost.Seconds() * float64(max(spec.Resources.Slots, gangSlots(job, i)))
 }
-
-// chooseVictims takes the cheapest leases until a worker has room, and returns what they cost.
-func chooseVictims(
-	store *state.Store, worker string, need state.Resources, victims []victim,
-) (chosen []state.Assignment, cost float64) {
-	free := store.FreeResources(worker).Add(store.StoppingResources(worker))
-	for _, candidate := range victims {
-		if free.Covers(need) {
-			break
-		}
-		free = free.Add(candidate.resources)
-		cost += candidate.cost
-		chosen = append(chosen, candidate.assignment)
-	}
-	if !free.Covers(need) {
-		return nil, 0
-	}
-	return chosen, cost
-}
--- a/core/dispatch/victims_test.go
+++ b/core/dispatch/victims_test.go
@@ -32,9 +32,9 @@
 			s.update()
 			job, _ := s.Store.Job("q")
 			task := queuedTask{ref: TaskRef{"q", 0}}
-			mayStop := func(*state.Lease, *state.Job) bool { return true }
+			rule := victimRule{store: s.Store, notQuick: true}
 			var got []string
-			for _, assignment := range s.dispatcher.cheapestVictims(s.Store, job, task, "a", mayStop) {
+			for _, assignment := range s.dispatcher.cheapestVictims(s.Store, job, task, "a", rule) {
 				got = append(got, assignment.Task)
 			}
 			if len(got) != len(row.want) || got[0] != row.want[0] {
--- a/core/scheduler/scan.go
+++ b/core/scheduler/scan.go
@@ -191,15 +191,16 @@
 	s.scans.next = min(s.scans.next, now+minScanGap)
 }
 
-// proposePreemptions proposes one preemption in each zone. Where there was one, the
-// next scan looks for more.
+// proposePreemptions proposes one preemption in each zone at most. Where there was one, or
+// the dispatcher has more tasks to look at, the next scan goes on.
 func (s *Scheduler) proposePreemptions(now time.Duration, out *machine.Output) {
 	s.nextPreemption = now + preemptionInterval
-	for _, zone := range s.LedZones() {
-		if proposal, ok := s.dispatcher.Preempt(s.access.State(), zone, s.inFlight(now)); ok {
-			s.propose(now, zone, state.KindPreempt, proposal, out)
-			s.nextPreemption = now
-		}
+	propose := func(zone string, proposal dispatch.Proposal) {
+		s.propose(now, zone, state.KindPreempt, proposal, out)
+		s.nextPreemption = now
+	}
+	if s.dispatcher.Preempt(s.access.State(), s.LedZones(), s.inFlight(now), propose) {
+		s.nextPreemption = now
 	}
 }
 
--- a/core/state/heartbeat_delta.go
+++ b/core/state/heartbeat_delta.go
@@ -86,8 +86,8 @@
 		listed[attempt] = true
 	}
 	started := map[Attempt]bool{}
-	for ref := range s.leases[hb.Worker] {
-		lease, attempt := &s.taskAt(ref).Lease, s.attemptOf(ref)
+	for _, leased := range s.usageOf(hb.Worker).leases {
+		lease, attempt := &s.taskAt(leased.ref).Lease, s.attemptOf(leased.ref)
 		switch {
 		case !lease.heldBy(hb):
 		case listed[attempt] && lease.StartedAt > 0:
--- a/core/state/indexes.go
+++ b/core/state/indexes.go
@@ -18,9 +18,8 @@
 // themselves: setTask keeps them right, and rebuildIndexes makes them anew after
 // a load.
 type indexes struct {
-	// leases gives the leased tasks of each worker, usage what they sum up to.
-	leases map[string]map[taskRef]bool
-	usage  map[string]*workerUsage
+	// usage gives the leases of each worker, and what they sum up to.
+	usage map[string]*workerUsage
 	// tenantUsage is what each tenant has running, leased or not.
 	tenantUsage *quota.Usage
 	// unfinished counts the tasks of a class that are not terminal.
@@ -37,7 +36,6 @@
 // rebuildIndexes makes anew what is derived from the records.
 func (s *Store) rebuildIndexes() {
 	s.indexes = indexes{
-		leases:      map[string]map[taskRef]bool{},
 		usage:       map[string]*workerUsage{},
 		tenantUsage: quota.NewUsage(),
 		unfinished:  map[ClassKey]int{},
@@ -93,22 +91,24 @@
 
 // countLease adds a leased task to its worker, or takes it off.
 func (s *Store) countLease(job *Job, ref taskRef, by int) {
-	worker := job.Tasks[ref.index].Lease.Worker
-	if s.leases[worker] == nil {
-		s.leases[worker] = map[taskRef]bool{}
-	}
+	task := job.Tasks[ref.index]
+	worker := task.Lease.Worker
+	usage := s.changeableUsage(worker)
 	if by > 0 {
-		s.leases[worker][ref] = true
+		usage.leases.add(task.Number, ref)
 	} else {
-		delete(s.leases[worker], ref)
+		usage.leases.remove(task.Number)
 	}
-	s.changeableUsage(worker).adjust(job, ref.index, by)
+	usage.adjust(job, ref.index, by)
 	s.countForTenant(job.Tenant, job.Spec.Tasks[ref.index].Resources, by)
 	s.updateServiceLoad(worker, job.Spec.Class, by*job.Spec.Tasks[ref.index].Resources.Slots)
 }
 
-// workerUsage sums the leases of a worker.
+// workerUsage holds the leases of a worker and what they sum up to.
 type workerUsage struct {
+	leases leaseList
+	// preemptible are the sums by class of those that are not being stopped.
+	preemptible []PreemptibleLeases
 	// used are the resources of all leases, unreported of those that the worker's
 	// report did not count yet, and stopping of those that are being stopped.
 	used, unreported, stopping Resources
@@ -116,9 +116,11 @@
 	// are still to be started.
 	stopCount, unstartedCount int
 	slotsByClass              map[string]int
-	leaseCount                int
 }
 
+// resourceSum is Resources.Add or Resources.Sub.
+type resourceSum func(Resources, Resources) Resources
+
 // noUsage is that of a worker that never had a lease.
 var noUsage workerUsage
 
@@ -142,8 +144,8 @@
 
 // adjust adds a lease, by 1, or takes one off, by -1.
 func (u *workerUsage) adjust(job *Job, i, by int) {
-	lease, resources := job.Tasks[i].Lease, job.Spec.Tasks[i].Resources
-	add := Resources.Add
+	lease, resources := &job.Tasks[i].Lease, job.Spec.Tasks[i].Resources
+	add := resourceSum(Resources.Add)
 	if by < 0 {
 		add = Resources.Sub
 	}
@@ -153,9 +155,11 @@
 	}
 	if lease.StopReason != "" {
 		u.stopping, u.stopCount = add(u.stopping, resources), u.stopCount+by
-	} else if lease.StartedAt == 0 {
-		u.unstartedCount += by
+	} else {
+		u.adjustPreemptible(job.Spec.classKey(), lease, resources, add)
+		if lease.StartedAt == 0 {
+			u.unstartedCount += by
+		}
 	}
 	u.slotsByClass[job.Spec.Class] += by * resources.Slots
-	u.leaseCount += by
 }
--- a/core/state/lease.go
+++ b/core/state/lease.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"sort"
 	"time"
 
 	"sorrelloom/core/config"
@@ -80,14 +79,7 @@
 
 // leasedTasks gives the tasks that are leased to a worker, by their numbers.
 func (s *Store) leasedTasks(worker string) []taskRef {
-	refs := make([]taskRef, 0, len(s.leases[worker]))
-	for ref := range s.leases[worker] {
-		refs = append(refs, ref)
-	}
-	sort.Slice(refs, func(i, j int) bool {
-		return s.taskAt(refs[i]).Number < s.taskAt(refs[j]).Number
-	})
-	return refs
+	return s.usageOf(worker).leases.refs()
 }
 
 // runLimit is how long an attempt of a task may run: its own limit, or its class's.
@@ -202,9 +194,9 @@
 
 // anyLeaseLapsed says whether any lease is over by the silence of its worker.
 func (s *Store) anyLeaseLapsed(now time.Duration) bool {
-	for _, leased := range s.leases {
-		for ref := range leased {
-			if s.leaseLapsed(now, ref) {
+	for _, usage := range s.usage {
+		for _, leased := range usage.leases {
+			if s.leaseLapsed(now, leased.ref) {
 				return true
 			}
 		}
@@ -230,10 +222,10 @@
 // by task number. It is asked often and mostly finds none, so only these are sorted.
 func (s *Store) dueLeases(now time.Duration) []taskRef {
 	var due []taskRef
-	for _, leased := range s.leases {
-		for ref := range leased {
-			if s.leaseLapsed(now, ref) || s.dueStopReason(now, ref) != "" {
-				due = append(due, ref)
+	for _, usage := range s.usage {
+		for _, leased := range usage.leases {
+			if s.leaseLapsed(now, leased.ref) || s.dueStopReason(now, leased.ref) != "" {
+				due = append(due, leased.ref)
 			}
 		}
 	}
--- /dev/null
+++ b/core/state/lease_list.go
@@ -0,0 +1,83 @@
+package state
+
+import (
+	"cmp"
+	"iter"
+	"slices"
+)
+
+// leasedTask is a task that is leased to a worker, with its number.
+type leasedTask struct {
+	number uint64
+	ref    taskRef
+}
+
+// leaseList holds the tasks that are leased to one worker, by their numbers.
+type leaseList []leasedTask
+
+func (l leaseList) search(number uint64) (int, bool) {
+	return slices.BinarySearchFunc(l, number, func(leased leasedTask, number uint64) int {
+		return cmp.Compare(leased.number, number)
+	})
+}
+
+// add puts a task into the list, unless it is there.
+func (l *leaseList) add(number uint64, ref taskRef) {
+	if i, found := l.search(number); !found {
+		*l = slices.Insert(*l, i, leasedTask{number, ref})
+	}
+}
+
+// remove takes a task out of the list.
+func (l *leaseList) remove(number uint64) {
+	if i, found := l.search(number); found {
+		*l = slices.Delete(*l, i, i+1)
+	}
+}
+
+// refs gives the tasks in a list of their own, which may be walked while leases change.
+func (l leaseList) refs() []taskRef {
+	refs := make([]taskRef, 0, len(l))
+	for _, leased := range l {
+		refs = append(refs, leased.ref)
+	}
+	return refs
+}
+
+// PreemptibleLeases sums those leases of one class on a worker that are not being stopped.
+type PreemptibleLeases struct {
+	Class ClassKey
+	// All are the resources of all of them, Borrowed those of the borrowed ones.
+	All, Borrowed Resources
+}
+
+// PreemptibleLeases gives the sums of the worker's leases by class. The list is shared: it is
+// not to be changed, and good until the next command.
+func (e *WorkerEntry) PreemptibleLeases() []PreemptibleLeases { return e.usage.preemptible }
+
+// LeasedTasks gives the jobs and the indexes of the tasks that are leased to a worker, by
+// task number. Nothing is copied: no command may be applied meanwhile.
+func (s *Store) LeasedTasks(worker *WorkerEntry) iter.Seq2[*Job, int] {
+	return func(yield func(*Job, int) bool) {
+		for _, leased := range worker.usage.leases {
+			if !yield(s.jobs[leased.ref.job], leased.ref.index) {
+				return
+			}
+		}
+	}
+}
+
+// adjustPreemptible adds a lease that is not being stopped to the sums of its class, or takes
+// it off.
+func (u *workerUsage) adjustPreemptible(class ClassKey, lease *Lease, resources Resources, add resourceSum) {
+	i := slices.IndexFunc(u.preemptible, func(sum PreemptibleLeases) bool { return sum.Class == class })
+	if i < 0 {
+		u.preemptible = append(u.preemptible, PreemptibleLeases{Class: class})
+		i = len(u.preemptible) - 1
+	}
+	sum := &u.preemptible[i]
+	sum.All = add(sum.All, resources)
+	if lease.Borrowed {
+		sum.Borrowed = add(sum.Borrowed, resources)
+	}
+}
--- a/core/state/orders.go
+++ b/core/state/orders.go
@@ -82,4 +82,4 @@
 }
 
 // LeaseCount is how many leases a worker holds.
-func (s *Store) LeaseCount(worker string) int { return s.usageOf(worker).leaseCount }
+func (s *Store) LeaseCount(worker string) int { return len(s.usageOf(worker).leases) }
--- a/core/state/worker.go
+++ b/core/state/worker.go
@@ -90,7 +90,7 @@
 	s.countUnleased(worker, -1)
 	delete(s.workers, id)
 	s.entries.remove(id)
-	if s.usageOf(id).leaseCount == 0 {
+	if s.LeaseCount(id) == 0 {
 		delete(s.usage, id)
 	}
 }
--- a/core/state/worker_entry.go
+++ b/core/state/worker_entry.go
@@ -29,7 +29,7 @@
 func (e *WorkerEntry) StoppingResources() Resources { return e.usage.stopping }
 
 // LeaseCount is how many leases it holds.
-func (e *WorkerEntry) LeaseCount() int { return e.usage.leaseCount }
+func (e *WorkerEntry) LeaseCount() int { return len(e.usage.leases) }
 
 // workerEntries are the entries of all workers in order of their names; the list is nil
 // until it is asked for.
