State: the leases of a worker are a list with their tasks, and a tick passes over workers without due ones

Callers of 240 workers saw starts come late: the primary had no processor left.

Each report compared the worker's leases by two maps and three look-ups a lease; each answer and each look for victims sorted them anew with two look-ups a comparison; each tick, 20 times a second, walked all leases twice with five look-ups each. A worker's leases are now kept in order of their tasks, with their records, by the same place that counts them. Where workers end what they run at the expiry of their lease, a tick passes over those whose leases are in force, all started and none orphaned.

A report that changes nothing allocates at most one object (24 runs; two maps of 24 before).

--- a/core/state/heartbeat.go
+++ b/core/state/heartbeat.go
@@ -268,9 +268,10 @@
 		}
 		return refs
 	}
-	for _, ref := range s.leasedTasks(hb.Worker) {
-		if s.taskAt(ref).Lease.heldBy(hb) && !listed[s.attemptOf(ref)] {
-			refs = append(refs, ref)
+	leases := s.usageOf(hb.Worker).leases
+	for i := range leases {
+		if leases[i].task.Lease.heldBy(hb) && !listed[leases[i].attempt()] {
+			refs = append(refs, leases[i].ref)
 		}
 	}
 	return refs
--- a/core/state/heartbeat_delta.go
+++ b/core/state/heartbeat_delta.go
@@ -81,26 +81,22 @@
 // compareLeases gives the attempts of a report that are not a started lease of the
 // worker, and the leases of the worker that the report shows it does not run.
 func (s *Store) compareLeases(hb *Heartbeat) (added, notRunning []Attempt) {
-	listed := make(map[Attempt]bool, len(hb.Running))
+	leases := s.usageOf(hb.Worker).leases
+	listed, find := make([]bool, len(leases)), leases.finder()
 	for _, attempt := range hb.Running {
-		listed[attempt] = true
-	}
-	started := map[Attempt]bool{}
-	for ref := range s.leases[hb.Worker] {
-		lease, attempt := &s.taskAt(ref).Lease, s.attemptOf(ref)
-		switch {
-		case !lease.heldBy(hb):
-		case listed[attempt] && lease.StartedAt > 0:
-			started[attempt] = true
-		case !listed[attempt] && hb.showsNotRunning(lease):
-			notRunning = append(notRunning, attempt)
+		i := find(attempt)
+		if i >= 0 {
+			listed[i] = true
 		}
-	}
-	for _, attempt := range hb.Running {
-		if !started[attempt] {
+		if i < 0 || leases[i].task.Lease.StartedAt == 0 || !leases[i].task.Lease.heldBy(hb) {
 			added = append(added, attempt)
 		}
 	}
+	for i := range leases {
+		if lease := &leases[i].task.Lease; !listed[i] && lease.heldBy(hb) && hb.showsNotRunning(lease) {
+			notRunning = append(notRunning, leases[i].attempt())
+		}
+	}
 	slices.SortFunc(notRunning, Attempt.compare)
 	return added, notRunning
 }
--- a/core/state/indexes.go
+++ b/core/state/indexes.go
@@ -18,9 +18,8 @@
 // themselves: setTask keeps them right, and rebuildIndexes makes them anew after
 // a load.
 type indexes struct {
-	// leases gives the leased tasks of each worker, usage what they sum up to.
-	leases map[string]map[taskRef]bool
-	usage  map[string]*workerUsage
+	// usage gives the leases of each worker and what they sum up to.
+	usage map[string]*workerUsage
 	// tenantUsage is what each tenant has running, leased or not.
 	tenantUsage *quota.Usage
 	// unfinished counts the tasks of a class that are not terminal.
@@ -37,7 +36,6 @@
 // rebuildIndexes makes anew what is derived from the records.
 func (s *Store) rebuildIndexes() {
 	s.indexes = indexes{
-		leases:      map[string]map[taskRef]bool{},
 		usage:       map[string]*workerUsage{},
 		tenantUsage: quota.NewUsage(),
 		unfinished:  map[ClassKey]int{},
@@ -94,29 +92,28 @@
 // countLease adds a leased task to its worker, or takes it off.
 func (s *Store) countLease(job *Job, ref taskRef, by int) {
 	worker := job.Tasks[ref.index].Lease.Worker
-	if s.leases[worker] == nil {
-		s.leases[worker] = map[taskRef]bool{}
-	}
+	usage, leased := s.changeableUsage(worker), leasedTask{ref, &job.Spec.Tasks[ref.index], job.Tasks[ref.index]}
 	if by > 0 {
-		s.leases[worker][ref] = true
+		usage.leases = usage.leases.add(leased)
 	} else {
-		delete(s.leases[worker], ref)
+		usage.leases = usage.leases.remove(leased)
 	}
-	s.changeableUsage(worker).adjust(job, ref.index, by)
+	usage.adjust(job, ref.index, by)
 	s.countForTenant(job.Tenant, job.Spec.Tasks[ref.index].Resources, by)
 	s.updateServiceLoad(worker, job.Spec.Class, by*job.Spec.Tasks[ref.index].Resources.Slots)
 }
 
-// workerUsage sums the leases of a worker.
+// workerUsage are the leases of a worker, and what they sum up to.
 type workerUsage struct {
+	leases workerLeases
 	// used are the resources of all leases, unreported of those that the worker's
 	// report did not count yet, and stopping of those that are being stopped.
 	used, unreported, stopping Resources
 	// stopCount and unstartedCount are how many leases are being stopped and how many
-	// are still to be started.
-	stopCount, unstartedCount int
-	slotsByClass              map[string]int
-	leaseCount                int
+	// are still to be started; orphanCount are those of an earlier incarnation.
+	stopCount, unstartedCount, orphanCount int
+	slotsByClass                           map[string]int
+	leaseCount                             int
 }
 
 // noUsage is that of a worker that never had a lease.
@@ -156,6 +153,9 @@
 	} else if lease.StartedAt == 0 {
 		u.unstartedCount += by
 	}
+	if lease.OrphanUntil > 0 {
+		u.orphanCount += by
+	}
 	u.slotsByClass[job.Spec.Class] += by * resources.Slots
 	u.leaseCount += by
 }
--- a/core/state/lease.go
+++ b/core/state/lease.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"sort"
 	"time"
 
 	"sorrelloom/core/config"
@@ -80,13 +79,11 @@
 
 // leasedTasks gives the tasks that are leased to a worker, by their numbers.
 func (s *Store) leasedTasks(worker string) []taskRef {
-	refs := make([]taskRef, 0, len(s.leases[worker]))
-	for ref := range s.leases[worker] {
-		refs = append(refs, ref)
+	leases := s.usageOf(worker).leases
+	refs := make([]taskRef, 0, len(leases))
+	for i := range leases {
+		refs = append(refs, leases[i].ref)
 	}
-	sort.Slice(refs, func(i, j int) bool {
-		return s.taskAt(refs[i]).Number < s.taskAt(refs[j]).Number
-	})
 	return refs
 }
 
@@ -202,16 +199,29 @@
 
 // anyLeaseLapsed says whether any lease is over by the silence of its worker.
 func (s *Store) anyLeaseLapsed(now time.Duration) bool {
-	for _, leased := range s.leases {
-		for ref := range leased {
-			if s.leaseLapsed(now, ref) {
-				return true
-			}
+	for id, usage := range s.usage {
+		if s.noneDue(now, id, usage) {
+			continue
+		}
+		if slices.ContainsFunc(usage.leases, func(leased leasedTask) bool { return s.leaseLapsed(now, leased.ref) }) {
+			return true
 		}
 	}
 	return false
 }
 
+// noneDue says of a worker at a glance that none of its leases is to be returned or stopped
+// now. Where workers end what they run at the expiry of their own lease, that holds while
+// this has not come, but for leases of an earlier incarnation and for those not started yet.
+func (s *Store) noneDue(now time.Duration, id string, usage *workerUsage) bool {
+	limits := &s.config.Limits
+	if usage.leaseCount == 0 {
+		return true
+	}
+	return limits.KilledAtLeaseExpiry && usage.orphanCount+usage.unstartedCount == 0 &&
+		now <= s.workerRecord(id).LeaseExpiresAt+limits.ExpiryMargin.Duration
+}
+
 // dueStopReason says why a lease is to be stopped now, nothing if it is not.
 func (s *Store) dueStopReason(now time.Duration, ref taskRef) string {
 	limits, lease := &s.config.Limits, &s.taskAt(ref).Lease
@@ -230,9 +240,12 @@
 // by task number. It is asked often and mostly finds none, so only these are sorted.
 func (s *Store) dueLeases(now time.Duration) []taskRef {
 	var due []taskRef
-	for _, leased := range s.leases {
-		for ref := range leased {
-			if s.leaseLapsed(now, ref) || s.dueStopReason(now, ref) != "" {
+	for id, usage := range s.usage {
+		if s.noneDue(now, id, usage) {
+			continue
+		}
+		for i := range usage.leases {
+			if ref := usage.leases[i].ref; s.leaseLapsed(now, ref) || s.dueStopReason(now, ref) != "" {
 				due = append(due, ref)
 			}
 		}
--- a/core/state/orders.go
+++ b/core/state/orders.go
@@ -56,10 +56,10 @@
 
 // LeasesOn gives what is leased to a worker, by task number.
 func (s *Store) LeasesOn(worker string) []LeasedAttempt {
-	refs := s.leasedTasks(worker)
-	attempts := make([]LeasedAttempt, 0, len(refs))
-	for _, ref := range refs {
-		attempts = append(attempts, s.leasedAttempt(ref))
+	leases := s.usageOf(worker).leases
+	attempts := make([]LeasedAttempt, 0, len(leases))
+	for i := range leases {
+		attempts = append(attempts, s.leasedAttempt(leases[i].ref))
 	}
 	return attempts
 }
@@ -67,9 +67,9 @@
 // PendingOrders gives what is leased to a worker and is to be started or stopped.
 func (s *Store) PendingOrders(worker string) []LeasedAttempt {
 	var attempts []LeasedAttempt
-	for _, ref := range s.leasedTasks(worker) {
-		if lease := &s.taskAt(ref).Lease; lease.StopReason != "" || lease.StartedAt == 0 {
-			attempts = append(attempts, s.leasedAttempt(ref))
+	for _, leased := range s.usageOf(worker).leases {
+		if lease := &leased.task.Lease; lease.StopReason != "" || lease.StartedAt == 0 {
+			attempts = append(attempts, s.leasedAttempt(leased.ref))
 		}
 	}
 	return attempts
--- a/core/state/tick.go
+++ b/core/state/tick.go
@@ -112,7 +112,7 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(s.workers)) {
 		keptUntil := s.workers[id].LeaseExpiresAt + s.config.Limits.ExpiryMargin.Duration + retention
-		if now > keptUntil && len(s.leases[id]) == 0 {
+		if now > keptUntil && s.usageOf(id).leaseCount == 0 {
 			actions = append(actions, timedAction{"", func() { s.forgetWorker(id) }})
 		}
 	}
--- /dev/null
+++ b/core/state/worker_leases.go
@@ -0,0 +1,72 @@
+package state
+
+import (
+	"cmp"
+	"slices"
+)
+
+// maxLinearSearch is up to how many leases one is looked for by going through all of them:
+// a worker has few, and a map costs more to fill than it saves.
+const maxLinearSearch = 32
+
+// leasedTask is a task that is leased, with its records as they are now. They are shared and
+// must not be changed.
+type leasedTask struct {
+	ref  taskRef
+	spec *TaskSpec
+	task *Task
+}
+
+// attempt is what the task is leased for.
+func (l *leasedTask) attempt() Attempt {
+	return Attempt{l.ref.job, l.spec.ID, l.task.Lease.AttemptNumber}
+}
+
+// compare orders leased tasks by their numbers.
+func (l leasedTask) compare(other leasedTask) int {
+	return cmp.Or(
+		cmp.Compare(l.task.Number, other.task.Number),
+		cmp.Compare(l.ref.job, other.ref.job), cmp.Compare(l.ref.index, other.ref.index),
+	)
+}
+
+// workerLeases are the tasks that are leased to one worker, by their numbers.
+type workerLeases []leasedTask
+
+func (l workerLeases) add(leased leasedTask) workerLeases {
+	i, _ := slices.BinarySearchFunc(l, leased, leasedTask.compare)
+	return slices.Insert(l, i, leased)
+}
+
+func (l workerLeases) remove(leased leasedTask) workerLeases {
+	i, found := slices.BinarySearchFunc(l, leased, leasedTask.compare)
+	if !found {
+		return l
+	}
+	return slices.Delete(l, i, i+1)
+}
+
+// find gives the index of the lease of an attempt, or -1.
+func (l workerLeases) find(attempt Attempt) int {
+	return slices.IndexFunc(l, func(leased leasedTask) bool {
+		return leased.task.Lease.AttemptNumber == attempt.Number && leased.ref.job == attempt.Job &&
+			leased.spec.ID == attempt.Task
+	})
+}
+
+// finder gives a function that finds the leases of many attempts.
+func (l workerLeases) finder() func(Attempt) int {
+	if len(l) <= maxLinearSearch {
+		return l.find
+	}
+	indexes := make(map[Attempt]int, len(l))
+	for i := range l {
+		indexes[l[i].attempt()] = i
+	}
+	return func(attempt Attempt) int {
+		if i, found := indexes[attempt]; found {
+			return i
+		}
+		return -1
+	}
+}
