Agent: progress travels with other reports, once a second

Callers of 240 workers saw starts come late: before any traffic, with some 300 runs that save twice a second, the primary took 825 to 1,054 reports a second, of which it replicated over 400 as commands, a third of its time.

Progress had a report of its own after 0.4 s, and went with every other report, so that hardly any report changed nothing. It now has no report of its own, and goes with the first report that is sent a second after one whose progress was taken; until it is taken, with each. Only the loss of a worker costs the work in between: every end and every stop says itself what was saved, and a gang goes on from the furthest of its members.

TestProgressIsReportedUntilAcknowledged is as it was.

--- a/core/agent/reply.go
+++ b/core/agent/reply.go
@@ -72,6 +72,9 @@
 	a.leaseDuration = max(a.leaseDuration, orders.LeaseDuration)
 	w.leaseExpiry = max(w.leaseExpiry, sent.sentAt+orders.LeaseDuration)
 	w.ends.acknowledge(sent, orders.Acks)
+	if len(sent.heartbeat.Progress) > 0 {
+		w.reports.progressTakenAt = sent.sentAt
+	}
 	for _, progress := range sent.heartbeat.Progress {
 		w.checkpoints[progress.Attempt] = progress.Checkpoint
 	}
--- a/core/agent/report.go
+++ b/core/agent/report.go
@@ -14,8 +14,10 @@
 	replyGrace = 600 * time.Millisecond
 	// minReportInterval is the least time between two reports.
 	minReportInterval = 10 * time.Millisecond
-	// progressInterval is the least time between two reports of progress alone.
-	progressInterval = 400 * time.Millisecond
+	// progressInterval is the time from a report whose progress was taken to the next one
+	// that carries any, as the primary has to replicate it. Progress has no report of its own:
+	// an end says itself what was saved, so only the loss of a worker costs the work between.
+	progressInterval = time.Second
 )
 
 // report is a heartbeat that waits for its reply.
@@ -38,6 +40,8 @@
 	// dirty says that something changed that the last report does not carry.
 	dirty  bool
 	sentAt time.Duration
+	// progressTakenAt is when the last report was sent whose progress the primary took.
+	progressTakenAt time.Duration
 	// waitSince is since when a reply is awaited, to this report or to one that it
 	// replaced.
 	waitSince    time.Duration
@@ -150,8 +154,6 @@
 	replaceAt := deadline
 	if r.dirty {
 		replaceAt = dueAt
-	} else if !slices.Equal(w.progress(), r.inFlight.heartbeat.Progress) {
-		replaceAt = r.sentAt + progressInterval
 	}
 	if max(replaceAt, now) >= r.waitSince+a.config.ReportWait {
 		replaceAt = deadline
@@ -192,7 +194,7 @@
 		sentAt:     now,
 		noRuns:     noRuns,
 		endNumbers: endNumbers,
-		heartbeat:  a.heartbeat(w, noRuns, w.ends.results(endNumbers)),
+		heartbeat:  a.heartbeat(now, w, noRuns, w.ends.results(endNumbers)),
 	}
 	out.Send(a.replicas.target, wire.KindHeartbeat, wire.HeartbeatRequest{
 		ID:        a.lastReportID,
@@ -201,8 +203,15 @@
 	})
 }
 
+// progressDue reports whether a report may carry progress.
+func (r *reportState) progressDue(now time.Duration) bool {
+	return r.progressTakenAt == 0 || now >= r.progressTakenAt+progressInterval
+}
+
 // heartbeat returns what a report says of a worker.
-func (a *Agent) heartbeat(w *worker, noRuns bool, ended []state.AttemptResult) state.Heartbeat {
+func (a *Agent) heartbeat(
+	now time.Duration, w *worker, noRuns bool, ended []state.AttemptResult,
+) state.Heartbeat {
 	call := &w.lastCall
 	heartbeat := state.Heartbeat{
 		Worker:      call.Worker,
@@ -224,7 +233,10 @@
 		return heartbeat
 	}
 	heartbeat.Unconfirmed = !w.confirmed
-	heartbeat.Running, heartbeat.Progress = w.running(), w.progress()
+	heartbeat.Running = w.running()
+	if w.reports.progressDue(now) {
+		heartbeat.Progress = w.progress()
+	}
 	heartbeat.Free, heartbeat.Total = w.freeResources(), w.capacity
 	return heartbeat
 }
