--- a/core/state/indexes.go
+++ b/core/state/indexes.go
@@ -91,13 +91,12 @@
 
 // countLease adds a leased task to its worker, or takes it off.
 func (s *Store) countLease(job *Job, ref taskRef, by int) {
-	task := job.Tasks[ref.index]
-	worker := task.Lease.Worker
-	usage := s.changeableUsage(worker)
+	worker := job.Tasks[ref.index].Lease.Worker
+	usage, leased := s.changeableUsage(worker), leasedTask{ref, &job.Spec.Tasks[ref.index], job.Tasks[ref.index]}
 	if by > 0 {
-		usage.leases.add(task.Number, ref)
+		usage.leases = usage.leases.add(leased)
 	} else {
-		usage.leases.remove(task.Number)
+		usage.leases = usage.leases.remove(leased)
 	}
 	usage.adjust(job, ref.index, by)
 	s.countForTenant(job.Tenant, job.Spec.Tasks[ref.index].Resources, by)
@@ -106,16 +105,16 @@
 
 // workerUsage holds the leases of a worker and what they sum up to.
 type workerUsage struct {
-	leases leaseList
+	leases workerLeases
 	// preemptible are the sums by class of those that are not being stopped.
 	preemptible []PreemptibleLeases
 	// used are the resources of all leases, unreported of those that the worker's
 	// report did not count yet, and stopping of those that are being stopped.
 	used, unreported, stopping Resources
 	// stopCount and unstartedCount are how many leases are being stopped and how many
-	// are still to be started.
-	stopCount, unstartedCount int
-	slotsByClass              map[string]int
+	// are still to be started; orphanCount are those of an earlier incarnation.
+	stopCount, unstartedCount, orphanCount int
+	slotsByClass                           map[string]int
 }
 
 // resourceSum is Resources.Add or Resources.Sub.
@@ -161,5 +160,8 @@
 			u.unstartedCount += by
 		}
 	}
+	if lease.OrphanUntil > 0 {
+		u.orphanCount += by
+	}
 	u.slotsByClass[job.Spec.Class] += by * resources.Slots
 }
--- a/core/state/lease_list.go
+++ b/core/state/preemptible.go
@@ -1,49 +1,10 @@
 package state
 
 import (
-	"cmp"
 	"iter"
 	"slices"
 )
 
-// leasedTask is a task that is leased to a worker, with its number.
-type leasedTask struct {
-	number uint64
-	ref    taskRef
-}
-
-// leaseList holds the tasks that are leased to one worker, by their numbers.
-type leaseList []leasedTask
-
-func (l leaseList) search(number uint64) (int, bool) {
-	return slices.BinarySearchFunc(l, number, func(leased leasedTask, number uint64) int {
-		return cmp.Compare(leased.number, number)
-	})
-}
-
-// add puts a task into the list, unless it is there.
-func (l *leaseList) add(number uint64, ref taskRef) {
-	if i, found := l.search(number); !found {
-		*l = slices.Insert(*l, i, leasedTask{number, ref})
-	}
-}
-
-// remove takes a task out of the list.
-func (l *leaseList) remove(number uint64) {
-	if i, found := l.search(number); found {
-		*l = slices.Delete(*l, i, i+1)
-	}
-}
-
-// refs gives the tasks in a list of their own, which may be walked while leases change.
-func (l leaseList) refs() []taskRef {
-	refs := make([]taskRef, 0, len(l))
-	for _, leased := range l {
-		refs = append(refs, leased.ref)
-	}
-	return refs
-}
-
 // PreemptibleLeases sums those leases of one class on a worker that are not being stopped.
 type PreemptibleLeases struct {
 	Class ClassKey
