Log: frames_dropped says how long the process's steps took, by kind of input

What was dropped for age was logged, and not what the process did instead: a scan in each step and an expensive command look the same.

--- a/daemon/host/runner.go
+++ b/daemon/host/runner.go
@@ -74,7 +74,9 @@
 
 // step gives the machine one input and does what it returns. Only the event loop calls it.
 func (r *Runner) step(in machine.Input) {
+	startedAt := r.host.Now()
 	out := r.stepLocked(in)
+	r.host.counters.Stepped(inputKind(in), r.host.Now()-startedAt)
 	for _, response := range out.Responses {
 		r.host.requests.respond(response)
 	}
@@ -83,6 +85,26 @@
 	}
 }
 
+// Names of the inputs that are no messages, in counts of steps.
+const (
+	inputWritten = "written"
+	inputRequest = "request"
+	inputTimer   = "timer"
+)
+
+// inputKind names what a step is given: a message by its kind.
+func inputKind(in machine.Input) string {
+	switch {
+	case in.Message.Kind != "":
+		return in.Message.Kind
+	case in.CompletedWrite > 0:
+		return inputWritten
+	case in.Request.ID > 0:
+		return inputRequest
+	}
+	return inputTimer
+}
+
 func (r *Runner) stepLocked(in machine.Input) machine.Output {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/daemon/transport/counters.go
+++ b/daemon/transport/counters.go
@@ -35,17 +35,32 @@
 // Flow counts frames, and their bytes without headers.
 type Flow struct{ Frames, Bytes uint64 }
 
+// StepTime is the time that a process spent on inputs of one kind.
+type StepTime struct {
+	Steps          uint64
+	Total, Longest time.Duration
+}
+
+func (s StepTime) plus(took time.Duration) StepTime {
+	return StepTime{Steps: s.Steps + 1, Total: s.Total + took, Longest: max(s.Longest, took)}
+}
+
 // Counts is what was counted since the last Counters.TakeAndReset.
 type Counts struct {
 	Received map[string]Flow
 	Sent     map[string]Flow
 	Dropped  map[DropKey]uint64
+	// Steps holds the times of steps by the kind of their input.
+	Steps map[string]StepTime
 	// LongestWait is the longest time that a frame waited before it was processed or dropped.
 	LongestWait time.Duration
 }
 
 func newCounts() Counts {
-	return Counts{Received: map[string]Flow{}, Sent: map[string]Flow{}, Dropped: map[DropKey]uint64{}}
+	return Counts{
+		Received: map[string]Flow{}, Sent: map[string]Flow{}, Dropped: map[DropKey]uint64{},
+		Steps: map[string]StepTime{},
+	}
 }
 
 // Counters count frames. They are safe for concurrent use.
@@ -81,6 +96,13 @@
 	c.current.LongestWait = max(c.current.LongestWait, wait)
 }
 
+// Stepped counts a step of a state machine on an input of a kind.
+func (c *Counters) Stepped(kind string, took time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.current.Steps[kind] = c.current.Steps[kind].plus(took)
+}
+
 // TakeAndReset returns the counts and sets them to zero.
 func (c *Counters) TakeAndReset() Counts {
 	c.mu.Lock()
@@ -96,7 +118,7 @@
 func (c Counts) Fields() []any {
 	return []any{
 		"dropped", c.formatDrops(), "received", formatFlows(c.Received), "sent", formatFlows(c.Sent),
-		"longestWaitMs", c.LongestWait.Milliseconds(),
+		"longestWaitMs", c.LongestWait.Milliseconds(), "steps", formatSteps(c.Steps),
 	}
 }
 
@@ -129,3 +151,14 @@
 	}
 	return strings.Join(parts, ",")
 }
+
+// formatSteps lists kind:steps/milliseconds/milliseconds of the longest.
+func formatSteps(byKind map[string]StepTime) string {
+	var parts []string
+	for _, kind := range slices.Sorted(maps.Keys(byKind)) {
+		step := byKind[kind]
+		parts = append(parts,
+			fmt.Sprintf("%s:%d/%d/%d", kind, step.Steps, step.Total.Milliseconds(), step.Longest.Milliseconds()))
+	}
+	return strings.Join(parts, ",")
+}
