Scheduler: inputs that wait get as much time after a scan as the scan took

Callers saw no answer about accepted jobs, long after the traffic had ended: the dispatcher looked for grants and preemptions in the step of every input, since the least time between two scans counts from the beginning of one, and a scan takes longer than that with some thousand queued tasks. In the end no request was taken for 17 s. Each input now says how many wait behind it; while any do, the next scan waits until they have had as much time as the last one took. Without a backlog nothing changes.

--- a/core/control/control.go
+++ b/core/control/control.go
@@ -109,15 +109,16 @@
 
 // stepServing runs the dispatcher until the replica has no reply for it.
 func (c *Control) stepServing(now time.Duration, in machine.Input, isHeartbeat bool, out *machine.Output) {
+	timer := machine.Input{Backlog: in.Backlog}
 	for _, message := range c.takeQueuedHeartbeats() {
-		c.stepScheduler(now, machine.Input{Message: message}, out)
+		c.stepScheduler(now, machine.Input{Message: message, Backlog: in.Backlog}, out)
 	}
 	if !isHeartbeat {
-		in = machine.Input{}
+		in = timer
 	}
 	c.stepScheduler(now, in, out)
 	for c.replica.HasLocalReplies() {
-		c.stepScheduler(now, machine.Input{}, out)
+		c.stepScheduler(now, timer, out)
 	}
 }
 
--- a/core/machine/machine.go
+++ b/core/machine/machine.go
@@ -17,7 +17,8 @@
 	NextTimer() time.Duration
 }
 
-// Input is one event. At most one of its parts is set; an empty input is an expired timer.
+// Input is one event. At most one of its parts is set, beside those
+// that come with every input; one without any is an expired timer.
 type Input struct {
 	// Message is a message from another process, if its Kind is set.
 	Message Message
@@ -30,6 +31,9 @@
 	Request Request
 	// Stop tells the machine that the process is being stopped.
 	Stop bool
+	// Backlog is how many inputs wait behind this one. It comes with every input. Work that
+	// can be put off should be, while others wait for an answer.
+	Backlog int
 	// WallTime is the time of day, for the few decisions that users bind to it. It
 	// comes with every input and may jump.
 	WallTime time.Time
--- a/core/scheduler/scan.go
+++ b/core/scheduler/scan.go
@@ -14,6 +14,10 @@
 // state it looks only at those for which something has changed: a heartbeat, a
 // committed command, a lease, or a task that came into their queue. All workers are
 // looked at in each fullScanInterval.
+//
+// A scan takes the longer the more tasks wait. While inputs wait, they are given as much
+// time after each scan as the scan took: ends, questions and acknowledgements must not wait
+// for a dispatcher that is short of processor.
 
 const (
 	fullScanInterval = 50 * time.Millisecond
@@ -30,6 +34,9 @@
 	next     time.Duration
 	last     time.Duration
 	nextFull time.Duration
+	// yieldUntil is until when inputs that wait go before the next scan; 0 until the
+	// first step after the last scan, which tells when that was over.
+	yieldUntil time.Duration
 	// changedWorkers are those that the next scan looks at, unless it is a full one.
 	changedWorkers map[string]bool
 }
@@ -39,6 +46,18 @@
 	t.next = min(t.next, max(now, t.last+minScanGap))
 }
 
+// noteStep notes when the last scan was over: by the time of the first step after it.
+func (t *scanSchedule) noteStep(now time.Duration) {
+	if t.yieldUntil == 0 && now > t.last {
+		t.yieldUntil = now + (now - t.last)
+	}
+}
+
+// isDue reports whether to scan in a step behind which inputs wait.
+func (t *scanSchedule) isDue(now time.Duration, backlog int) bool {
+	return now >= t.next && (backlog == 0 || t.yieldUntil > 0 && now >= t.yieldUntil)
+}
+
 // idleMark is the state in which a worker found nothing to pull.
 type idleMark struct {
 	queueVersion uint64
@@ -87,7 +106,7 @@
 // scan proposes grants for the workers with free resources, and preemptions, then
 // answers the heartbeats for which there are orders or that have waited long enough.
 func (s *Scheduler) scan(now time.Duration, out *machine.Output) {
-	s.scans.next, s.scans.last = now+fullScanInterval, now
+	s.scans.next, s.scans.last, s.scans.yieldUntil = now+fullScanInterval, now, 0
 	full := !s.access.IsLocal() || now >= s.scans.nextFull
 	workers := s.workersToScan(full)
 	s.scans.changedWorkers = map[string]bool{}
--- /dev/null
+++ b/core/scheduler/scan_share_test.go
@@ -0,0 +1,59 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"sorrelloom/core/machine"
+	"sorrelloom/core/statetest"
+)
+
+// scansAt steps a scheduler whose dispatcher has something to do, and reports whether it has
+// scanned.
+func scansAt(s *Scheduler, now time.Duration, backlog int) bool {
+	s.scans.requestSoon(now)
+	s.Step(now, machine.Input{Backlog: backlog})
+	return s.scans.last == now
+}
+
+func newLocalScheduler(t *testing.T) *Scheduler {
+	return NewWith(Config{Address: "s1", Zone: "a"}, &storeAccess{fixture: statetest.New(t)})
+}
+
+// TestEveryInputPaysForAScan has inputs wait for a scheduler whose scans are long, as with
+// thousands of queued tasks. Whatever a scan takes, the inputs get half of the time; and the
+// scans get theirs.
+func TestEveryInputPaysForAScan(t *testing.T) {
+	const (
+		inputTakes = ms / 10
+		span       = 20 * time.Second
+	)
+	for _, scanTakes := range []time.Duration{5 * ms, 20 * ms, 200 * ms} {
+		s := newLocalScheduler(t)
+		inputs, scanning := 0, time.Duration(0)
+		for now := time.Second; now < time.Second+span; inputs++ {
+			took := inputTakes
+			if scansAt(s, now, 1) {
+				took += scanTakes
+				scanning += scanTakes
+			}
+			now += took
+		}
+		if half := int(span / inputTakes / 2); inputs < half*9/10 {
+			t.Errorf("scans of %s: %d inputs in %s, want %d at least", scanTakes, inputs, span, half*9/10)
+		}
+		if scanning < span/4 {
+			t.Errorf("scans of %s: %s of %s, want a quarter at least", scanTakes, scanning, span)
+		}
+	}
+}
+
+// TestIdleSchedulerScansAtOnce has no input wait: no scan is put off for the last one.
+func TestIdleSchedulerScansAtOnce(t *testing.T) {
+	s := newLocalScheduler(t)
+	for _, now := range []time.Duration{time.Second, time.Second + 20*ms, time.Second + 30*ms} {
+		if !scansAt(s, now, 0) {
+			t.Errorf("at %s a scan was put off though nothing waits", now)
+		}
+	}
+}
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -130,6 +130,7 @@
 // Step implements machine.Machine.
 func (s *Scheduler) Step(now time.Duration, in machine.Input) machine.Output {
 	var out machine.Output
+	s.scans.noteStep(now)
 	results := s.receive(now, in, &out)
 	results = append(results, s.access.HandleTimers(now, &out)...)
 	for _, result := range results {
@@ -148,10 +149,10 @@
 	if len(changes)+len(results) > 0 || in.Message.Kind == wire.KindHeartbeat {
 		s.scans.requestSoon(now)
 	}
-	if now >= s.scans.next || !s.access.IsLocal() {
+	if !s.access.IsLocal() || s.scans.isDue(now, in.Backlog) {
 		s.scan(now, &out)
 	}
-	s.setTimer(now)
+	s.setTimer(now, in.Backlog)
 	if s.stopping && (now >= s.stopDeadline || len(s.LedZones()) == 0) {
 		out.Stopped = true
 	}
@@ -199,8 +200,12 @@
 // ImpairedWorkers counts the workers that get less work for how their attempts ended.
 func (s *Scheduler) ImpairedWorkers() int { return s.dispatcher.ImpairedWorkers() }
 
-func (s *Scheduler) setTimer(now time.Duration) {
+// setTimer sets the next timer after a step behind which inputs wait.
+func (s *Scheduler) setTimer(now time.Duration, backlog int) {
 	s.nextTimer = s.scans.next
+	if backlog > 0 {
+		s.nextTimer = max(s.nextTimer, s.scans.yieldUntil)
+	}
 	if s.dispatcher.Rebuilding() {
 		s.nextTimer = min(s.nextTimer, now+rebuildInterval)
 	}
--- a/daemon/host/runner.go
+++ b/daemon/host/runner.go
@@ -109,7 +109,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.host.Now()
-	in.WallTime = time.Now()
+	in.WallTime, in.Backlog = time.Now(), r.host.receiveQueue.Len()
 	out := r.machine.Step(now, in)
 	for _, event := range out.LogEvents {
 		logging.Log(event.Level, event.Name, event.Fields...)
--- a/daemon/transport/receive_queue.go
+++ b/daemon/transport/receive_queue.go
@@ -145,6 +145,13 @@
 	return frame
 }
 
+// Len returns how many messages and calls wait.
+func (q *ReceiveQueue) Len() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.completions.len() + q.cluster.len() + q.local.len() + q.urgent.len() + q.requests.len()
+}
+
 func (q *ReceiveQueue) drop(frame *receivedMessage, reason DropReason) {
 	q.counters.dropped(DropKey{Kind: frame.message.Kind, Reason: reason})
 }
--- a/tool/sim/step.go
+++ b/tool/sim/step.go
@@ -32,6 +32,9 @@
 	if n.role == roleControl {
 		in.WallTime = w.wallTime().Add(n.wallSkew)
 	}
+	if n.processor != nil {
+		in.Backlog = len(n.processor.queue)
+	}
 	before := n.logIndex()
 	out := target.Step(n.localTime(w.Now), in)
 	if n.processor != nil {
