Questions and reports overtake new jobs at a primary, and acknowledgements completed writes

They have priorities now; a copy of a question takes the place of the one that waits. Completed writes went before all acknowledgements of the backups; they take turns.

A question that is answered is no evidence of a lost job any more, since it overtakes: a leader client takes a job's command for lost 0.4 s after a later probe was answered, when it has expired at the leader. Two tests had a question or a probe as that evidence: they use a change in its place, and one more covers the probe.

--- a/core/goldentest/fill.go
+++ b/core/goldentest/fill.go
@@ -32,6 +32,7 @@
 	"strayByTenant":      "a worker",
 	"recountDifferences": "a replica's report of itself",
 	"urgent":             "a command on its way to the primary",
+	"question":           "a command on its way to the primary",
 	"formerLimits":       "the metadata of the state",
 }
 
--- a/core/leaderclient/client.go
+++ b/core/leaderclient/client.go
@@ -10,11 +10,12 @@
 //
 // Commands go only to a replica that has confirmed its leadership, at most
 // maxInFlight of them at a time, the earliest deadline first. A replica answers
-// commands in the order in which they reach it. A command is therefore sent again
-// only on evidence that it was lost: the client has switched to another replica, or
-// the leader has answered something that was sent later. A rejection is passed on
-// only where no copy of the command can have been accepted; otherwise the result is
-// status.NoResponse, which says that the outcome is unknown.
+// commands of one priority in the order in which they reach it. A command is therefore
+// sent again only on evidence that it was lost: the client has switched to another
+// replica, or the leader has answered something that was sent later and could not
+// overtake it, or a probe sent later, for so long that the command has expired there. A
+// rejection is passed on only where no copy of the command can have been accepted;
+// otherwise the result is status.NoResponse, which says that the outcome is unknown.
 package leaderclient
 
 import (
@@ -129,6 +130,7 @@
 	case in.Message.Kind != "":
 		out.Warn("message_unknown", "kind", in.Message.Kind, "from", in.Message.From)
 	}
+	c.sends.expire(now)
 	c.checkLeader(now, &out)
 	c.expirePending(now, &out)
 	c.sendDue(now, &out)
@@ -194,6 +196,9 @@
 	}
 	if len(c.pending) > 0 {
 		c.nextTimer = min(c.nextTimer, c.confirmedAt+leaderTimeout+timerResolution)
+		if len(c.sends.expiring) > 0 {
+			c.nextTimer = min(c.nextTimer, c.sends.expiring[0].expiresAt)
+		}
 	}
 	full := c.inFlightCount() >= maxInFlight
 	for _, command := range c.pending {
--- a/core/leaderclient/commands.go
+++ b/core/leaderclient/commands.go
@@ -25,6 +25,8 @@
 	minRetryDelay     = 100 * time.Millisecond
 	maxRetryDelay     = 800 * time.Millisecond
 	maxRetryDoublings = 8
+	// leaderQueueTimeout is how long a command waits at the leader before it is dropped.
+	leaderQueueTimeout = 400 * time.Millisecond
 	// latencyWeight is the inverse of the weight of the newest latency in the mean.
 	latencyWeight = 8
 )
@@ -46,10 +48,30 @@
 	sendIndex uint64
 }
 
-// isUrgent reports whether the leader handles a command before those of callers: a call of
-// an operator, or the confirmation that one begins with.
-func (c *pendingCommand) isUrgent() bool {
-	return state.IsOperatorCommand(c.command.Kind) || c.command.Kind == state.KindConfirmLeadership
+// priority is the order in which a leader takes up what waits: a command overtakes those of
+// lower priorities.
+type priority int
+
+const (
+	// priorityChange is that of commands that change the state.
+	priorityChange priority = iota
+	// priorityQuestion is that of probes, and of questions of callers.
+	priorityQuestion
+	// priorityUrgent is that of an operator's calls, and of the confirmation that one
+	// begins with.
+	priorityUrgent
+	priorityCount
+)
+
+func (c *pendingCommand) priority() priority {
+	kind := c.command.Kind
+	switch {
+	case state.IsOperatorCommand(kind) || kind == state.KindConfirmLeadership:
+		return priorityUrgent
+	case state.IsReadOnly(kind):
+		return priorityQuestion
+	}
+	return priorityChange
 }
 
 // byDeadline orders commands by their deadlines, then by their IDs.
@@ -60,11 +82,20 @@
 // sendLog numbers the messages sent, commands and probes alike.
 type sendLog struct {
 	last uint64
-	// answered is the highest number that the leader answered. Since it answers in
-	// order, a message of a lower number without an answer is lost, or its answer is.
-	// Urgent commands overtake the others: answeredUrgent counts among themselves only.
-	answered       uint64
-	answeredUrgent uint64
+	// answered are the highest numbers of each priority that the leader answered. Since it
+	// answers in order but for the priorities, a message of a lower number and of the same
+	// priority or a higher one that has no answer is lost, or its answer is.
+	answered [priorityCount]uint64
+	// expiring are the probes that the leader answered less than leaderQueueTimeout ago.
+	expiring []answeredProbe
+}
+
+// answeredProbe is a probe that the leader has answered. It overtakes changes, but the leader
+// keeps nothing waiting for longer than leaderQueueTimeout: whatever was sent before the
+// probe is taken up or dropped by expiresAt.
+type answeredProbe struct {
+	sendIndex uint64
+	expiresAt time.Duration
 }
 
 // next returns the number of the next message.
@@ -73,25 +104,38 @@
 	return l.last
 }
 
-// noteAnswered notes that the leader has answered a message.
-func (l *sendLog) noteAnswered(index uint64) { l.answered = max(l.answered, index) }
+// noteAnswered notes that the leader has answered a message of a priority.
+func (l *sendLog) noteAnswered(p priority, index uint64) { l.answered[p] = max(l.answered[p], index) }
+
+// noteAllLost notes that nothing that was sent so far will be answered.
+func (l *sendLog) noteAllLost() {
+	l.noteAnswered(priorityChange, l.last)
+	l.expiring = nil
+}
 
-// noteCommandAnswered notes that the leader has answered a command.
-func (l *sendLog) noteCommandAnswered(command *pendingCommand) {
-	if command.isUrgent() {
-		l.answeredUrgent = max(l.answeredUrgent, command.sendIndex)
-	} else {
-		l.noteAnswered(command.sendIndex)
+// noteProbeAnswered notes that the leader has answered a probe.
+func (l *sendLog) noteProbeAnswered(now time.Duration, index uint64) {
+	l.noteAnswered(priorityQuestion, index)
+	l.expiring = append(l.expiring, answeredProbe{index, now + leaderQueueTimeout})
+}
+
+// expire notes that the changes sent before answered probes wait at the leader no longer.
+func (l *sendLog) expire(now time.Duration) {
+	for len(l.expiring) > 0 && now >= l.expiring[0].expiresAt {
+		l.noteAnswered(priorityChange, l.expiring[0].sendIndex)
+		l.expiring = l.expiring[1:]
 	}
 }
 
 // isLost reports whether the leader has answered something that was sent after a command
 // and could not overtake it.
 func (l *sendLog) isLost(command *pendingCommand) bool {
-	if command.isUrgent() && command.sendIndex < l.answeredUrgent {
-		return true
+	for p := priorityChange; p <= command.priority(); p++ {
+		if command.sendIndex < l.answered[p] {
+			return true
+		}
 	}
-	return command.sendIndex < l.answered
+	return false
 }
 
 // latencyEstimate is the moving average of the time from sending to answer.
@@ -173,11 +217,12 @@
 // state if that is known.
 func (c *Client) send(now time.Duration, command *pendingCommand, out *machine.Output) {
 	request := wire.CommandRequest{
-		ID:      command.id,
-		Timeout: command.deadline - now,
-		Retry:   command.sendCount > 0,
-		Urgent:  command.isUrgent(),
-		Command: command.command,
+		ID:       command.id,
+		Timeout:  command.deadline - now,
+		Retry:    command.sendCount > 0,
+		Urgent:   command.priority() == priorityUrgent,
+		Question: command.priority() == priorityQuestion,
+		Command:  command.command,
 	}
 	if stateTime, known := c.probes.stateTime(now); known {
 		request.Deadline = stateTime + request.Timeout
--- a/core/leaderclient/commands_test.go
+++ b/core/leaderclient/commands_test.go
@@ -32,6 +32,7 @@
 
 const (
 	accept = state.KindAcceptJob
+	cancel = state.KindCancelJob
 	read   = state.KindReadJob
 )
 
--- a/core/leaderclient/leader.go
+++ b/core/leaderclient/leader.go
@@ -164,7 +164,7 @@
 	t.primary, t.confirmed, t.switchAt = replica, false, 0
 	t.lastHeardAt, t.silenceTimeout = now, c.nextSilenceTimeout()
 	c.probes.reset(now)
-	c.sends.noteAnswered(c.sends.last)
+	c.sends.noteAllLost()
 	for _, command := range c.pending {
 		command.inFlight = false
 	}
--- a/core/leaderclient/probes.go
+++ b/core/leaderclient/probes.go
@@ -78,6 +78,6 @@
 	p.open = p.open[max(0, len(p.open)-maxOpenProbes):]
 	p.lastAt, p.nextAt = now, now+c.jitter(minProbeInterval, maxProbeInterval)
 	out.Send(c.leader.primary, wire.KindCommand, wire.CommandRequest{
-		ID: c.lastCommandID, Command: state.Command{Kind: state.KindConfirmLeadership},
+		ID: c.lastCommandID, Question: true, Command: state.Command{Kind: state.KindConfirmLeadership},
 	})
 }
--- a/core/leaderclient/reply.go
+++ b/core/leaderclient/reply.go
@@ -43,7 +43,7 @@
 		c.leadershipConfirmed(now, from)
 	}
 	if c.probes.handleReply(reply) && from == c.leader.primary {
-		c.sends.noteAnswered(c.probes.last.sendIndex)
+		c.sends.noteProbeAnswered(now, c.probes.last.sendIndex)
 		c.noteConfigVersion(reply.Result.ConfigVersion, out)
 		return
 	}
@@ -68,7 +68,7 @@
 	c.pending = slices.Delete(c.pending, index, index+1)
 	code := reply.Result.Code
 	if from == c.leader.primary && command.inFlight && !slices.Contains(inconclusiveCodes, code) {
-		c.sends.noteCommandAnswered(command)
+		c.sends.noteAnswered(command.priority(), command.sendIndex)
 		c.latency.observe(now - command.sentAt)
 	}
 	retried := command.sendCount > 1 && !state.IsReadOnly(command.command.Kind)
--- a/core/machine/message.go
+++ b/core/machine/message.go
@@ -24,6 +24,13 @@
 // requests. To a receiver of an earlier release they are keys like any other.
 const UrgentKeyPrefix = "urgent/"
 
+// QuestionKeyPrefix begins the coalescing keys of questions that change nothing. To a receiver of
+// an earlier release they are keys like any other.
+const QuestionKeyPrefix = "question/"
+
+// IsQuestion reports whether a message asks something and changes nothing.
+func (m Message) IsQuestion() bool { return strings.HasPrefix(m.CoalescingKey, QuestionKeyPrefix) }
+
 // IsUrgent reports whether a message is to be handled before other requests. It can be told
 // without decoding the body.
 func (m Message) IsUrgent() bool { return strings.HasPrefix(m.CoalescingKey, UrgentKeyPrefix) }
--- a/core/wire/requests.go
+++ b/core/wire/requests.go
@@ -22,16 +22,23 @@
 	// Retry is set if the command was sent before.
 	Retry bool `json:"resent,omitempty"`
 	// Urgent requests are handled before those of callers and workers.
-	Urgent  bool          `json:"urgent,omitempty"`
-	Command state.Command `json:"command"`
+	Urgent bool `json:"urgent,omitempty"`
+	// Question says that the command changes nothing: it is handled before those that do.
+	Question bool          `json:"question,omitempty"`
+	Command  state.Command `json:"command"`
 }
 
-// CoalescingKey marks urgent requests. Each key is used once, so nothing is coalesced.
+// CoalescingKey marks urgent requests, and questions. A key names the request, so that only
+// another copy of the same one takes the place of one that waits.
 func (r CommandRequest) CoalescingKey() string {
-	if !r.Urgent {
-		return ""
+	id := strconv.FormatUint(r.ID, 36)
+	switch {
+	case r.Urgent:
+		return machine.UrgentKeyPrefix + id
+	case r.Question:
+		return machine.QuestionKeyPrefix + id
 	}
-	return machine.UrgentKeyPrefix + strconv.FormatUint(r.ID, 36)
+	return ""
 }
 
 // CommandReply answers a CommandRequest.
--- a/daemon/transport/receive_queue.go
+++ b/daemon/transport/receive_queue.go
@@ -10,7 +10,6 @@
 const (
 	maxClusterFrames = 8192
 	maxClusterBytes  = 512 << 20
-	maxUrgentFrames  = 1024
 	maxRequestFrames = 8192
 	maxRequestBytes  = 64 << 20
 )
@@ -23,9 +22,9 @@
 }
 
 // ReceiveQueue holds what waits for the goroutine that steps the state machines. It gives
-// out completed writes first, then the messages of other cluster members, then replies and calls, then urgent and
-// then other requests.
-// Requests that have waited too long are dropped before their bodies are decoded.
+// out completed writes and the messages of other cluster members first, in turn, as each may
+// bring the next of its own kind about. Then come replies and calls, then requests by their
+// priority. Requests that have waited too long are dropped before their bodies are decoded.
 type ReceiveQueue struct {
 	now      func() time.Duration
 	counters *Counters
@@ -38,9 +37,11 @@
 	closed      bool
 	completions fifo[QueueItem]
 	cluster     boundedQueue
-	local       fifo[QueueItem]
-	urgent      boundedQueue
-	requests    boundedQueue
+	// clusterIsNext says that a completed write was given out last.
+	clusterIsNext bool
+	local         fifo[QueueItem]
+	// requests are those that wait, by their priority.
+	requests [priorityCount]boundedQueue
 	// latestByKey are the waiting requests that a later one with the same key replaces.
 	latestByKey map[coalescingKey]*receivedMessage
 }
@@ -98,7 +99,7 @@
 	q.counters.received(message.Kind, len(message.Body))
 	frame := &receivedMessage{message, q.now()}
 	q.mu.Lock()
-	switch ClassOfMessage(message).Priority {
+	switch priority := ClassOfMessage(message).Priority; priority {
 	case PriorityCluster:
 		for q.cluster.isFull(len(message.Body), maxClusterFrames, maxClusterBytes) {
 			q.drop(q.cluster.dequeue(), DropOverflow)
@@ -106,32 +107,27 @@
 		q.cluster.enqueue(frame)
 	case PriorityReply:
 		q.local.push(QueueItem{Message: message})
-	case PriorityUrgent:
-		for q.urgent.isFull(len(message.Body), maxUrgentFrames, maxRequestBytes) {
-			q.drop(q.urgent.dequeue(), DropOverflow)
-		}
-		q.urgent.enqueue(frame)
 	default:
-		q.enqueueRequestLocked(frame)
+		q.enqueueRequestLocked(&q.requests[priority], frame)
 	}
 	q.mu.Unlock()
 	signal(q.nonEmpty)
 }
 
 // enqueueRequestLocked adds a request, or replaces a waiting one with the same key.
-func (q *ReceiveQueue) enqueueRequestLocked(frame *receivedMessage) {
+func (q *ReceiveQueue) enqueueRequestLocked(queue *boundedQueue, frame *receivedMessage) {
 	key := coalescingKey{frame.message.Kind, frame.message.From, frame.message.CoalescingKey}
 	if waiting, ok := q.latestByKey[key]; ok {
 		// The newer message takes the older one's place in the queue.
 		q.drop(waiting, DropReplaced)
-		q.requests.bytes += len(frame.message.Body) - len(waiting.message.Body)
+		queue.bytes += len(frame.message.Body) - len(waiting.message.Body)
 		*waiting = *frame
 		return
 	}
-	for q.requests.isFull(len(frame.message.Body), maxRequestFrames, maxRequestBytes) {
-		q.drop(q.dequeueRequestLocked(&q.requests), DropOverflow)
+	for queue.isFull(len(frame.message.Body), maxRequestFrames, maxRequestBytes) {
+		q.drop(q.dequeueRequestLocked(queue), DropOverflow)
 	}
-	q.requests.enqueue(frame)
+	queue.enqueue(frame)
 	if key.key != "" {
 		q.latestByKey[key] = frame
 	}
@@ -149,7 +145,11 @@
 func (q *ReceiveQueue) Len() int {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.completions.len() + q.cluster.len() + q.local.len() + q.urgent.len() + q.requests.len()
+	count := q.completions.len() + q.cluster.len() + q.local.len()
+	for priority := range q.requests {
+		count += q.requests[priority].len()
+	}
+	return count
 }
 
 func (q *ReceiveQueue) drop(frame *receivedMessage, reason DropReason) {
@@ -182,9 +182,11 @@
 }
 
 func (q *ReceiveQueue) dequeueBeforeTimersLocked() (QueueItem, bool) {
-	if q.completions.len() > 0 {
+	if q.completions.len() > 0 && !(q.clusterIsNext && q.cluster.len() > 0) {
+		q.clusterIsNext = true
 		return q.completions.pop(), true
 	}
+	q.clusterIsNext = false
 	if message, ok := q.dequeueClusterLocked(); ok {
 		return QueueItem{Message: message}, true
 	}
@@ -223,11 +225,10 @@
 	if q.local.len() > 0 {
 		return q.local.pop(), true
 	}
-	if message, ok := q.dequeueFreshLocked(&q.urgent); ok {
-		return QueueItem{Message: message}, true
-	}
-	if message, ok := q.dequeueFreshLocked(&q.requests); ok {
-		return QueueItem{Message: message}, true
+	for priority := range q.requests {
+		if message, ok := q.dequeueFreshLocked(&q.requests[priority]); ok {
+			return QueueItem{Message: message}, true
+		}
 	}
 	return QueueItem{}, false
 }
--- a/daemon/transport/traffic_class.go
+++ b/daemon/transport/traffic_class.go
@@ -34,8 +34,15 @@
 	// before other requests, so that a process that is short of processor still takes a
 	// configuration and tells which one is in force.
 	PriorityUrgent
+	// PriorityQuestion messages are questions: after a job, or whether this process leads. They
+	// change nothing and cost little, and are asked again and again until they are answered.
+	PriorityQuestion
+	// PriorityHeartbeat messages are the reports of workers, with what has ended there. New
+	// work can wait: it would find no room before that.
+	PriorityHeartbeat
 	// PriorityRequest messages are processed when nothing else waits, and expire.
 	PriorityRequest
+	priorityCount
 )
 
 const (
@@ -71,6 +78,12 @@
 	urgentClass = TrafficClass{
 		Channel: ChannelBulk, Priority: PriorityUrgent, MaxReceiveWait: urgentMaxAge, MaxSendWait: urgentMaxAge,
 	}
+	questionClass = TrafficClass{
+		Channel: ChannelBulk, Priority: PriorityQuestion, MaxReceiveWait: requestMaxAge, MaxSendWait: requestMaxAge,
+	}
+	heartbeatClass = TrafficClass{
+		Channel: ChannelBulk, Priority: PriorityHeartbeat, MaxReceiveWait: requestMaxAge, MaxSendWait: requestMaxAge,
+	}
 	defaultClass = TrafficClass{
 		Channel: ChannelBulk, Priority: PriorityRequest, MaxReceiveWait: defaultMaxAge, MaxSendWait: defaultMaxAge,
 	}
@@ -95,15 +108,19 @@
 	wire.KindCommandReply:    replyClass,
 	wire.KindHeartbeatReply:  replyClass,
 	wire.KindCommand:         requestClass,
-	wire.KindHeartbeat:       requestClass,
+	wire.KindHeartbeat:       heartbeatClass,
 	wire.KindSubscribe:       defaultClass,
 	wire.KindFeedUpdate:      defaultClass,
 }
 
 // ClassOfMessage returns the class of a message.
 func ClassOfMessage(message machine.Message) TrafficClass {
-	if message.Kind == wire.KindCommand && message.IsUrgent() {
+	switch {
+	case message.Kind != wire.KindCommand:
+	case message.IsUrgent():
 		return urgentClass
+	case message.IsQuestion():
+		return questionClass
 	}
 	return ClassOf(message.Kind)
 }
