--- a/daemon/host/runner.go
+++ b/daemon/host/runner.go
@@ -87,7 +87,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now, meter := r.host.Now(), r.host.load
-	in.WallTime = time.Now()
+	in.WallTime, in.Backlog = time.Now(), r.host.receiveQueue.Len()
 	meter.phases.BeginStep()
 	defer meter.endStep(now, in)
 	out := r.machine.Step(now, in)
