Dispatch: sound workers are known by one check

Each question whether a worker gets less work looked its account up by name, and each whether it is on probation its life, though at most times no worker is either. The impaired workers are now kept in a set of their own, and the time until which any worker may be on probation is noted, so that the answer for a fleet in good health looks nothing up. The look for overdue runs leaves out those that are younger than three times the shortest usual run before it looks up their jobs.

--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -41,7 +41,9 @@
 // Nothing is held against a worker unless at least half of its service's workers
 // are better.
 type healthTracker struct {
-	workers    map[string]workerHealth
+	workers map[string]workerHealth
+	// impaired are the workers that are unhealthy or slow. There are few at most times.
+	impaired   map[string]bool
 	options    Options
 	majorities map[string]healthMajority
 	// unobservedUntil is when the dispatcher last could not see what workers do, for each
@@ -70,14 +72,7 @@
 }
 
 // ImpairedWorkers counts the workers that are unhealthy or slow by their ended attempts.
-func (d *Dispatcher) ImpairedWorkers() (count int) {
-	for _, health := range d.health.workers {
-		if health.impaired() {
-			count++
-		}
-	}
-	return count
-}
+func (d *Dispatcher) ImpairedWorkers() int { return len(d.health.impaired) }
 
 type workerHealth struct {
 	// failureRate is a moving average: 0 without failures, 1 without successes.
@@ -96,8 +91,8 @@
 
 func newHealthTracker(options Options) healthTracker {
 	return healthTracker{
-		options: options, workers: map[string]workerHealth{}, majorities: map[string]healthMajority{},
-		unobservedUntil: map[string]time.Duration{},
+		options: options, workers: map[string]workerHealth{}, impaired: map[string]bool{},
+		majorities: map[string]healthMajority{}, unobservedUntil: map[string]time.Duration{},
 	}
 }
 
@@ -138,6 +133,11 @@
 // store keeps the account of a worker, and notes a change of its verdict.
 func (t *healthTracker) store(id string, before, health workerHealth) {
 	if health.impaired() != before.impaired() {
+		if health.impaired() {
+			t.impaired[id] = true
+		} else {
+			delete(t.impaired, id)
+		}
 		t.changes = append(t.changes, HealthChange{
 			Worker: id, Impaired: health.impaired(), FailureRate: health.failureRate, Slowdown: health.slowdown,
 		})
@@ -156,7 +156,7 @@
 // deprioritized reports whether a worker is to get less: it is unhealthy or slow,
 // and at least half of its service's live workers are neither.
 func (t *healthTracker) deprioritized(store *state.Store, worker *state.Worker) bool {
-	if !t.workers[worker.ID()].impaired() {
+	if !t.impaired[worker.ID()] {
 		return false
 	}
 	majority, ok := t.majorities[worker.Service]
@@ -175,7 +175,7 @@
 			continue
 		}
 		total++
-		if !t.workers[worker.ID()].impaired() {
+		if !t.impaired[worker.ID()] {
 			healthy++
 		}
 	}
--- a/core/dispatch/health_running.go
+++ b/core/dispatch/health_running.go
@@ -36,7 +36,11 @@
 	d.health.overdueAt = now
 	d.health.noteSilent(store)
 	overdue := map[string]overdueRuns{}
+	shortest := overdueRatio * max(d.runTimes.shortestTypical(), minTypicalSeconds)
 	for ref, attempt := range d.running {
+		if (now - attempt.startedAt).Seconds() < shortest {
+			continue
+		}
 		job, ok := store.Job(ref.Job)
 		if !ok || !d.health.observed(attempt) || job.Spec.Tasks[ref.Index].LongRunning {
 			continue
--- a/core/dispatch/run_times.go
+++ b/core/dispatch/run_times.go
@@ -53,6 +53,16 @@
 	r[class] = known
 }
 
+// shortestTypical returns the smallest typical run time that is known, in seconds; 0 if none is.
+func (r runTimes) shortestTypical() (shortest float64) {
+	for _, known := range r {
+		if known.typical > 0 && (shortest == 0 || known.typical < shortest) {
+			shortest = known.typical
+		}
+	}
+	return shortest
+}
+
 // nearPatience returns how long a task of a class waits for the rack of its data before it
 // may run elsewhere: as long as running elsewhere takes more than running there.
 func (r runTimes) nearPatience(class state.ClassKey, guess time.Duration) time.Duration {
--- a/core/dispatch/trust.go
+++ b/core/dispatch/trust.go
@@ -33,7 +33,9 @@
 // trustTracker knows the lives of the workers, and where attempts have failed.
 type trustTracker struct {
 	lives map[string]workerLife
-	lost  map[string]lostLife // by address
+	// newUntil is when the last of the workers on probation has been up for long enough.
+	newUntil time.Duration
+	lost     map[string]lostLife // by address
 	// failedStarts is when the last failed attempt of a task began.
 	failedStarts map[TaskRef]time.Duration
 	probation    healthMajority
@@ -57,6 +59,7 @@
 		life = workerLife{address: worker.Address, firstSeen: store.Now()}
 		if before, ok := t.lost[worker.Address]; ok && store.Now()-before.endedAt < 2*maxProbation {
 			life.probation = min(before.lasted, maxProbation)
+			t.newUntil = max(t.newUntil, life.firstSeen+life.probation)
 		}
 		t.lives[id] = life
 	}
@@ -80,7 +83,7 @@
 // onProbation reports whether a worker has not been up for long enough, and at least half of
 // its service's workers have.
 func (t *trustTracker) onProbation(store *state.Store, worker *state.Worker) bool {
-	if !t.lives[worker.ID()].isNew(store.Now()) {
+	if !t.anyOnProbation(store) || !t.lives[worker.ID()].isNew(store.Now()) {
 		return false
 	}
 	if store.Now() >= t.probation.checkedAt+majorityTTL || t.probation.checkedAt == 0 {
@@ -89,6 +92,10 @@
 	return t.probation.healthy
 }
 
+// anyOnProbation reports whether any worker may not have been up for long enough. It is mostly
+// false, and then no worker is looked up.
+func (t *trustTracker) anyOnProbation(store *state.Store) bool { return store.Now() < t.newUntil }
+
 func (l workerLife) isNew(now time.Duration) bool { return now < l.firstSeen+l.probation }
 
 func (t *trustTracker) mostArePast(store *state.Store, service string) bool {
@@ -109,7 +116,10 @@
 // waitsForTrust reports whether a quick task waits for a worker that is neither deprioritized
 // nor on probation.
 func (d *Dispatcher) waitsForTrust(store *state.Store, job *state.Job, ref TaskRef, worker *state.Worker) bool {
-	if d.options.WithoutTrust || !isQuick(store, job.Spec.Service, job.Spec.Class) ||
+	if d.options.WithoutTrust || len(d.health.impaired) == 0 && !d.trust.anyOnProbation(store) {
+		return false
+	}
+	if !isQuick(store, job.Spec.Service, job.Spec.Class) ||
 		store.Now()-job.Tasks[ref.Index].ReadyAt > trustPatience {
 		return false
 	}
