Replica: a primary that is late itself doesn't take its backups' disks for slow

At the large deployments a primary that was short of processor proposed view after view: both backups were late by the same time, to the millisecond, on idle machines. What a long step sends leaves at its end, and the acknowledgement of one member was the occasion to judge the others, whose own waited. Each change of view stops service for 0.2 to 0.5 s.

The disks of backups, and its own, are judged at timers only, when nothing of other members waits, on a clock that takes at most 0.1 s of the time between two steps. Steps in between no longer put the timer off, so that it comes under load.

--- a/core/machine/machine.go
+++ b/core/machine/machine.go
@@ -39,6 +39,12 @@
 	WallTime time.Time
 }
 
+// IsTimer reports whether an input is an expired timer. It comes only once the completed writes
+// and the messages of other members that wait are handled.
+func (in Input) IsTimer() bool {
+	return in.Message.Kind == "" && in.CompletedWrite == 0 && in.Request.ID == 0 && !in.Stop
+}
+
 // Request is a request by a client of the process. Which of the fields are set depends
 // on its kind.
 type Request struct {
--- a/core/replica/config.go
+++ b/core/replica/config.go
@@ -22,6 +22,8 @@
 const (
 	// heartbeatInterval is how often the primary sends when it has nothing new.
 	heartbeatInterval = 150 * time.Millisecond
+	// timerInterval is after what time a replica is stepped at the latest.
+	timerInterval = heartbeatInterval / 3
 	// suspectTimeout is after which silence a replica is suspected to be down.
 	suspectTimeout = 1000 * time.Millisecond
 	// memberLossTimeout is after which silence a voter that is no backup is replaced.
--- a/core/replica/disk.go
+++ b/core/replica/disk.go
@@ -38,6 +38,10 @@
 	lastWriteID uint64
 	inFlight    inFlightWrite
 	startedAt   time.Duration // of the last write
+	// awaitedSince is when the batch on its way was first looked at, on the attentive
+	// clock; late says that it had taken too long when last looked at.
+	awaitedSince time.Duration
+	late         bool
 }
 
 // inFlightWrite is a batch on its way to the disk, and what holds once it is synced.
@@ -88,9 +92,12 @@
 // busy says whether a batch is on its way to the disk.
 func (d *diskWriter) busy() bool { return d.inFlight.id > 0 }
 
-// slow says whether the batch on its way takes too long.
-func (d *diskWriter) slow(now time.Duration) bool {
-	return d.busy() && now-d.startedAt > slowDiskTimeout
+// watch judges whether the batch on its way takes too long, by the attentive clock.
+func (d *diskWriter) watch(attentive time.Duration) {
+	if !d.busy() || d.awaitedSince == 0 {
+		d.awaitedSince = attentive
+	}
+	d.late = d.busy() && attentive-d.awaitedSince > slowDiskTimeout
 }
 
 func (d *diskWriter) nothingToWrite() bool {
@@ -120,7 +127,7 @@
 	}
 	d.records, d.truncateCount, d.commands, d.messages = nil, 0, nil, nil
 	d.snapshotDue, d.replaceLog = false, false
-	d.startedAt = now
+	d.startedAt, d.awaitedSince = now, 0
 	return write
 }
 
@@ -130,7 +137,7 @@
 		return inFlightWrite{}, false
 	}
 	done := d.inFlight
-	d.inFlight = inFlightWrite{}
+	d.inFlight, d.late = inFlightWrite{}, false
 	return done, true
 }
 
--- a/core/replica/lag.go
+++ b/core/replica/lag.go
@@ -42,11 +42,11 @@
 func silentMs(now time.Duration, p *progress) int64 { return (now - p.heardAt).Milliseconds() }
 
 // logSlowBackup says that commits wait for a backup's disk, once for each wait.
-func (r *Replica) logSlowBackup(now time.Duration, member wire.Member, p *progress, out *machine.Output) {
+func (r *Replica) logSlowBackup(member wire.Member, p *progress, out *machine.Output) {
 	if p.slowLoggedAt == p.awaitedSince {
 		return
 	}
 	p.slowLoggedAt = p.awaitedSince
 	out.Warn("commits_wait_for_backup", "member", member.Address, "index", p.awaitedIndex,
-		"waitedMs", (now - p.awaitedSince).Milliseconds())
+		"waitedMs", (r.attentive.elapsed - p.awaitedSince).Milliseconds())
 }
--- a/core/replica/leader.go
+++ b/core/replica/leader.go
@@ -10,12 +10,12 @@
 	"sorrelloom/core/wire"
 )
 
-// lead does the primary's part by time.
+// lead does the primary's part by time, at a timer or after another input.
 //
 // A primary that was restarted proposes a new view before it serves: what it sent before
 // the restart may have reached others and not its own disk, and no log position may ever
 // stand for two commands.
-func (r *Replica) lead(now time.Duration, out *machine.Output) {
+func (r *Replica) lead(now time.Duration, isTimer bool, out *machine.Output) {
 	if !r.hearsMajority(now) {
 		return
 	}
@@ -28,6 +28,9 @@
 		return
 	}
 	r.tickIfDue(now, out)
+	if isTimer {
+		r.watchDisks(out)
+	}
 	if r.needsNewBackups(now) {
 		r.proposeWhenReady(now, r.nextView(r.self, r.pickBackups(now)), out)
 		return
@@ -67,7 +70,7 @@
 	r.feed.publishedIndex = r.log.commitIndex
 	r.replication.broadcastEnd = position
 	for _, member := range r.view().Backups {
-		r.peers.of(member.ID).await(now, position.Index)
+		r.peers.of(member.ID).await(r.attentive.elapsed, position.Index)
 	}
 	r.announcePrimary(out)
 	if !r.leadership.resuming {
--- a/core/replica/membership.go
+++ b/core/replica/membership.go
@@ -65,8 +65,8 @@
 // and replaces a backup whose disk is slow or that is being stopped. It says whether it
 // did so.
 func (r *Replica) replaceSlowMember(now time.Duration, out *machine.Output) bool {
-	slow, ahead := r.slowBackups(now, out)
-	if r.disk.slow(now) && ahead.ID != "" {
+	slow, ahead := r.slowBackups()
+	if r.disk.late && ahead.ID != "" {
 		backups := r.pickBackups(now, append(slow, ahead.ID)...)
 		if r.areReadyBackups(now, backups) {
 			r.proposeWhenReady(now, r.nextView(ahead, backups), out)
@@ -86,16 +86,12 @@
 
 // slowBackups are the backups that are slow or being stopped, and, of the others that have
 // at least as much as this replica's own disk, the one that has most.
-func (r *Replica) slowBackups(now time.Duration, out *machine.Output) (slow []string, ahead wire.Member) {
+func (r *Replica) slowBackups() (slow []string, ahead wire.Member) {
 	var most uint64
 	for _, member := range r.view().Backups {
 		p := r.peers.of(member.ID)
-		late := p.watchDisk(now, r.replication.broadcastEnd.Index)
-		if late {
-			r.logSlowBackup(now, member, p, out)
-		}
 		switch {
-		case late || p.stopping:
+		case p.late || p.stopping:
 			slow = append(slow, member.ID)
 		case p.replicating && p.match.Index >= r.log.syncedIndex && (ahead.ID == "" || p.match.Index > most):
 			ahead, most = member, p.match.Index
--- a/core/replica/progress.go
+++ b/core/replica/progress.go
@@ -20,9 +20,11 @@
 	candidate bool
 	// stopping says that the peer is being stopped.
 	stopping bool
-	// awaitedIndex was sent and not acknowledged when last looked at, since awaitedSince.
+	// awaitedIndex was sent and not acknowledged when last looked at, since awaitedSince on
+	// the attentive clock. Late says that the peer's disk had been at that for too long.
 	awaitedIndex uint64
 	awaitedSince time.Duration
+	late         bool
 	// slowLoggedAt is the awaitedSince of the wait that was logged last.
 	slowLoggedAt time.Duration
 	// lagging says that the peer was logged as being far behind.
@@ -52,6 +54,7 @@
 		p.match = position
 	}
 	p.replicating, p.windowStart = true, p.match
+	p.late = p.late && p.match.Index < p.awaitedIndex
 	if p.sentUpTo.Index < p.match.Index {
 		p.sentUpTo = p.match
 	}
@@ -70,17 +73,17 @@
 	return sendID < p.resentSendID && now-p.resentAt < resendTimeout
 }
 
-// watchDisk notes up to where the peer is waited for, and says whether its disk has been
-// at that for too long.
-func (p *progress) watchDisk(now time.Duration, newest uint64) (late bool) {
+// watchDisk notes up to where the peer is waited for, and whether its disk has been at that
+// for too long, by the attentive clock.
+func (p *progress) watchDisk(attentive time.Duration, newest uint64) {
 	if p.match.Index >= p.awaitedIndex {
-		p.await(now, newest)
+		p.await(attentive, newest)
 	}
-	return now-p.awaitedSince > slowDiskTimeout
+	p.late = attentive-p.awaitedSince > slowDiskTimeout
 }
 
-func (p *progress) await(now time.Duration, index uint64) {
-	p.awaitedIndex, p.awaitedSince = index, now
+func (p *progress) await(attentive time.Duration, index uint64) {
+	p.awaitedIndex, p.awaitedSince, p.late = index, attentive, false
 }
 
 // progressMap holds the progress of peers by their identity.
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -62,6 +62,7 @@
 	recountDifferences uint64
 
 	startedAt time.Duration
+	attentive attentiveClock
 	// roleSince is when the current view was adopted or, on the primary, when it began
 	// to serve in it; without either since the start, the time of the first step.
 	roleSince       time.Duration
@@ -125,6 +126,7 @@
 	if r.startedAt == 0 {
 		r.startedAt, r.roleSince = now, now
 	}
+	r.attentive.step(now)
 	if !in.WallTime.IsZero() {
 		r.wallClock = in.WallTime
 	}
@@ -137,7 +139,7 @@
 	case in.Stop:
 		r.stopping, r.stopRequestedAt = true, now
 	}
-	r.runTimers(now, &out)
+	r.runTimers(now, in.IsTimer(), &out)
 	r.flush(now, &out)
 	if r.stopping && !r.leadership.serving && !r.awaitsSuccessor(now) {
 		out.Stopped = true
@@ -197,9 +199,12 @@
 	out.Warn("message_malformed", "kind", kind, "from", from, "error", err.Error())
 }
 
-// runTimers does what is due by time alone.
-func (r *Replica) runTimers(now time.Duration, out *machine.Output) {
-	r.nextTimer = now + heartbeatInterval/3
+// runTimers does what is due by time alone, at a timer or after another input, which puts no
+// timer off: some things are looked at in these only.
+func (r *Replica) runTimers(now time.Duration, isTimer bool, out *machine.Output) {
+	if isTimer || r.nextTimer == 0 {
+		r.nextTimer = now + timerInterval
+	}
 	if !r.identitySynced {
 		return
 	}
@@ -212,7 +217,7 @@
 		r.tryBootstrap(now)
 		r.requestView(now, out)
 	case r.isPrimary():
-		r.lead(now, out)
+		r.lead(now, isTimer, out)
 	case r.isBackup():
 		r.campaign(now, out)
 	}
