Scheduler: the time that inputs get after a scan is bounded

A new leader counted the time since its process started as its last scan, and one that was suspended in a scan counted that: while inputs waited, no scan came for as long. Inputs go before a scan for 250 ms at most. TestScansResumeWhileInputsWait: no scan for 10 s after a suspension of 10 s before.

--- a/core/scheduler/scan.go
+++ b/core/scheduler/scan.go
@@ -25,6 +25,9 @@
 	minScanGap = 8 * time.Millisecond
 	// maxGrantsPerScan bounds the grants that one scan proposes on the primary's own state.
 	maxGrantsPerScan = 64
+	// maxYield is for how long inputs go before a scan at most, also after a scan during
+	// which the process was suspended.
+	maxYield = 250 * time.Millisecond
 	// preemptionInterval is the time between two looks for a lease to preempt.
 	preemptionInterval = 50 * time.Millisecond
 )
@@ -34,8 +37,9 @@
 	next     time.Duration
 	last     time.Duration
 	nextFull time.Duration
-	// yieldUntil is until when inputs that wait go before the next scan; 0 until the
-	// first step after the last scan, which tells when that was over.
+	// running says that no step came after the last scan, which tells when that was over;
+	// until yieldUntil inputs that wait go before the next one.
+	running    bool
 	yieldUntil time.Duration
 	// changedWorkers are those that the next scan looks at, unless it is a full one.
 	changedWorkers map[string]bool
@@ -48,14 +52,14 @@
 
 // noteStep notes when the last scan was over: by the time of the first step after it.
 func (t *scanSchedule) noteStep(now time.Duration) {
-	if t.yieldUntil == 0 && now > t.last {
-		t.yieldUntil = now + (now - t.last)
+	if t.running && now > t.last {
+		t.running, t.yieldUntil = false, now+min(now-t.last, maxYield)
 	}
 }
 
 // isDue reports whether to scan in a step behind which inputs wait.
 func (t *scanSchedule) isDue(now time.Duration, backlog int) bool {
-	return now >= t.next && (backlog == 0 || t.yieldUntil > 0 && now >= t.yieldUntil)
+	return now >= t.next && (backlog == 0 || !t.running && now >= t.yieldUntil)
 }
 
 // idleMark is the state in which a worker found nothing to pull.
@@ -106,7 +110,7 @@
 // scan proposes grants for the workers with free resources, and preemptions, then
 // answers the heartbeats for which there are orders or that have waited long enough.
 func (s *Scheduler) scan(now time.Duration, out *machine.Output) {
-	s.scans.next, s.scans.last, s.scans.yieldUntil = now+fullScanInterval, now, 0
+	s.scans.next, s.scans.last, s.scans.running = now+fullScanInterval, now, true
 	full := !s.access.IsLocal() || now >= s.scans.nextFull
 	workers := s.workersToScan(full)
 	s.scans.changedWorkers = map[string]bool{}
--- a/core/scheduler/scan_share_test.go
+++ b/core/scheduler/scan_share_test.go
@@ -57,3 +57,18 @@
 		}
 	}
 }
+
+// TestScansResumeWhileInputsWait has inputs wait all the time for a scheduler that has just
+// begun to lead, after a long time without, and then for one that was suspended in a scan.
+func TestScansResumeWhileInputsWait(t *testing.T) {
+	const uptime, suspended = time.Hour, 10 * time.Second
+	s := newLocalScheduler(t)
+	if !scansAt(s, uptime, 1) {
+		t.Error("a new leader puts its first scan off")
+	}
+	for now := uptime + suspended; !scansAt(s, now, 1); now += ms {
+		if now > uptime+suspended+maxYield {
+			t.Fatalf("no scan within %s of a suspension", maxYield)
+		}
+	}
+}
