Log the parts of the way back: state loaded, queues rebuilt, grants, workers reported

A core now logs state_loaded (records, commands, times of reading and replaying), and the dispatcher in the primary's process queues_rebuilt, grants_resumed and workers_reported, each once after it begins to lead, with the time since then.

TestTakeoverIsLogged.

--- a/core/control/harness_test.go
+++ b/core/control/harness_test.go
@@ -39,6 +39,8 @@
 	lastID           uint64
 	// onStep, if set, is called after each step of a control process.
 	onStep func(*Control)
+	// onLog, if set, is called for each event that a control process logs.
+	onLog func(machine.LogEvent)
 	// agents are node agents with their workers, by address and in order.
 	agents    map[string]*simAgentWorker
 	allAgents []*simAgentWorker
@@ -89,6 +91,11 @@
 	if n.onStep != nil {
 		n.onStep(control)
 	}
+	for _, event := range out.LogEvents {
+		if n.onLog != nil {
+			n.onLog(event)
+		}
+	}
 	for _, sent := range out.Messages {
 		message := newMessage(sent.Kind, address, sent.Body)
 		n.queue = append(n.queue, func() { n.deliver(sent.To, message) })
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -168,6 +168,9 @@
 // QueueLengths returns the number of tasks in each worker's queue.
 func (d *Dispatcher) QueueLengths() map[string]int { return d.queues.lengths() }
 
+// QueuedTasks returns the number of tasks in all queues.
+func (d *Dispatcher) QueuedTasks() int { return len(d.queues.positions) }
+
 // UnplacedTasks returns the tasks that no present worker can take, by number.
 func (d *Dispatcher) UnplacedTasks(store *state.Store) []TaskRef {
 	return sortedByNumber(store, d.unplaced)
--- a/core/scheduler/heartbeat.go
+++ b/core/scheduler/heartbeat.go
@@ -89,6 +89,7 @@
 func (s *Scheduler) admitHeartbeat(now time.Duration, pending *pendingHeartbeat, out *machine.Output) {
 	store, heartbeat := s.access.State(), pending.heartbeat
 	delta, changes := store.ReduceHeartbeat(heartbeat)
+	s.takeover.noteReport(heartbeat.Worker, changes)
 	worker, known := store.Worker(heartbeat.Worker)
 	last := s.leases.workers[heartbeat.Worker]
 	if !known {
@@ -108,6 +109,7 @@
 			s.submitHeartbeat(now, pending, last, delta, out)
 			return
 		}
+		s.takeover.deferred++
 		last.renewalDue = known && worker.Incarnation == heartbeat.Incarnation
 		if last.renewalDue {
 			s.leases.workers[heartbeat.Worker] = last
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -67,6 +67,7 @@
 	scans          scanSchedule
 	stalled        stalledWatch
 	idle           map[string]idleMark
+	takeover       takeover
 
 	nextRegistration time.Duration
 	// unledZones are zones without a leader from which a heartbeat came.
@@ -112,6 +113,7 @@
 	s.scans.nextFull = 0
 	s.latency = commandLatency{sentAt: map[uint64]time.Duration{}}
 	s.leases.reset(s.access)
+	s.takeover = takeover{pending: s.access.IsLocal()}
 }
 
 // NextTimer implements machine.Machine.
@@ -120,6 +122,9 @@
 // Counters returns the dispatcher's counters.
 func (s *Scheduler) Counters() dispatch.Counters { return s.dispatcher.Counters }
 
+// Rebuilding reports whether the queues are being rebuilt after leadership was gained.
+func (s *Scheduler) Rebuilding() bool { return s.dispatcher.Rebuilding() }
+
 // QueueLengths returns the number of tasks in each worker's queue.
 func (s *Scheduler) QueueLengths() map[string]int { return s.dispatcher.QueueLengths() }
 
@@ -132,6 +137,9 @@
 // Step implements machine.Machine.
 func (s *Scheduler) Step(now time.Duration, in machine.Input) machine.Output {
 	var out machine.Output
+	if s.takeover.pending {
+		s.beginTakeover(now)
+	}
 	s.scans.noteStep(now)
 	results := s.receive(now, in, &out)
 	results = append(results, s.access.HandleTimers(now, &out)...)
@@ -156,6 +164,7 @@
 	if !s.access.IsLocal() || s.scans.isDue(now, in.Backlog) {
 		s.scan(now, &out)
 	}
+	s.followTakeover(now, &out)
 	s.setTimer(now, in.Backlog)
 	if s.stopping && (now >= s.stopDeadline || len(s.LedZones()) == 0) {
 		out.Stopped = true
