A new leader's queues are rebuilt in batches with pauses, however many reports it takes

Callers got nothing for a while after a new leader served on a large deployment with a backlog: each report that had waited for it to serve, and each message and command after it, took one more batch of the rebuild, all in one step. With 240 reports and 20,000 tasks 19,296 tasks were queued in one step, before any heartbeat to the backups.

A batch compares 65,536 pairs of a task and a worker in place of 131,072. Workers that have changed share one such bound in a step, and the queues of lost workers are emptied in the same batches, where one step emptied them all.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -133,7 +133,14 @@
 
 // Update takes the changes of the state, and continues a rebuild that is under way.
 func (d *Dispatcher) Update(store *state.Store, changes []state.Change) {
+	d.TakeChanges(store, changes)
+	d.ContinueRebuild(store)
+}
+
+// TakeChanges takes the changes of the state.
+func (d *Dispatcher) TakeChanges(store *state.Store, changes []state.Change) {
 	d.placement = lastPlacement{}
+	left := rebuildBatch(store)
 	for _, change := range changes {
 		switch {
 		case change.All:
@@ -141,7 +148,7 @@
 			d.beginRebuild(store)
 		case change.Worker != "":
 			d.trust.observeWorker(store, change.Worker)
-			d.updateWorker(store, change.Worker, rebuildBatch(store))
+			left = d.updateWorker(store, change.Worker, left)
 		case change.Task < 0:
 			if _, ok := store.Job(change.Job); !ok {
 				d.forgetJob(change.Job)
@@ -150,7 +157,6 @@
 			d.updateTask(store, TaskRef{change.Job, change.Task})
 		}
 	}
-	d.continueRebuild(store)
 	d.observeRunning(store)
 }
 
--- a/core/dispatch/eligibility.go
+++ b/core/dispatch/eligibility.go
@@ -113,17 +113,13 @@
 	}
 }
 
-// RequeueFromLostWorkers takes the tasks out of the queues of workers that are
-// unknown or silent.
+// RequeueFromLostWorkers has the tasks taken out of the queues of workers that are unknown
+// or silent, in the next batches of a rebuild.
 func (d *Dispatcher) RequeueFromLostWorkers(store *state.Store) {
-	var lost []string
 	for _, queue := range d.queues.nonEmpty {
 		id := queue.worker
 		if worker, ok := store.Worker(id); id != "" && (!ok || !store.Live(worker)) {
-			lost = append(lost, id)
+			d.redistributing[id] = true
 		}
 	}
-	for _, id := range lost {
-		d.updateWorker(store, id, rebuildBatch(store))
-	}
 }
--- a/core/dispatch/rebuild.go
+++ b/core/dispatch/rebuild.go
@@ -8,20 +8,20 @@
 )
 
 // All that the dispatcher knows of tasks is rebuilt when leadership is gained and
-// when a change concerns everything. That is done in batches, one in each Update, so
-// that no step takes long. What changes meanwhile is taken at once.
+// when a change concerns everything. That is done in batches, so that no step takes long;
+// the caller says when the next one may come. What changes meanwhile is taken at once.
 
 const (
-	// maxRebuildBatch is how many tasks one Update takes at most, and unplacedBatch how
-	// many unplaced tasks it puts into the queue of a worker that can run them.
+	// maxRebuildBatch is how many tasks one batch takes at most, and unplacedBatch how
+	// many unplaced tasks are put at once into the queue of a worker that can run them.
 	maxRebuildBatch = 8192
 	unplacedBatch   = 8192
-	// rebuildComparisons is how many pairs of a task and a worker one Update compares: to
+	// rebuildComparisons is how many pairs of a task and a worker one batch compares: to
 	// choose a queue for a task, all workers are looked at.
-	rebuildComparisons = 1 << 17
+	rebuildComparisons = 1 << 16
 )
 
-// rebuildBatch is how many tasks one Update takes.
+// rebuildBatch is how many tasks one batch takes.
 func rebuildBatch(store *state.Store) int {
 	return min(maxRebuildBatch, rebuildComparisons/max(1, len(store.WorkerEntries())))
 }
@@ -33,7 +33,7 @@
 	nextTask int
 }
 
-// Rebuilding reports whether tasks are left for the next Update.
+// Rebuilding reports whether tasks are left for the next batch.
 func (d *Dispatcher) Rebuilding() bool { return len(d.rebuild.jobs)+len(d.redistributing) > 0 }
 
 // beginRebuild forgets all tasks. Jobs of quick classes are the first to come back,
@@ -56,8 +56,8 @@
 	d.rebuild.jobs = slices.Concat(quick, others)
 }
 
-// continueRebuild takes the next batch.
-func (d *Dispatcher) continueRebuild(store *state.Store) {
+// ContinueRebuild takes the next batch.
+func (d *Dispatcher) ContinueRebuild(store *state.Store) {
 	left := rebuildBatch(store)
 	for _, worker := range slices.Sorted(maps.Keys(d.redistributing)) {
 		if left > 0 {
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -25,8 +25,6 @@
 	commandTimeout = 2 * time.Second
 	// stopTimeout is how long a scheduler that stops waits for its successors.
 	stopTimeout = 2 * time.Second
-	// rebuildInterval is the time between two batches of a rebuild.
-	rebuildInterval = 2 * time.Millisecond
 )
 
 // Config is what a scheduler is started with.
@@ -68,6 +66,7 @@
 	stalled        stalledWatch
 	idle           map[string]idleMark
 	takeover       takeover
+	rebuild        rebuildPace
 
 	nextRegistration time.Duration
 	// unledZones are zones without a leader from which a heartbeat came.
@@ -95,7 +94,7 @@
 // Reset forgets what was under way, since leadership was gained or lost, and has the
 // dispatcher take all tasks from the state again.
 func (s *Scheduler) Reset() {
-	s.dispatcher.Update(s.access.State(), []state.Change{{All: true}})
+	s.dispatcher.TakeChanges(s.access.State(), []state.Change{{All: true}})
 	s.clear()
 }
 
@@ -148,7 +147,8 @@
 	}
 	changes := s.access.State().TakeChanges()
 	interrupted := s.config.Phases.Enter(machine.PhaseEnqueue)
-	s.dispatcher.Update(s.access.State(), changes)
+	s.dispatcher.TakeChanges(s.access.State(), changes)
+	s.continueRebuild(now)
 	s.config.Phases.Enter(interrupted)
 	if now >= s.nextRegistration {
 		s.register(now, &out)
@@ -220,6 +220,6 @@
 		s.nextTimer = max(s.nextTimer, s.scans.yieldUntil)
 	}
 	if s.dispatcher.Rebuilding() {
-		s.nextTimer = min(s.nextTimer, now+rebuildInterval)
+		s.nextTimer = min(s.nextTimer, s.rebuild.nextStep(now))
 	}
 }
