Agents give up a gang's member in time by themselves

Change: the order to start a member says how long it may wait for the others, by the time of its grant. 500 ms before that the agent stops it by itself, unless the run has got further or the primary has said that the gang has started whole; the primary is asked only for members that have waited a quarter of that time. Such an end is reported as lost through no fault of its own, so nothing is counted for it. A start that comes later is not handed over. An agent that gets no such bound, from a primary of an earlier release, gives nothing up. The event gang_member_given_up tells of it.

--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -62,6 +62,9 @@
 	Stops   uint64
 	// DroppedStarts counts starts that the agent took and that never became a run.
 	DroppedStarts uint64
+	// GivenUpMembers counts members of gangs that the agent stopped, since it did not learn
+	// in time that the others had started.
+	GivenUpMembers uint64
 }
 
 // Status describes the agent for a status page. Times are those of its own clock.
@@ -187,6 +190,7 @@
 	a.nextTimer = 0
 	for _, w := range a.workers() {
 		a.withdrawExpiredStarts(now, w, &out)
+		a.giveUpGangMembers(now, w, &out)
 		a.reportIfDue(now, w, &out)
 	}
 	return out
--- a/core/agent/calls.go
+++ b/core/agent/calls.go
@@ -129,6 +129,7 @@
 	endsChanged := w.ends.record(call.Ended)
 	a.settleListedStarts(now, w, out)
 	w.ends.dropAgentEnds(w.lists)
+	w.settleGangMembers()
 	after := w.urgentState()
 	runningChanged := !maps.Equal(before.running, after.running)
 	if propertiesChanged || endsChanged || runningChanged || freeChanged && before.free != after.free {
@@ -194,6 +195,7 @@
 		}
 		if !start.handedOver {
 			a.counters.Starts++
+			w.awaitGang(now, start)
 		}
 		start.handedOver, start.lastCallNumber = true, callNumber
 		reply.Starts = append(reply.Starts, StartOrder{start.Attempt, start.Payload, start.Checkpoint})
--- a/core/agent/ends.go
+++ b/core/agent/ends.go
@@ -18,10 +18,15 @@
 	// agentEnds are those of starts that never became a run, which the agent reports
 	// on its own account.
 	agentEnds []state.AttemptResult
+	// givenUp are attempts that the agent had stopped since their gang did not start.
+	givenUp map[state.Attempt]bool
 }
 
 func newEndLog() endLog {
-	return endLog{unacknowledged: map[uint64]state.AttemptResult{}, acknowledged: map[uint64]bool{}}
+	return endLog{
+		unacknowledged: map[uint64]state.AttemptResult{}, acknowledged: map[uint64]bool{},
+		givenUp: map[state.Attempt]bool{},
+	}
 }
 
 // record adds the new ends of those that a call lists, and reports whether there
@@ -36,7 +41,7 @@
 		if known || l.acknowledged[end.Number] || end.Number == 0 {
 			continue
 		}
-		l.unacknowledged[end.Number] = resultOf(end)
+		l.unacknowledged[end.Number] = l.resultOf(end)
 		l.lastNumber = max(l.lastNumber, end.Number)
 		changed = true
 	}
@@ -44,7 +49,15 @@
 	return changed
 }
 
-func resultOf(end EndedRun) state.AttemptResult {
+// resultOf returns what is reported of an end. One that the agent had stopped is lost
+// through no fault of its own: the primary did not ask for it.
+func (l *endLog) resultOf(end EndedRun) state.AttemptResult {
+	if l.givenUp[end.Attempt] {
+		delete(l.givenUp, end.Attempt)
+		if end.Outcome == OutcomeStopped {
+			end.Outcome, end.Reason = OutcomeLost, reasonGangNotStarted
+		}
+	}
 	return state.AttemptResult{
 		Attempt:    end.Attempt,
 		Succeeded:  end.Outcome == OutcomeSucceeded,
@@ -82,9 +95,13 @@
 
 // addLost adds a start that never became a run.
 func (l *endLog) addLost(attempt state.Attempt, reason string) {
+	delete(l.givenUp, attempt)
 	l.agentEnds = append(l.agentEnds, state.AttemptResult{Attempt: attempt, Lost: true, Reason: reason})
 }
 
+// markGivenUp notes that the agent has an attempt stopped by itself.
+func (l *endLog) markGivenUp(attempt state.Attempt) { l.givenUp[attempt] = true }
+
 // dropAgentEnds drops the agent's own ends of attempts that the worker does list:
 // its word counts, not the agent's.
 func (l *endLog) dropAgentEnds(listed func(state.Attempt) bool) {
--- a/core/agent/reply.go
+++ b/core/agent/reply.go
@@ -75,6 +75,7 @@
 	for _, progress := range sent.heartbeat.Progress {
 		w.checkpoints[progress.Attempt] = progress.Checkpoint
 	}
+	w.confirmStartedGangs(orders.StartedGangs)
 	for _, attempt := range orders.Stops {
 		a.handleStop(w, attempt, out)
 	}
--- a/core/agent/report.go
+++ b/core/agent/report.go
@@ -172,7 +172,7 @@
 			a.dropStart(w, start.Attempt, "the worker is silent", out)
 		}
 	}
-	w.pendingStarts, w.stops = nil, nil
+	w.pendingStarts, w.gangMembers, w.stops = nil, nil, nil
 }
 
 // sendReport sends the next report of a worker, which replaces the one in flight.
@@ -192,7 +192,7 @@
 		sentAt:     now,
 		noRuns:     noRuns,
 		endNumbers: endNumbers,
-		heartbeat:  a.heartbeat(w, noRuns, w.ends.results(endNumbers)),
+		heartbeat:  a.heartbeat(now, w, noRuns, w.ends.results(endNumbers)),
 	}
 	out.Send(a.replicas.target, wire.KindHeartbeat, wire.HeartbeatRequest{
 		ID:        a.lastReportID,
@@ -202,7 +202,7 @@
 }
 
 // heartbeat returns what a report says of a worker.
-func (a *Agent) heartbeat(w *worker, noRuns bool, ended []state.AttemptResult) state.Heartbeat {
+func (a *Agent) heartbeat(now time.Duration, w *worker, noRuns bool, ended []state.AttemptResult) state.Heartbeat {
 	call := &w.lastCall
 	heartbeat := state.Heartbeat{
 		Worker:      call.Worker,
@@ -225,6 +225,7 @@
 	}
 	heartbeat.Unconfirmed = !w.confirmed
 	heartbeat.Running, heartbeat.Progress = w.running(), w.progress()
+	heartbeat.AwaitingGang = w.awaitingGang(now)
 	heartbeat.Free, heartbeat.Total = w.freeResources(), w.capacity
 	return heartbeat
 }
--- a/core/agent/starts.go
+++ b/core/agent/starts.go
@@ -22,7 +22,9 @@
 	state.StartOrder
 	// handOverBy is until when it may be handed over.
 	handOverBy time.Duration
-	handedOver bool
+	// gangGiveUpAt is until when it may wait for the others of its gang, 0 without a bound.
+	gangGiveUpAt time.Duration
+	handedOver   bool
 	// lastCallNumber is the call whose reply handed it over last.
 	lastCallNumber uint64
 	// withdrawn says that it is not handed over any more.
@@ -43,6 +45,8 @@
 		return "the worker leaves"
 	case now >= w.leaseExpiry:
 		return "the lease is over"
+	case start.gangGiveUpAt > 0 && now >= start.gangGiveUpAt:
+		return reasonGangNotStarted
 	case now >= start.handOverBy:
 		return "it was not taken up in time"
 	}
@@ -82,6 +86,9 @@
 	for _, start := range w.pendingStarts {
 		if !start.withdrawn {
 			a.scheduleTimer(now, min(start.handOverBy, w.leaseExpiry))
+			if start.gangGiveUpAt > 0 {
+				a.scheduleTimer(now, start.gangGiveUpAt)
+			}
 		}
 	}
 }
@@ -107,7 +114,9 @@
 			dropped = true
 		default:
 			handOverBy := min(now+handOverTimeout, sent.sentAt+replyTimeout)
-			w.pendingStarts = append(w.pendingStarts, &pendingStart{StartOrder: start, handOverBy: handOverBy})
+			w.pendingStarts = append(w.pendingStarts, &pendingStart{
+				StartOrder: start, handOverBy: handOverBy, gangGiveUpAt: gangGiveUpAt(now, &start),
+			})
 			w.checkpoints[start.Attempt] = start.Checkpoint
 		}
 	}
--- a/core/agent/worker.go
+++ b/core/agent/worker.go
@@ -45,6 +45,7 @@
 	lossLogged      bool
 
 	pendingStarts []*pendingStart
+	gangMembers   []*gangMember
 	stops         []state.Attempt
 	ends          endLog
 	// checkpoints are those that the primary knows, by attempt.
--- a/core/control/agent_test.go
+++ b/core/control/agent_test.go
@@ -24,6 +24,11 @@
 	ends     uint64
 	// heartbeats counts those that the agent has sent.
 	heartbeats int
+	// gang, if set, is the one whose members the worker runs.
+	gang *simGang
+	// holdsReplies has replies to the agent wait in heldReplies.
+	holdsReplies bool
+	heldReplies  []machine.Message
 }
 
 func (n *testNet) addAgents(count int, runFor time.Duration) {
@@ -57,6 +62,24 @@
 	}
 }
 
+// receive has the agent take a reply, unless replies are held up.
+func (s *simAgentWorker) receive(message machine.Message) {
+	if s.holdsReplies {
+		s.heldReplies = append(s.heldReplies, message)
+		return
+	}
+	s.step(machine.Input{Message: message})
+}
+
+// releaseReplies has the agent take the replies that were held up, and all later ones.
+func (s *simAgentWorker) releaseReplies() {
+	held := s.heldReplies
+	s.holdsReplies, s.heldReplies = false, nil
+	for _, message := range held {
+		s.step(machine.Input{Message: message})
+	}
+}
+
 // wake lets the agent step if it asked to, and the worker call it if it is time.
 func (s *simAgentWorker) wake() {
 	if timer := s.agent.NextTimer(); timer > 0 && timer <= s.net.now {
@@ -73,22 +96,31 @@
 	s.call.Running = nil
 	for attempt, endsAt := range s.endsAt {
 		if endsAt > s.net.now {
-			s.call.Running = append(s.call.Running, agent.Run{Attempt: attempt})
+			s.call.Running = append(s.call.Running, agent.Run{Attempt: attempt, Percent: s.gang.percent(attempt)})
 			continue
 		}
-		delete(s.endsAt, attempt)
-		s.ends++
-		s.call.Ended = append(s.call.Ended, agent.EndedRun{
-			Number: s.ends, Run: agent.Run{Attempt: attempt}, Outcome: agent.OutcomeSucceeded,
-		})
+		s.endRun(attempt, s.gang.outcome(attempt))
 	}
 	s.step(machine.Input{Request: machine.Request{ID: s.call.Number, Kind: agent.RequestCall, Decoded: s.call}})
 	for len(s.call.Ended) > 0 && s.call.Ended[0].Number <= s.reply.AcknowledgedEnds {
 		s.call.Ended = s.call.Ended[1:]
 	}
+	if s.gang != nil {
+		s.gang.takeOrders(s)
+		return
+	}
 	for _, start := range s.reply.Starts {
 		if _, runs := s.endsAt[start.Attempt]; !runs {
 			s.endsAt[start.Attempt] = s.net.now + s.runFor
 		}
 	}
 }
+
+// endRun ends a run, which the next call lists.
+func (s *simAgentWorker) endRun(attempt state.Attempt, outcome agent.Outcome) {
+	delete(s.endsAt, attempt)
+	s.ends++
+	s.call.Ended = append(s.call.Ended, agent.EndedRun{
+		Number: s.ends, Run: agent.Run{Attempt: attempt}, Outcome: outcome,
+	})
+}
--- a/core/control/harness_test.go
+++ b/core/control/harness_test.go
@@ -106,7 +106,7 @@
 
 func (n *testNet) deliver(to string, message machine.Message) {
 	if agent, ok := n.agents[to]; ok {
-		agent.step(machine.Input{Message: message})
+		agent.receive(message)
 		return
 	}
 	switch message.Kind {
--- a/core/goldentest/fill.go
+++ b/core/goldentest/fill.go
@@ -24,6 +24,9 @@
 var addedFields = map[string]string{
 	"servingSince":       "a tick",
 	"unconfirmed":        "a heartbeat on its way to the primary; no command or record carries it",
+	"awaitingGang":       "a heartbeat on its way to the primary; no command or record carries it",
+	"startedGangs":       "a reply to a heartbeat",
+	"gangWait":           "a start order",
 	"tenant":             "a job, also a past one",
 	"keyDigest":          "a command",
 	"requiresKey":        "a class",
--- a/core/scheduler/heartbeat.go
+++ b/core/scheduler/heartbeat.go
@@ -69,6 +69,7 @@
 		s.admitHeartbeat(now, &pending, out)
 		return
 	}
+	heartbeat.AwaitingGang = nil
 	command := state.Command{Kind: state.KindHeartbeat, Heartbeat: heartbeat}
 	pending.commandID = s.access.Submit(now, command, commandTimeout, out)
 	s.heartbeats[heartbeat.Worker] = pending
--- a/core/scheduler/orders.go
+++ b/core/scheduler/orders.go
@@ -28,7 +28,12 @@
 ) {
 	orders := pending.orders
 	if !s.notYetApplied(pending) && s.access.State().HasPendingOrders(pending.heartbeat.Worker) {
-		s.addOrders(&orders, &pending.heartbeat, uncommitted)
+		s.addOrders(now, &orders, &pending.heartbeat, uncommitted)
+	}
+	for _, attempt := range pending.heartbeat.AwaitingGang {
+		if s.access.State().GangStarted(attempt) {
+			orders.StartedGangs = append(orders.StartedGangs, attempt)
+		}
 	}
 	if !s.isUrgent(now, &orders) && now < pending.replyBy {
 		return
@@ -45,7 +50,7 @@
 
 // addOrders adds the starts and stops that the state has for a heartbeat's worker.
 func (s *Scheduler) addOrders(
-	orders *state.HeartbeatReply, heartbeat *state.Heartbeat, uncommitted map[state.Attempt]bool,
+	now time.Duration, orders *state.HeartbeatReply, heartbeat *state.Heartbeat, uncommitted map[state.Attempt]bool,
 ) {
 	running := map[state.Attempt]bool{}
 	for _, attempt := range heartbeat.Running {
@@ -62,11 +67,25 @@
 			orders.Stops = append(orders.Stops, leased.Attempt)
 		case !stopping && lease.StartedAt == 0 && !running[leased.Attempt] &&
 			heartbeat.Number < lease.HeartbeatNumber+startRepeats:
-			orders.Starts = append(orders.Starts, leased.Start)
+			if start, inTime := s.withGangWait(now, &leased); inTime {
+				orders.Starts = append(orders.Starts, start)
+			}
 		}
 	}
 }
 
+// withGangWait returns the order to start what is leased. A member of a gang is told how long
+// it may wait for the others; its start is not in time once the gang is to be stopped.
+func (s *Scheduler) withGangWait(now time.Duration, leased *state.LeasedAttempt) (start state.StartOrder, inTime bool) {
+	start = leased.Start
+	if start.Gang == "" {
+		return start, true
+	}
+	startTimeout := s.access.State().Config().Limits.StartTimeout.Duration
+	start.GangWait = leased.Lease.GrantedAt + startTimeout - s.access.Time(now)
+	return start, start.GangWait > 0
+}
+
 // isUrgent reports whether orders are to be sent at once.
 func (s *Scheduler) isUrgent(now time.Duration, orders *state.HeartbeatReply) bool {
 	if len(orders.Acks) > 0 || len(orders.Starts) > 0 {
--- a/core/state/added_fields_test.go
+++ b/core/state/added_fields_test.go
@@ -12,11 +12,7 @@
 // TestAddedFieldsAreEncoded holds the fields that came after the recordings to their names,
 // and wants nothing of them where they are empty.
 func TestAddedFieldsAreEncoded(t *testing.T) {
-	for _, row := range []struct {
-		name  string
-		value any
-		want  string
-	}{
+	checkEncoded(t, []encodedValue{
 		{"tick", Command{Kind: KindTick, ServingSince: 7}, `{"epoch":0,"sequence":0,"at":0,"kind":"tick","servingSince":7}`},
 		{"tick without", Command{Kind: KindTick}, `{"epoch":0,"sequence":0,"at":0,"kind":"tick"}`},
 		{
@@ -56,7 +52,39 @@
 			`{"worker":"","incarnation":0,"number":0,"site":"","service":"","free":{"slots":0},` +
 				`"capacity":{"slots":0},"strayByTenant":{"t":{"slots":1}},"seenAt":0,"cutoffAt":0}`,
 		},
-	} {
+	})
+}
+
+// TestAddedFieldsOfGangsAreEncoded does so for what agents and the primary tell of gangs.
+func TestAddedFieldsOfGangsAreEncoded(t *testing.T) {
+	checkEncoded(t, []encodedValue{
+		{
+			"heartbeat that awaits a gang", Heartbeat{Worker: "w", AwaitingGang: []Attempt{{Job: "j", Task: "t", Number: 1}}},
+			`{"worker":"w","incarnation":0,"number":0,"site":"","service":"","free":{"slots":0},` +
+				`"awaitingGang":[{"job":"j","task":"t","try":1}]}`,
+		},
+		{
+			"reply with a started gang", HeartbeatReply{StartedGangs: []Attempt{{Job: "j", Task: "t", Number: 1}}},
+			`{"startedGangs":[{"job":"j","task":"t","try":1}]}`,
+		},
+		{"reply without", HeartbeatReply{}, `{}`},
+		{
+			"start order of a gang", StartOrder{Gang: "g", GangWait: 7},
+			`{"job":"","task":"","try":0,"service":"","class":"","room":{"slots":0},"gang":"g","gangWait":7}`,
+		},
+	})
+}
+
+// encodedValue is a value with the JSON that it is to be encoded as.
+type encodedValue struct {
+	name  string
+	value any
+	want  string
+}
+
+func checkEncoded(t *testing.T, rows []encodedValue) {
+	t.Helper()
+	for _, row := range rows {
 		if diff := cmp.Diff(row.want, string(machine.MustJSON(row.value))); diff != "" {
 			t.Errorf("%s: %s", row.name, diff)
 		}
--- a/core/state/gang.go
+++ b/core/state/gang.go
@@ -10,6 +10,27 @@
 	return gang != "" && other != task && specs[other].Gang == gang
 }
 
+// GangStarted says whether all members of an attempt's gang that are not done have been
+// started under its number, and none of them is to be stopped.
+func (s *Store) GangStarted(attempt Attempt) bool {
+	ref, task, ok := s.findTask(attempt)
+	if !ok || !task.Lease.startedAs(attempt.Number) {
+		return false
+	}
+	job := s.jobs[ref.job]
+	for i, peer := range job.Tasks {
+		if inGangWith(job.Spec.Tasks, ref.index, i) && peer.State != Done && !peer.Lease.startedAs(attempt.Number) {
+			return false
+		}
+	}
+	return true
+}
+
+// startedAs says whether a lease is for an attempt that runs and is not to be stopped.
+func (l Lease) startedAs(attemptNumber int) bool {
+	return l.AttemptNumber == attemptNumber && l.StartedAt > 0 && l.StopReason == ""
+}
+
 // stopGang stops the leases of the other members of a task's gang.
 func (s *Store) stopGang(ref taskRef) {
 	job := s.jobs[ref.job]
--- a/core/state/heartbeat.go
+++ b/core/state/heartbeat.go
@@ -40,6 +40,9 @@
 	// others which its agent does not know. The primary takes only what such a call cannot
 	// be wrong about; no command carries it.
 	Unconfirmed bool `json:"unconfirmed,omitempty"`
+	// AwaitingGang are running members of gangs of which the worker does not show that the
+	// others have started. The primary answers for them; no command carries them.
+	AwaitingGang []Attempt `json:"awaitingGang,omitempty"`
 }
 
 // HeartbeatReply tells a worker what to start and to stop, and which ends are known.
@@ -49,6 +52,8 @@
 	Starts []StartOrder `json:"starts,omitempty"`
 	Stops  []Attempt    `json:"stops,omitempty"`
 	Acks   []Attempt    `json:"acks,omitempty"`
+	// StartedGangs are those of the report's AwaitingGang whose gangs have started whole.
+	StartedGangs []Attempt `json:"startedGangs,omitempty"`
 	// LeaseDuration is how long after its report the worker may run what it has.
 	LeaseDuration time.Duration `json:"lease,omitempty"`
 	Incarnation   int64         `json:"incarnation,omitempty"`
@@ -160,7 +165,7 @@
 	}
 	// What runs and what has ended is in the tasks; a delta is not kept.
 	worker.Running, worker.Ended, worker.Progress, worker.NotRunning, worker.Delta = nil, nil, nil, nil, false
-	worker.Unconfirmed = false
+	worker.Unconfirmed, worker.AwaitingGang = false, nil
 	return worker
 }
 
--- a/core/state/heartbeat_delta.go
+++ b/core/state/heartbeat_delta.go
@@ -20,6 +20,7 @@
 	if known && worker.Incarnation == hb.Incarnation && worker.Leaving && !hb.Leaving {
 		hb.Leaving, hb.LeavesIn = true, worker.LeavesIn
 	}
+	hb.AwaitingGang = nil
 	if hb.Unconfirmed {
 		hb = worker.confirmedPart(hb)
 	}
--- a/core/state/orders.go
+++ b/core/state/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"time"
 
 	"sorrelloom/core/config"
 )
@@ -18,6 +19,9 @@
 	DependencyWorkers []string        `json:"holders,omitempty"`
 	Payload           json.RawMessage `json:"payload,omitempty"`
 	Checkpoint        string          `json:"saved,omitempty"`
+	// GangWait is how long after its reply a member of a gang may wait for the others. The
+	// primary sets it when it sends the order, and then tells of gangs that have started.
+	GangWait time.Duration `json:"gangWait,omitempty"`
 }
 
 // startOrder is the order to start what a task is leased for.
