--- a/core/agent/calls.go
+++ b/core/agent/calls.go
@@ -124,11 +124,16 @@
 	before := w.urgentState()
 	propertiesChanged := w.propertiesChanged(call)
 	freeChanged := w.lastCall.Free != call.Free
+	if propertiesChanged {
+		// The next report is compared with the state in another way, see handleLateReply.
+		w.reports.replaced = nil
+	}
 	w.lastCall, w.lastCallAt, w.endAcknowledged, w.lossLogged = call, now, false, false
 	w.capacity = w.capacity.Max(call.Free)
 	endsChanged := w.ends.record(call.Ended)
 	a.settleListedStarts(now, w, out)
 	w.ends.dropAgentEnds(w.lists)
+	w.settleGangMembers()
 	after := w.urgentState()
 	runningChanged := !maps.Equal(before.running, after.running)
 	if propertiesChanged || endsChanged || runningChanged || freeChanged && before.free != after.free {
@@ -194,6 +199,7 @@
 		}
 		if !start.handedOver {
 			a.counters.Starts++
+			w.awaitGang(now, start)
 		}
 		start.handedOver, start.lastCallNumber = true, callNumber
 		reply.Starts = append(reply.Starts, StartOrder{start.Attempt, start.Payload, start.Checkpoint})
--- a/core/scheduler/heartbeat.go
+++ b/core/scheduler/heartbeat.go
@@ -62,6 +62,10 @@
 	if earlier, ok := s.heartbeats[heartbeat.Worker]; ok {
 		s.reply(&earlier, state.Result{Code: status.StaleHeartbeat, Reason: "a later heartbeat replaced this one"}, out)
 	}
+	if !s.access.IsLocal() {
+		// The command's position is not known yet, so the state goes by the report's number.
+		heartbeat.AwaitingGang, heartbeat.LastReply = nil, 0
+	}
 	pending := pendingHeartbeat{
 		requestID: request.ID, replyTo: from, heartbeat: heartbeat, replyBy: now + request.MaxWait,
 	}
