Transport: workers' reports before other requests, three for each

Reports have a queue of their own. While both wait, three of them go before each other request, so that callers and gateways are still served however many reports come. Nothing changes while nothing waits.

TestClusterMessageIsTheNextStep wanted 5,000 commands handled before a report that came after them; the report is now the next step after what it replies to, which the test wants, and it waits for the last command.

--- a/daemon/host/host_test.go
+++ b/daemon/host/host_test.go
@@ -68,7 +68,7 @@
 			put(wire.KindHeartbeat, "report")
 			put(wire.KindCommandReply, "answer")
 			put(wire.KindReplicate, "heartbeat")
-		case in.Message.Kind == wire.KindHeartbeat:
+		case in.Message.Kind == wire.KindCommand && string(in.Message.Body) == fmt.Sprint(requests-1):
 			close(done)
 		}
 		return machine.Output{}
@@ -78,9 +78,9 @@
 	runner.Do(ctx, machine.Request{Name: "busy"})
 	<-done
 	runner.Inspect(func() {
-		want := []string{"request busy", "replicate heartbeat", "command-back answer", "command 0"}
-		if len(r.steps) < 4 || fmt.Sprint(r.steps[:4]) != fmt.Sprint(want) {
-			t.Errorf("got %q", r.steps[:4])
+		want := []string{"request busy", "replicate heartbeat", "command-back answer", "beat report", "command 0"}
+		if len(r.steps) < 5 || fmt.Sprint(r.steps[:5]) != fmt.Sprint(want) {
+			t.Errorf("got %q", r.steps[:5])
 		}
 		if len(r.steps) != requests+4 {
 			t.Errorf("%d steps", len(r.steps))
--- a/daemon/transport/receive_queue.go
+++ b/daemon/transport/receive_queue.go
@@ -13,18 +13,22 @@
 	maxUrgentFrames  = 1024
 	maxRequestFrames = 8192
 	maxRequestBytes  = 64 << 20
+	// maxReportsInRow is how many reports are given out while another request waits.
+	maxReportsInRow = 3
 )
 
 // QueueItem is one thing to be done by the goroutine that steps the state machines: a
 // received message, or a call if it is set.
 type QueueItem struct {
 	Message machine.Message
-	Call    func()
+	// Waited is how long a request waited here.
+	Waited time.Duration
+	Call   func()
 }
 
 // ReceiveQueue holds what waits for the goroutine that steps the state machines. It gives
-// out completed writes first, then the messages of other cluster members, then replies and calls, then urgent and
-// then other requests.
+// out completed writes first, then the messages of other cluster members, then replies and
+// calls, then urgent requests, then reports of workers and, after some of these, other requests.
 // Requests that have waited too long are dropped before their bodies are decoded.
 type ReceiveQueue struct {
 	now      func() time.Duration
@@ -40,7 +44,10 @@
 	cluster     boundedQueue
 	local       fifo[QueueItem]
 	urgent      boundedQueue
+	reports     boundedQueue
 	requests    boundedQueue
+	// reportsInRow counts the reports given out since the last other request.
+	reportsInRow int
 	// latestByKey are the waiting requests that a later one with the same key replaces.
 	latestByKey map[coalescingKey]*receivedMessage
 }
@@ -111,27 +118,29 @@
 			q.drop(q.urgent.dequeue(), DropOverflow)
 		}
 		q.urgent.enqueue(frame)
+	case PriorityReport:
+		q.enqueueRequestLocked(&q.reports, frame)
 	default:
-		q.enqueueRequestLocked(frame)
+		q.enqueueRequestLocked(&q.requests, frame)
 	}
 	q.mu.Unlock()
 	signal(q.nonEmpty)
 }
 
 // enqueueRequestLocked adds a request, or replaces a waiting one with the same key.
-func (q *ReceiveQueue) enqueueRequestLocked(frame *receivedMessage) {
+func (q *ReceiveQueue) enqueueRequestLocked(queue *boundedQueue, frame *receivedMessage) {
 	key := coalescingKey{frame.message.Kind, frame.message.From, frame.message.CoalescingKey}
 	if waiting, ok := q.latestByKey[key]; ok {
 		// The newer message takes the older one's place in the queue.
 		q.drop(waiting, DropReplaced)
-		q.requests.bytes += len(frame.message.Body) - len(waiting.message.Body)
+		queue.bytes += len(frame.message.Body) - len(waiting.message.Body)
 		*waiting = *frame
 		return
 	}
-	for q.requests.isFull(len(frame.message.Body), maxRequestFrames, maxRequestBytes) {
-		q.drop(q.dequeueRequestLocked(&q.requests), DropOverflow)
+	for queue.isFull(len(frame.message.Body), maxRequestFrames, maxRequestBytes) {
+		q.drop(q.dequeueRequestLocked(queue), DropOverflow)
 	}
-	q.requests.enqueue(frame)
+	queue.enqueue(frame)
 	if key.key != "" {
 		q.latestByKey[key] = frame
 	}
@@ -216,20 +225,34 @@
 	if q.local.len() > 0 {
 		return q.local.pop(), true
 	}
-	if message, ok := q.dequeueFreshLocked(&q.urgent); ok {
-		return QueueItem{Message: message}, true
+	if item, ok := q.dequeueFreshLocked(&q.urgent); ok {
+		return item, true
 	}
-	if message, ok := q.dequeueFreshLocked(&q.requests); ok {
-		return QueueItem{Message: message}, true
+	if q.reportsInRow < maxReportsInRow {
+		if item, ok := q.dequeueReportLocked(); ok {
+			return item, true
+		}
 	}
-	return QueueItem{}, false
+	q.reportsInRow = 0
+	if item, ok := q.dequeueFreshLocked(&q.requests); ok {
+		return item, true
+	}
+	return q.dequeueReportLocked()
+}
+
+func (q *ReceiveQueue) dequeueReportLocked() (QueueItem, bool) {
+	item, ok := q.dequeueFreshLocked(&q.reports)
+	if ok {
+		q.reportsInRow++
+	}
+	return item, ok
 }
 
 // dequeueFreshLocked returns the oldest message of a queue that has not expired, and drops
 // the expired ones before it.
-func (q *ReceiveQueue) dequeueFreshLocked(queue *boundedQueue) (machine.Message, bool) {
+func (q *ReceiveQueue) dequeueFreshLocked(queue *boundedQueue) (QueueItem, bool) {
 	if queue.len() == 0 {
-		return machine.Message{}, false
+		return QueueItem{}, false
 	}
 	now := q.now()
 	for queue.len() > 0 {
@@ -237,9 +260,9 @@
 		waited := now - frame.receivedAt
 		q.counters.waited(frame.message.Kind, waited)
 		if limit := ClassOfMessage(frame.message).MaxReceiveWait; limit == 0 || waited <= limit {
-			return frame.message, true
+			return QueueItem{Message: frame.message, Waited: waited}, true
 		}
 		q.drop(frame, DropExpired)
 	}
-	return machine.Message{}, false
+	return QueueItem{}, false
 }
--- a/daemon/transport/receive_queue_test.go
+++ b/daemon/transport/receive_queue_test.go
@@ -88,6 +88,26 @@
 	equal(t, drain(q), []string{"command in time"})
 }
 
+// TestReportsPrecedeOtherRequests has both wait: of each four one is another request, and each
+// says how long it has waited.
+func TestReportsPrecedeOtherRequests(t *testing.T) {
+	q, clock, _ := newTestQueue()
+	for i := range 4 {
+		q.Enqueue(newMessage(wire.KindCommand, "gateway", "", fmt.Sprint(i)))
+	}
+	for i := range 8 {
+		q.Enqueue(newMessage(wire.KindHeartbeat, "agent", fmt.Sprint("w", i), fmt.Sprint(i)))
+	}
+	clock.at = requestMaxAge
+	if item, _ := q.Dequeue(0); item.Message.Kind != wire.KindHeartbeat || item.Waited != requestMaxAge {
+		t.Errorf("first comes a %s that waited %s", item.Message.Kind, item.Waited)
+	}
+	equal(t, drain(q), []string{
+		"beat 1", "beat 2", "command 0", "beat 3", "beat 4", "beat 5", "command 1", "beat 6", "beat 7", "command 2",
+		"command 3",
+	})
+}
+
 // TestNewestMessageReplacesWaitingOne ensures that it takes the waiting one's place in the
 // queue, and that heartbeats of other workers, also by the same sender, are unaffected.
 func TestNewestMessageReplacesWaitingOne(t *testing.T) {
@@ -107,8 +127,8 @@
 	}
 	q.Enqueue(newMessage(wire.KindHeartbeat, "agent", "w1", "third"))
 	equal(t, drain(q), []string{"beat third"})
-	if q.requests.bytes != 0 || len(q.latestByKey) != 0 {
-		t.Errorf("%d bytes and %d keys are left of an empty queue", q.requests.bytes, len(q.latestByKey))
+	if bytes := q.requests.bytes + q.reports.bytes; bytes != 0 || len(q.latestByKey) != 0 {
+		t.Errorf("%d bytes and %d keys are left of an empty queue", bytes, len(q.latestByKey))
 	}
 }
 
--- a/daemon/transport/traffic_class.go
+++ b/daemon/transport/traffic_class.go
@@ -34,6 +34,10 @@
 	// before other requests, so that a process that is short of processor still takes a
 	// configuration and tells which one is in force.
 	PriorityUrgent
+	// PriorityReport messages are the workers' heartbeats. A process that is short of
+	// processor takes most of them before other requests: an end frees resources and a renewal
+	// keeps work from being done twice, where a new job only adds work.
+	PriorityReport
 	// PriorityRequest messages are processed when nothing else waits, and expire.
 	PriorityRequest
 )
@@ -68,6 +72,9 @@
 	requestClass = TrafficClass{
 		Channel: ChannelBulk, Priority: PriorityRequest, MaxReceiveWait: requestMaxAge, MaxSendWait: requestMaxAge,
 	}
+	reportClass = TrafficClass{
+		Channel: ChannelBulk, Priority: PriorityReport, MaxReceiveWait: requestMaxAge, MaxSendWait: requestMaxAge,
+	}
 	urgentClass = TrafficClass{
 		Channel: ChannelBulk, Priority: PriorityUrgent, MaxReceiveWait: urgentMaxAge, MaxSendWait: urgentMaxAge,
 	}
@@ -95,7 +102,7 @@
 	wire.KindCommandReply:    replyClass,
 	wire.KindHeartbeatReply:  replyClass,
 	wire.KindCommand:         requestClass,
-	wire.KindHeartbeat:       requestClass,
+	wire.KindHeartbeat:       reportClass,
 	wire.KindSubscribe:       defaultClass,
 	wire.KindFeedUpdate:      defaultClass,
 }
