New jobs are rejected early while more comes than the primary can do

Callers of a primary short of processor were accepted as long as their command was taken within 0.4 s, and ended with 504 else; each accepted job brought tens of starts, so that nobody's were in time.

The host tells a machine how long a request has waited for the process. Once all of them have waited over 0.1 s for 0.6 s, the primary rejects new jobs with 429 before any work is done for them, until a request comes in time again. They are to come back after the time in which as many are admitted as are rejected, at the rate of the last second, 1 to 5 s. Repeats of jobs that were accepted, reads, cancels and reports are taken as before.

TestNewJobsAreRejectedWhileRequestsWaitLong fails without it: none of 60 late jobs is rejected.

--- /dev/null
+++ b/core/control/overload_test.go
@@ -0,0 +1,93 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"sorrelloom/core/machine"
+	"sorrelloom/core/state"
+	"sorrelloom/core/status"
+	"sorrelloom/core/wire"
+)
+
+// submitLate gives the leader a new job that has waited for its processor, and returns the
+// ID of the command.
+func (n *testNet) submitLate(job string, waited time.Duration) uint64 {
+	n.lastID++
+	request := wire.CommandRequest{ID: n.lastID, Command: state.Command{
+		Kind: state.KindAcceptJob, Summary: true, Job: state.JobSpec{
+			ID: job, Service: "s", Class: "c", Steps: []state.StepSpec{{Count: 2, Resources: state.Resources{Slots: 1}}},
+		},
+	}}
+	n.step(n.leader(), machine.Input{Message: newMessage(wire.KindCommand, "gateway", request), Waited: waited})
+	n.run(20 * time.Millisecond)
+	return n.lastID
+}
+
+// TestNewJobsAreRejectedWhileRequestsWaitLong has 50 new jobs a second come, all of which
+// waited for long. After a while they are rejected, at no cost of a command and with a time
+// to come back, until a request comes in time again. What was accepted is never rejected.
+func TestNewJobsAreRejectedWhileRequestsWaitLong(t *testing.T) {
+	const late, inTime = 250 * time.Millisecond, 20 * time.Millisecond
+	n := newNet(t)
+	n.configure()
+	var accepted []string
+	firstRejection := time.Duration(0)
+	began, rejected := n.now, 0
+	for i := range 60 {
+		job, before := fmt.Sprintf("late%d", i), n.leaderStore().Position().Index
+		result := n.commandReplies[n.submitLate(job, late)].Result
+		if result.Code.IsSuccess() {
+			accepted = append(accepted, job)
+			continue
+		}
+		if rejected++; firstRejection == 0 {
+			firstRejection = n.now - began
+		}
+		if result.Code != status.QueueFull || result.RetryAfter < time.Second || result.RetryAfter > 5*time.Second {
+			t.Fatalf("%s is answered %+v", job, result)
+		}
+		if n.leaderStore().KnowsJob(job) || n.leaderStore().Position().Index > before+1 {
+			t.Fatalf("the rejected %s left something behind", job)
+		}
+	}
+	if firstRejection < 600*time.Millisecond || firstRejection > 700*time.Millisecond || rejected < 25 {
+		t.Errorf("%d were rejected, the first after %s", rejected, firstRejection)
+	}
+	if result := n.commandReplies[n.submitLate(accepted[0], late)].Result; result.Code != status.AlreadyDone {
+		t.Errorf("a job that was accepted is answered %+v", result)
+	}
+	id := n.sendHeartbeat(n.leader(), 0, heartbeatOf(1))
+	n.run(time.Second)
+	if result := n.heartbeatReplies[id].Result; !result.Code.IsSuccess() {
+		t.Errorf("a heartbeat is answered %+v", result)
+	}
+	for _, job := range []string{"in-time", "after-it"} {
+		if result := n.commandReplies[n.submitLate(job, inTime)].Result; !result.Code.IsSuccess() {
+			t.Errorf("%s is answered %+v", job, result)
+		}
+	}
+	for _, job := range accepted {
+		if !n.leaderStore().KnowsJob(job) {
+			t.Errorf("%s was accepted and is not known", job)
+		}
+	}
+}
+
+// TestAPauseRejectsNothing has requests wait for long only for as long as a process that was
+// suspended takes to go on.
+func TestAPauseRejectsNothing(t *testing.T) {
+	n := newNet(t)
+	n.configure()
+	for i := range 100 {
+		waited := time.Duration(0)
+		if i%25 < 20 {
+			waited = 390 * time.Millisecond
+		}
+		job := fmt.Sprintf("j%d", i)
+		if result := n.commandReplies[n.submitLate(job, waited)].Result; !result.Code.IsSuccess() {
+			t.Fatalf("%s is answered %+v", job, result)
+		}
+	}
+}
--- a/core/machine/machine.go
+++ b/core/machine/machine.go
@@ -21,6 +21,9 @@
 type Input struct {
 	// Message is a message from another process, if its Kind is set.
 	Message Message
+	// Waited is how long the message, if it is a request, waited for the process. It tells a
+	// machine that more comes than it can do.
+	Waited time.Duration
 	// CompletedWrite is the ID of a Write that is durable now; 0 is none.
 	CompletedWrite uint64
 	// SnapshotDue comes with CompletedWrite: the log has grown long, and the next
--- a/core/replica/commands.go
+++ b/core/replica/commands.go
@@ -126,10 +126,11 @@
 		return
 	}
 	if reason, overloaded := r.overloaded(now, b); overloaded {
-		retryAfter := max(minRetryAfter, r.commands.oldestAge(now))
-		r.commands.reply(from, wire.CommandReply{ID: b.ID, Result: state.Result{
-			Code: status.QueueFull, Reason: reason, RetryAfter: retryAfter,
-		}}, out)
+		r.rejectQueueFull(from, b.ID, reason, max(minRetryAfter, r.commands.oldestAge(now)), out)
+		return
+	}
+	if retryAfter, rejected := r.rejectNewJob(now, b); rejected {
+		r.rejectQueueFull(from, b.ID, "more comes than the primary can do", retryAfter, out)
 		return
 	}
 	if localOnly(b.Command) && from != "" {
@@ -141,6 +142,13 @@
 	r.executeAndHold(now, from, b, out)
 }
 
+// rejectQueueFull rejects a command that may come again later.
+func (r *Replica) rejectQueueFull(from string, id uint64, reason string, retryAfter time.Duration, out *machine.Output) {
+	r.commands.reply(from, wire.CommandReply{ID: id, Result: state.Result{
+		Code: status.QueueFull, Reason: reason, RetryAfter: retryAfter,
+	}}, out)
+}
+
 // executeAndHold carries a command out; its reply waits for the commit of all commands up
 // to here, and for a message that all backups acknowledge after this moment. The latter
 // makes reads linearizable: until then no other primary can have served.
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -40,6 +40,7 @@
 	disk     diskWriter
 	acks     []pendingAck
 	commands commandQueue
+	overload overloadDetector
 	audit    auditQueue
 	feed     feedPublisher
 
@@ -133,6 +134,9 @@
 	case in.CompletedWrite > 0:
 		r.handleWriteDone(now, in.CompletedWrite, &out)
 	case in.Message.Kind != "":
+		if in.Message.Kind == wire.KindCommand && !in.Message.IsUrgent() {
+			r.overload.observe(now, in.Waited)
+		}
 		r.handleMessage(now, in.Message, &out)
 	case in.Stop:
 		r.stopping, r.stopRequestedAt = true, now
--- a/core/state/past_job.go
+++ b/core/state/past_job.go
@@ -24,6 +24,13 @@
 	return &Job{Spec: spec, Tenant: past.Tenant, State: past.State, EndedAt: past.EndedAt}, ok
 }
 
+// KnowsJob says whether a job was accepted before, as far back as the state can tell.
+func (s *Store) KnowsJob(id string) bool {
+	_, exists := s.jobs[id]
+	_, remembered := s.pastJobs.byKey[id]
+	return exists || remembered
+}
+
 // RejectUnknownJob is the result for a job of which nothing is known. It says how far
 // back the state can tell.
 func (s *Store) RejectUnknownJob(id string) Result {
--- a/daemon/host/host.go
+++ b/daemon/host/host.go
@@ -125,7 +125,7 @@
 		case item.Call != nil:
 			item.Call()
 		default:
-			h.deliver(item.Message)
+			h.deliver(machine.Input{Message: item.Message, Waited: item.Waited})
 		}
 	}
 }
@@ -162,11 +162,11 @@
 	return next - now
 }
 
-func (h *Host) deliver(message machine.Message) {
+func (h *Host) deliver(in machine.Input) {
 	var fallback *Runner
 	for _, r := range h.runners {
-		if r.kinds[message.Kind] {
-			r.step(machine.Input{Message: message})
+		if r.kinds[in.Message.Kind] {
+			r.step(in)
 			return
 		}
 		if len(r.kinds) == 0 {
@@ -174,7 +174,7 @@
 		}
 	}
 	if fallback != nil {
-		fallback.step(machine.Input{Message: message})
+		fallback.step(in)
 	}
 }
 
