--- a/core/replica/commands.go
+++ b/core/replica/commands.go
@@ -143,7 +143,9 @@
 }
 
 // rejectQueueFull rejects a command that may come again later.
-func (r *Replica) rejectQueueFull(from string, id uint64, reason string, retryAfter time.Duration, out *machine.Output) {
+func (r *Replica) rejectQueueFull(
+	from string, id uint64, reason string, retryAfter time.Duration, out *machine.Output,
+) {
 	r.commands.reply(from, wire.CommandReply{ID: id, Result: state.Result{
 		Code: status.QueueFull, Reason: reason, RetryAfter: retryAfter,
 	}}, out)
