State: the tasks of a new job are made once, and only waiting ones are copied at an end

Each accepted job had its steps expanded twice, once to be judged and once for its record, into a slice that grew. Each end of a task copied the specification and the record of every task of its job to see whether it waits. Tasks are expanded once, into a slice of their number, and only those that become ready are copied.

--- a/core/state/job_lifecycle.go
+++ b/core/state/job_lifecycle.go
@@ -16,31 +16,37 @@
 // all done, and ends the job once nothing of it is ready or runs.
 func (s *Store) makeTasksReady(id string) {
 	job := s.jobs[id]
-	// The tasks of a step share one slice of dependencies, which is looked at once.
-	type answer struct{ known, done bool }
-	ofStep := map[*int]answer{}
-	for i, spec := range job.Spec.Tasks {
-		task := *job.Tasks[i]
-		if task.State != Waiting || job.EndingState != "" || task.DueAt > s.now {
-			continue
-		}
-		ready := true
-		if len(spec.Dependencies) > 0 {
-			known := ofStep[&spec.Dependencies[0]]
-			if !known.known {
-				known = answer{true, allDone(job.Tasks, spec.Dependencies)}
-				ofStep[&spec.Dependencies[0]] = known
+	if job.EndingState == "" {
+		var dependencies dependencyCheck
+		for i, task := range job.Tasks {
+			if task.State == Waiting && task.DueAt <= s.now && dependencies.done(job, i) {
+				ready := *task
+				ready.State, ready.ReadyAt = Ready, s.now
+				s.setTask(taskRef{id, i}, ready)
 			}
-			ready = known.done
-		}
-		if ready {
-			task.State, task.ReadyAt = Ready, s.now
-			s.setTask(taskRef{id, i}, task)
 		}
 	}
 	s.updateJobState(id)
 }
 
+// dependencyCheck says of the tasks of a job, one after the other, whether what they depend on
+// is done. The tasks of a step share one slice of dependencies, which is looked at once.
+type dependencyCheck struct {
+	last *int
+	ok   bool
+}
+
+func (c *dependencyCheck) done(job *Job, i int) bool {
+	dependencies := job.Spec.Tasks[i].Dependencies
+	if len(dependencies) == 0 {
+		return true
+	}
+	if c.last != &dependencies[0] {
+		c.last, c.ok = &dependencies[0], allDone(job.Tasks, dependencies)
+	}
+	return c.ok
+}
+
 // updateJobState works out a job's state from its tasks. A job is over only once all
 // its tasks are and none is leased any more.
 func (s *Store) updateJobState(id string) {
--- a/core/state/steps.go
+++ b/core/state/steps.go
@@ -9,8 +9,12 @@
 // expandSteps writes a job's steps out as tasks, repetition by repetition and step
 // by step. The tasks of a step share their slice of dependencies.
 func expandSteps(spec JobSpec) []TaskSpec {
-	var tasks []TaskSpec
-	for repetition := range max(1, spec.Repeat.Count) {
+	repetitions, perRepetition := max(1, spec.Repeat.Count), 0
+	for i := range spec.Steps {
+		perRepetition += spec.Steps[i].Count
+	}
+	tasks := make([]TaskSpec, 0, repetitions*perRepetition)
+	for repetition := range repetitions {
 		// first gives the index of the first task of each step.
 		first := make([]int, len(spec.Steps))
 		for i, step := range spec.Steps {
@@ -24,11 +28,12 @@
 					task.Dependencies = append(task.Dependencies, first[dependency]+n)
 				}
 			}
+			prefix := fmt.Sprintf("%d.%d.", repetition, i)
 			if step.Gang {
-				task.Gang = fmt.Sprintf("%d.%d", repetition, i)
+				task.Gang = strings.TrimSuffix(prefix, ".")
 			}
 			for n := range step.Count {
-				task.ID = fmt.Sprintf("%d.%d.%d", repetition, i, n)
+				task.ID = prefix + strconv.Itoa(n)
 				tasks = append(tasks, task)
 			}
 		}
--- a/core/state/submit.go
+++ b/core/state/submit.go
@@ -67,7 +67,7 @@
 		return result
 	}
 	spec = s.withClassDefaults(spec)
-	if result := s.ValidateJob(spec); !result.Code.IsSuccess() {
+	if result := s.validate(&spec); !result.Code.IsSuccess() {
 		return result
 	}
 	job := Job{Spec: spec, Tenant: s.tenantsByKey[cmd.KeyDigest], Digest: submitted}
@@ -95,10 +95,9 @@
 	return Result{}, false
 }
 
-// addJob completes the record of a valid job and makes its tasks; those that depend on
+// addJob completes the record of a job that was validated and makes its tasks; those that depend on
 // nothing and are due are ready at once.
 func (s *Store) addJob(job Job, wallTime time.Time) {
-	job.Spec.Tasks = resolveDependencies(job.Spec)
 	job.FirstTaskNumber, job.State, job.AcceptedAt = s.nextTaskNumber, Waiting, s.now
 	job.Tasks = newTasks(&job)
 	spec := &job.Spec
--- a/core/state/validate.go
+++ b/core/state/validate.go
@@ -21,11 +21,14 @@
 
 // ValidateJob judges a job against its own rules and then the configuration, before
 // it is accepted. The rejection gives the path of the first violation in the job.
-func (s *Store) ValidateJob(spec JobSpec) Result {
-	if r := s.validateShape(&spec); r.isSet() {
+func (s *Store) ValidateJob(spec JobSpec) Result { return s.validate(&spec) }
+
+// validate judges a job as ValidateJob does, and resolves the tasks of a valid one.
+func (s *Store) validate(spec *JobSpec) Result {
+	if r := s.validateShape(spec); r.isSet() {
 		return r.result()
 	}
-	service, class, r := s.findClass(&spec)
+	service, class, r := s.findClass(spec)
 	if r.isSet() {
 		return r.result()
 	}
@@ -34,14 +37,14 @@
 		return r.result()
 	}
 	if len(spec.Steps) == 0 {
-		spec.Tasks = resolveDependencies(spec)
+		spec.Tasks = resolveDependencies(*spec)
 	}
 	for i := range spec.Tasks {
-		if r := validateTask(&spec, i, index, &service); r.isSet() {
+		if r := validateTask(spec, i, index, &service); r.isSet() {
 			return r.result()
 		}
 	}
-	if taskLevels(spec) == nil {
+	if taskLevels(*spec) == nil {
 		return invalidJob("/tasks: the dependencies go in a circle").result()
 	}
 	unfinished := s.unfinished[spec.classKey()]
