--- a/core/replica/overload.go
+++ b/core/replica/overload.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// acceptableWait is how long requests may wait for the process, and overloadDelay after
-	// what time without one that waited no longer there are too many of them. A pause of the
-	// process alone is over before.
+	// acceptableWait is how long requests of new work may wait for the process, and
+	// overloadDelay after what time without one that waited no longer there are too many of
+	// them. A pause of the process alone is over before.
 	acceptableWait = 100 * time.Millisecond
 	overloadDelay  = 600 * time.Millisecond
 	// rateInterval is the time over which new jobs are counted, and maxRetryAfter the most
--- a/core/state/indexes.go
+++ b/core/state/indexes.go
@@ -18,7 +18,7 @@
 // themselves: setTask keeps them right, and rebuildIndexes makes them anew after
 // a load.
 type indexes struct {
-	// usage gives the leases of each worker and what they sum up to.
+	// usage gives the leases of each worker, and what they sum up to.
 	usage map[string]*workerUsage
 	// tenantUsage is what each tenant has running, leased or not.
 	tenantUsage *quota.Usage
@@ -103,9 +103,11 @@
 	s.updateServiceLoad(worker, job.Spec.Class, by*job.Spec.Tasks[ref.index].Resources.Slots)
 }
 
-// workerUsage are the leases of a worker, and what they sum up to.
+// workerUsage holds the leases of a worker and what they sum up to.
 type workerUsage struct {
 	leases workerLeases
+	// preemptible are the sums by class of those that are not being stopped.
+	preemptible []PreemptibleLeases
 	// used are the resources of all leases, unreported of those that the worker's
 	// report did not count yet, and stopping of those that are being stopped.
 	used, unreported, stopping Resources
@@ -113,9 +115,11 @@
 	// are still to be started; orphanCount are those of an earlier incarnation.
 	stopCount, unstartedCount, orphanCount int
 	slotsByClass                           map[string]int
-	leaseCount                             int
 }
 
+// resourceSum is Resources.Add or Resources.Sub.
+type resourceSum func(Resources, Resources) Resources
+
 // noUsage is that of a worker that never had a lease.
 var noUsage workerUsage
 
@@ -139,8 +143,8 @@
 
 // adjust adds a lease, by 1, or takes one off, by -1.
 func (u *workerUsage) adjust(job *Job, i, by int) {
-	lease, resources := job.Tasks[i].Lease, job.Spec.Tasks[i].Resources
-	add := Resources.Add
+	lease, resources := &job.Tasks[i].Lease, job.Spec.Tasks[i].Resources
+	add := resourceSum(Resources.Add)
 	if by < 0 {
 		add = Resources.Sub
 	}
@@ -150,12 +154,14 @@
 	}
 	if lease.StopReason != "" {
 		u.stopping, u.stopCount = add(u.stopping, resources), u.stopCount+by
-	} else if lease.StartedAt == 0 {
-		u.unstartedCount += by
+	} else {
+		u.adjustPreemptible(job.Spec.classKey(), lease, resources, add)
+		if lease.StartedAt == 0 {
+			u.unstartedCount += by
+		}
 	}
 	if lease.OrphanUntil > 0 {
 		u.orphanCount += by
 	}
 	u.slotsByClass[job.Spec.Class] += by * resources.Slots
-	u.leaseCount += by
 }
--- a/core/state/lease.go
+++ b/core/state/lease.go
@@ -215,7 +215,7 @@
 // this has not come, but for leases of an earlier incarnation and for those not started yet.
 func (s *Store) noneDue(now time.Duration, id string, usage *workerUsage) bool {
 	limits := &s.config.Limits
-	if usage.leaseCount == 0 {
+	if len(usage.leases) == 0 {
 		return true
 	}
 	return limits.KilledAtLeaseExpiry && usage.orphanCount+usage.unstartedCount == 0 &&
--- a/daemon/transport/receive_queue.go
+++ b/daemon/transport/receive_queue.go
@@ -10,11 +10,11 @@
 const (
 	maxClusterFrames = 8192
 	maxClusterBytes  = 512 << 20
-	maxUrgentFrames  = 1024
 	maxRequestFrames = 8192
 	maxRequestBytes  = 64 << 20
-	// maxReportsInRow is how many reports are given out while another request waits.
-	maxReportsInRow = 3
+	// maxHeartbeatsInRow is how many heartbeats are given out while a request of a lower
+	// priority waits: it is at least told then that too much waits.
+	maxHeartbeatsInRow = 3
 )
 
 // QueueItem is one thing to be done by the goroutine that steps the state machines: a
@@ -27,9 +27,9 @@
 }
 
 // ReceiveQueue holds what waits for the goroutine that steps the state machines. It gives
-// out completed writes first, then the messages of other cluster members, then replies and
-// calls, then urgent requests, then reports of workers and, after some of these, other requests.
-// Requests that have waited too long are dropped before their bodies are decoded.
+// out completed writes and the messages of other cluster members first, in turn, as each may
+// bring the next of its own kind about. Then come replies and calls, then requests by their
+// priority. Requests that have waited too long are dropped before their bodies are decoded.
 type ReceiveQueue struct {
 	now      func() time.Duration
 	counters *Counters
@@ -42,12 +42,13 @@
 	closed      bool
 	completions fifo[QueueItem]
 	cluster     boundedQueue
-	local       fifo[QueueItem]
-	urgent      boundedQueue
-	reports     boundedQueue
-	requests    boundedQueue
-	// reportsInRow counts the reports given out since the last other request.
-	reportsInRow int
+	// clusterIsNext says that a completed write was given out last.
+	clusterIsNext bool
+	local         fifo[QueueItem]
+	// requests are those that wait, by their priority.
+	requests [priorityCount]boundedQueue
+	// heartbeatsInRow counts the heartbeats given out since the last other request.
+	heartbeatsInRow int
 	// latestByKey are the waiting requests that a later one with the same key replaces.
 	latestByKey map[coalescingKey]*receivedMessage
 }
@@ -105,7 +106,7 @@
 	q.counters.received(message.Kind, len(message.Body))
 	frame := &receivedMessage{message, q.now()}
 	q.mu.Lock()
-	switch ClassOfMessage(message).Priority {
+	switch priority := ClassOfMessage(message).Priority; priority {
 	case PriorityCluster:
 		for q.cluster.isFull(len(message.Body), maxClusterFrames, maxClusterBytes) {
 			q.drop(q.cluster.dequeue(), DropOverflow)
@@ -113,15 +114,8 @@
 		q.cluster.enqueue(frame)
 	case PriorityReply:
 		q.local.push(QueueItem{Message: message})
-	case PriorityUrgent:
-		for q.urgent.isFull(len(message.Body), maxUrgentFrames, maxRequestBytes) {
-			q.drop(q.urgent.dequeue(), DropOverflow)
-		}
-		q.urgent.enqueue(frame)
-	case PriorityReport:
-		q.enqueueRequestLocked(&q.reports, frame)
 	default:
-		q.enqueueRequestLocked(&q.requests, frame)
+		q.enqueueRequestLocked(&q.requests[priority], frame)
 	}
 	q.mu.Unlock()
 	signal(q.nonEmpty)
@@ -154,6 +148,17 @@
 	return frame
 }
 
+// Len returns how many messages and calls wait.
+func (q *ReceiveQueue) Len() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	count := q.completions.len() + q.cluster.len() + q.local.len()
+	for priority := range q.requests {
+		count += q.requests[priority].len()
+	}
+	return count
+}
+
 func (q *ReceiveQueue) drop(frame *receivedMessage, reason DropReason) {
 	q.counters.dropped(DropKey{Kind: frame.message.Kind, Reason: reason})
 }
@@ -184,9 +189,11 @@
 }
 
 func (q *ReceiveQueue) dequeueBeforeTimersLocked() (QueueItem, bool) {
-	if q.completions.len() > 0 {
+	if q.completions.len() > 0 && !(q.clusterIsNext && q.cluster.len() > 0) {
+		q.clusterIsNext = true
 		return q.completions.pop(), true
 	}
+	q.clusterIsNext = false
 	if message, ok := q.dequeueClusterLocked(); ok {
 		return QueueItem{Message: message}, true
 	}
@@ -225,27 +232,22 @@
 	if q.local.len() > 0 {
 		return q.local.pop(), true
 	}
-	if item, ok := q.dequeueFreshLocked(&q.urgent); ok {
-		return item, true
-	}
-	if q.reportsInRow < maxReportsInRow {
-		if item, ok := q.dequeueReportLocked(); ok {
+	if q.heartbeatsInRow >= maxHeartbeatsInRow {
+		q.heartbeatsInRow = 0
+		if item, ok := q.dequeueFreshLocked(&q.requests[PriorityRequest]); ok {
 			return item, true
 		}
 	}
-	q.reportsInRow = 0
-	if item, ok := q.dequeueFreshLocked(&q.requests); ok {
-		return item, true
-	}
-	return q.dequeueReportLocked()
-}
-
-func (q *ReceiveQueue) dequeueReportLocked() (QueueItem, bool) {
-	item, ok := q.dequeueFreshLocked(&q.reports)
-	if ok {
-		q.reportsInRow++
+	for priority := range q.requests {
+		item, ok := q.dequeueFreshLocked(&q.requests[priority])
+		if ok && Priority(priority) == PriorityHeartbeat {
+			q.heartbeatsInRow++
+		}
+		if ok {
+			return item, true
+		}
 	}
-	return item, ok
+	return QueueItem{}, false
 }
 
 // dequeueFreshLocked returns the oldest message of a queue that has not expired, and drops
