--- a/core/machine/machine.go
+++ b/core/machine/machine.go
@@ -17,10 +17,14 @@
 	NextTimer() time.Duration
 }
 
-// Input is one event. At most one of its parts is set; an empty input is an expired timer.
+// Input is one event. At most one of its parts is set, beside those
+// that come with every input; one without any is an expired timer.
 type Input struct {
 	// Message is a message from another process, if its Kind is set.
 	Message Message
+	// Waited is how long the message, if it is a request, waited for the process. It tells a
+	// machine that more comes than it can do.
+	Waited time.Duration
 	// CompletedWrite is the ID of a Write that is durable now; 0 is none.
 	CompletedWrite uint64
 	// SnapshotDue comes with CompletedWrite: the log has grown long, and the next
@@ -30,6 +34,9 @@
 	Request Request
 	// Stop tells the machine that the process is being stopped.
 	Stop bool
+	// Backlog is how many inputs wait behind this one. It comes with every input. Work that
+	// can be put off should be, while others wait for an answer.
+	Backlog int
 	// WallTime is the time of day, for the few decisions that users bind to it. It
 	// comes with every input and may jump.
 	WallTime time.Time
--- a/core/replica/replicate_receive.go
+++ b/core/replica/replicate_receive.go
@@ -77,7 +77,7 @@
 	position := r.log.position()
 	body := wire.ReplicateAck{
 		BootID: bootID, Epoch: epoch, From: r.self, SendID: sendID, Position: position, OK: true,
-		Candidate: r.election.candidateEpoch == epoch, Leaving: r.stopping, KnownView: *r.view(),
+		Candidate: r.election.candidateEpoch == epoch, Leaving: r.stopping,
 	}
 	r.acks = append(r.acks, pendingAck{to, body, position.Index})
 }
@@ -98,6 +98,6 @@
 // logReplaced forgets what rested on the log as it was.
 func (r *Replica) logReplaced() {
 	r.acks, r.snapshotSource = nil, nil
-	r.replication.broadcastEnd = r.log.position()
+	r.replication.startAt(r.log.position())
 	r.peers.forgetPositions()
 }
--- a/tool/sim/step.go
+++ b/tool/sim/step.go
@@ -32,6 +32,9 @@
 	if n.role == roleControl {
 		in.WallTime = w.wallTime().Add(n.wallSkew)
 	}
+	if n.processor != nil {
+		in.Backlog = len(n.processor.queue)
+	}
 	before := n.logIndex()
 	out := target.Step(n.localTime(w.Now), in)
 	if n.processor != nil {
@@ -68,7 +71,7 @@
 		w.logf("%s %s %v", n.name, e.Name, e.Fields)
 	}
 	for _, entry := range out.AuditEntries {
-		w.logf("%s audit %s", n.name, entry.Data)
+		w.logf("%s audit %s", n.name, entry.Encode())
 	}
 	for i, message := range out.Messages {
 		encoded := encodedMessage{message: message}
