Replica and scheduler: replies are kept by pointer, and pending orders are not copied

Each result of a command, of some 600 bytes, was copied into the queue of replies, into the results of the dispatcher and again as that grew; each answer to a report made a start order for all that is to be started on the worker, also for what is not committed yet or was sent before, and a map of all that it runs.

--- a/core/replica/commands.go
+++ b/core/replica/commands.go
@@ -25,14 +25,14 @@
 	// waiting arrived before the primary serves. They wait, in place of being rejected:
 	// their senders would all ask the other members at once, with all they have open.
 	waiting []waitingCommand
-	local   []wire.CommandReply
+	local   []*wire.CommandReply
 }
 
 // pendingReply goes out once its index is committed and the message with its sendID, or a
 // newer one, is acknowledged by all backups.
 type pendingReply struct {
 	to         string // empty for a command of the same process
-	body       wire.CommandReply
+	body       *wire.CommandReply
 	index      uint64
 	sendID     uint64
 	receivedAt time.Duration
@@ -46,12 +46,12 @@
 }
 
 // reply sends a command's reply, or keeps it for the same process.
-func (q *commandQueue) reply(to string, body wire.CommandReply, out *machine.Output) {
+func (q *commandQueue) reply(to string, body *wire.CommandReply, out *machine.Output) {
 	if to == "" {
 		q.local = append(q.local, body)
 		return
 	}
-	out.Send(to, wire.KindCommandReply, body)
+	out.Send(to, wire.KindCommandReply, *body)
 }
 
 // isPending says whether a command is among those that wait for their commit.
@@ -103,7 +103,7 @@
 func (r *Replica) HasLocalReplies() bool { return len(r.commands.local) > 0 }
 
 // TakeLocalReplies gives the replies to submitted commands, each once.
-func (r *Replica) TakeLocalReplies() []wire.CommandReply {
+func (r *Replica) TakeLocalReplies() []*wire.CommandReply {
 	replies := r.commands.local
 	r.commands.local = nil
 	return replies
@@ -146,7 +146,7 @@
 func (r *Replica) rejectQueueFull(
 	from string, id uint64, reason string, retryAfter time.Duration, out *machine.Output,
 ) {
-	r.commands.reply(from, wire.CommandReply{ID: id, Result: state.Result{
+	r.commands.reply(from, &wire.CommandReply{ID: id, Result: state.Result{
 		Code: status.QueueFull, Reason: reason, RetryAfter: retryAfter,
 	}}, out)
 }
@@ -155,10 +155,10 @@
 // to here, and for a message that all backups acknowledge after this moment. The latter
 // makes reads linearizable: until then no other primary can have served.
 func (r *Replica) executeAndHold(now time.Duration, from string, b wire.CommandRequest, out *machine.Output) {
-	body := wire.CommandReply{ID: b.ID, Result: r.execute(now, b.Command)}
+	body := &wire.CommandReply{ID: b.ID, Result: r.execute(now, b.Command)}
 	body.AppliedIndex = r.log.position().Index
 	if b.Command.Kind == state.KindChangeConfig {
-		logConfigChange(b, &body, out)
+		logConfigChange(b, body, out)
 	}
 	if b.Command.Kind == state.KindConfirmLeadership {
 		r.sendReceived(from, b.ID, out)
@@ -250,8 +250,8 @@
 }
 
 // notPrimaryReply rejects a command and says where the primary is.
-func (r *Replica) notPrimaryReply(id uint64) wire.CommandReply {
-	reply := wire.CommandReply{
+func (r *Replica) notPrimaryReply(id uint64) *wire.CommandReply {
+	reply := &wire.CommandReply{
 		ID:       id,
 		Result:   state.Result{Code: status.NotPrimary, Reason: "this replica is not the primary now"},
 		Replicas: r.MemberAddresses(),
--- a/core/replica/commands_test.go
+++ b/core/replica/commands_test.go
@@ -164,7 +164,7 @@
 // all backups, and for all replies before them.
 func TestReleaseInOrder(t *testing.T) {
 	pendingOf := func(id, index, sendID uint64, to string) pendingReply {
-		return pendingReply{to: to, body: wire.CommandReply{ID: id}, index: index, sendID: sendID}
+		return pendingReply{to: to, body: &wire.CommandReply{ID: id}, index: index, sendID: sendID}
 	}
 	var q commandQueue
 	q.pending = append(q.pending, pendingOf(1, 5, 2, "client"), pendingOf(2, 5, 3, ""), pendingOf(3, 6, 3, "client"))
--- a/core/scheduler/orders.go
+++ b/core/scheduler/orders.go
@@ -47,22 +47,19 @@
 func (s *Scheduler) addOrders(
 	orders *state.HeartbeatReply, heartbeat *state.Heartbeat, uncommitted map[state.Attempt]bool,
 ) {
-	running := map[state.Attempt]bool{}
-	for _, attempt := range heartbeat.Running {
-		running[attempt] = true
-	}
-	for _, leased := range s.access.State().PendingOrders(heartbeat.Worker) {
-		lease := &leased.Lease
-		if lease.Incarnation != heartbeat.Incarnation || uncommitted[state.Attempt{Job: leased.Job, Task: leased.Task}] {
+	store := s.access.State()
+	for pending := range store.PendingOrders(heartbeat.Worker) {
+		lease := pending.Lease
+		if lease.Incarnation != heartbeat.Incarnation || uncommitted[state.Attempt{Job: pending.Job, Task: pending.Task}] {
 			continue
 		}
+		runs := slices.Contains(heartbeat.Running, pending.Attempt)
 		stopping := lease.StopReason != ""
 		switch {
-		case stopping && running[leased.Attempt] && !slices.Contains(orders.Stops, leased.Attempt):
-			orders.Stops = append(orders.Stops, leased.Attempt)
-		case !stopping && lease.StartedAt == 0 && !running[leased.Attempt] &&
-			heartbeat.Number < lease.HeartbeatNumber+startRepeats:
-			orders.Starts = append(orders.Starts, leased.Start)
+		case stopping && runs && !slices.Contains(orders.Stops, pending.Attempt):
+			orders.Stops = append(orders.Stops, pending.Attempt)
+		case !stopping && lease.StartedAt == 0 && !runs && heartbeat.Number < lease.HeartbeatNumber+startRepeats:
+			orders.Starts = append(orders.Starts, store.StartOrder(pending))
 		}
 	}
 }
--- a/core/state/orders.go
+++ b/core/state/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"iter"
 
 	"sorrelloom/core/config"
 )
@@ -64,17 +65,32 @@
 	return attempts
 }
 
+// PendingOrder is an attempt that is leased and is to be started or stopped. The lease must
+// not be changed.
+type PendingOrder struct {
+	Attempt
+	Lease *Lease
+	ref   taskRef
+}
+
 // PendingOrders gives what is leased to a worker and is to be started or stopped.
-func (s *Store) PendingOrders(worker string) []LeasedAttempt {
-	var attempts []LeasedAttempt
-	for _, leased := range s.usageOf(worker).leases {
-		if lease := &leased.task.Lease; lease.StopReason != "" || lease.StartedAt == 0 {
-			attempts = append(attempts, s.leasedAttempt(leased.ref))
+func (s *Store) PendingOrders(worker string) iter.Seq[PendingOrder] {
+	return func(yield func(PendingOrder) bool) {
+		leases := s.usageOf(worker).leases
+		for i := range leases {
+			leased := &leases[i]
+			lease := &leased.task.Lease
+			isPending := lease.StopReason != "" || lease.StartedAt == 0
+			if isPending && !yield(PendingOrder{leased.attempt(), lease, leased.ref}) {
+				return
+			}
 		}
 	}
-	return attempts
 }
 
+// StartOrder is the order to start a pending attempt.
+func (s *Store) StartOrder(pending PendingOrder) StartOrder { return s.startOrder(pending.ref) }
+
 // HasPendingOrders says whether a worker has something to be started or stopped.
 func (s *Store) HasPendingOrders(worker string) bool {
 	usage := s.usageOf(worker)
