--- a/core/scheduler/orders.go
+++ b/core/scheduler/orders.go
@@ -49,21 +49,19 @@
 func (s *Scheduler) addOrders(
 	now time.Duration, orders *state.HeartbeatReply, heartbeat *state.Heartbeat, uncommitted map[state.Attempt]bool,
 ) {
-	running := map[state.Attempt]bool{}
-	for _, attempt := range heartbeat.Running {
-		running[attempt] = true
-	}
-	for _, leased := range s.access.State().PendingOrders(heartbeat.Worker) {
-		lease := &leased.Lease
-		if lease.Incarnation != heartbeat.Incarnation || uncommitted[state.Attempt{Job: leased.Job, Task: leased.Task}] {
+	store := s.access.State()
+	for pending := range store.PendingOrders(heartbeat.Worker) {
+		lease := pending.Lease
+		if lease.Incarnation != heartbeat.Incarnation || uncommitted[state.Attempt{Job: pending.Job, Task: pending.Task}] {
 			continue
 		}
+		runs := slices.Contains(heartbeat.Running, pending.Attempt)
 		stopping := lease.StopReason != ""
 		switch {
-		case stopping && running[leased.Attempt] && !slices.Contains(orders.Stops, leased.Attempt):
-			orders.Stops = append(orders.Stops, leased.Attempt)
-		case !stopping && lease.StartedAt == 0 && !running[leased.Attempt] && !heartbeat.HasSeenStart(lease):
-			if start, inTime := s.startOrder(now, &leased); inTime {
+		case stopping && runs && !slices.Contains(orders.Stops, pending.Attempt):
+			orders.Stops = append(orders.Stops, pending.Attempt)
+		case !stopping && lease.StartedAt == 0 && !runs && !heartbeat.HasSeenStart(lease):
+			if start, inTime := s.startOrder(now, pending); inTime {
 				orders.Starts = append(orders.Starts, start)
 			}
 		}
@@ -72,16 +70,16 @@
 
 // startOrder returns the order to start what is leased. A member of a gang is told how long
 // it may wait for the others; its start is not in time once the gang is to be stopped.
-func (s *Scheduler) startOrder(now time.Duration, leased *state.LeasedAttempt) (start state.StartOrder, inTime bool) {
-	start = leased.Start
+func (s *Scheduler) startOrder(now time.Duration, pending state.PendingOrder) (start state.StartOrder, inTime bool) {
+	start = s.access.State().StartOrder(pending)
 	if s.access.IsLocal() {
-		start.GrantedOn = leased.Lease.HeartbeatNumber
+		start.GrantedOn = pending.Lease.HeartbeatNumber
 	}
 	if start.Gang == "" {
 		return start, true
 	}
 	startTimeout := s.access.State().Config().Limits.StartTimeout.Duration
-	start.GangWait = leased.Lease.GrantedAt + startTimeout - s.access.Time(now)
+	start.GangWait = pending.Lease.GrantedAt + startTimeout - s.access.Time(now)
 	return start, start.GangWait > 0
 }
 
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -140,10 +140,13 @@
 		s.beginTakeover(now)
 	}
 	s.scans.noteStep(now)
-	results := s.receive(now, in, &out)
-	results = append(results, s.access.HandleTimers(now, &out)...)
-	for _, result := range results {
-		s.handleResult(now, result, &out)
+	received := s.receive(now, in, &out)
+	results := s.access.HandleTimers(now, &out)
+	if len(received) > 0 {
+		results = append(received, results...)
+	}
+	for i := range results {
+		s.handleResult(now, &results[i], &out)
 	}
 	changes := s.access.State().TakeChanges()
 	interrupted := s.config.Phases.Enter(machine.PhaseEnqueue)
--- a/core/wire/replication.go
+++ b/core/wire/replication.go
@@ -43,7 +43,8 @@
 	Candidate bool `json:"stands,omitempty"`
 	// Leaving is set if the sender is being stopped and waits for its replacement.
 	Leaving bool `json:"leaves,omitempty"`
-	// KnownView is the newest view that the sender knows.
+	// KnownView is the newest view that the sender knows. An acknowledgement leaves it empty: its
+	// epoch is that of the request.
 	KnownView View `json:"known"`
 }
 
