--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -86,8 +86,15 @@
 
 	// changedWorkers are those into whose queues a task came, or whose lease ended.
 	changedWorkers map[string]bool
-	// candidates is the memory of the last chooseQueue, used again.
+	// candidates are those of the last chooseQueue, and placement is what it chose; it is
+	// valid until anything changes that the candidates depend on.
 	candidates []queueCandidate
+	placement  lastPlacement
+	// rows are those of the workers that the store had last.
+	rows workerRows
+	// preemptionRoom and victims are the memory of the last Preempt, used again.
+	preemptionRoom []state.Resources
+	victims        []victim
 }
 
 // New returns a dispatcher that knows of no task yet.
@@ -103,7 +110,7 @@
 		health:         newHealthTracker(options),
 		trust:          newTrustTracker(),
 		runTimes:       runTimes{},
-		queues:         workerQueues{versions: map[string]uint64{}},
+		queues:         newWorkerQueues(),
 	}
 	d.reset()
 	return d
@@ -126,6 +133,7 @@
 
 // Update takes the changes of the state, and continues a rebuild that is under way.
 func (d *Dispatcher) Update(store *state.Store, changes []state.Change) {
+	d.placement = lastPlacement{}
 	for _, change := range changes {
 		switch {
 		case change.All:
@@ -155,7 +163,7 @@
 }
 
 // QueueVersion changes whenever a task comes into a worker's queue.
-func (d *Dispatcher) QueueVersion(worker string) uint64 { return d.queues.versions[worker] }
+func (d *Dispatcher) QueueVersion(worker string) uint64 { return d.queues.of(worker).version }
 
 // QueueLengths returns the number of tasks in each worker's queue.
 func (d *Dispatcher) QueueLengths() map[string]int { return d.queues.lengths() }
--- a/core/dispatch/reservation.go
+++ b/core/dispatch/reservation.go
@@ -50,10 +50,10 @@
 		return
 	}
 	*cache = reservationCache{store.Now(), map[string]reservation{}, map[string]waitingGang{}}
-	for _, groups := range d.queues.groups {
-		for i := range groups {
-			if groups[i].key.isGang() {
-				cache.addGroup(store, &groups[i])
+	for _, queue := range d.queues.withGangs {
+		for _, group := range queue.groups {
+			if group.key.isGang() {
+				cache.addGroup(store, group)
 			}
 		}
 	}
@@ -106,7 +106,9 @@
 }
 
 // placeFirstFit takes a task's resources from the first worker that fits.
-func placeFirstFit(store *state.Store, job *state.Job, i int, workers []*state.WorkerEntry, free []state.Resources) bool {
+func placeFirstFit(
+	store *state.Store, job *state.Job, i int, workers []*state.WorkerEntry, free []state.Resources,
+) bool {
 	need := job.Spec.Tasks[i].Resources
 	for n := range workers {
 		if store.Fits(job, i, workers[n].Record()) == status.OK && free[n].Covers(need) {
--- a/core/replica/attentive_clock.go
+++ b/core/replica/attentive_clock.go
@@ -32,7 +32,7 @@
 	r.disk.watch(attentive)
 	for _, member := range r.view().Backups {
 		p := r.peers.of(member.ID)
-		p.watchDisk(attentive, r.replication.broadcastEnd.Index)
+		p.watchDisk(attentive, r.replication.backups.end.Index)
 		if p.late {
 			r.logSlowBackup(member, p, out)
 		}
--- a/core/replica/config.go
+++ b/core/replica/config.go
@@ -1,6 +1,10 @@
 package replica
 
-import "time"
+import (
+	"time"
+
+	"sorrelloom/core/machine"
+)
 
 // Config is what a process is started with.
 type Config struct {
@@ -17,6 +21,8 @@
 	BackupCount int
 	// HasDispatcher says that a dispatcher in the same process takes the state's changes.
 	HasDispatcher bool
+	// Phases measures the steps of the replica; nil measures nothing.
+	Phases *machine.PhaseMeter
 }
 
 const (
@@ -42,8 +48,10 @@
 	maxProposalBackoff = 3 * time.Second
 	// tickInterval is how often the state is asked whether it needs a tick command.
 	tickInterval = 50 * time.Millisecond
-	// batchInterval is for how long the primary gathers commands into one batch.
-	batchInterval = 4 * time.Millisecond
+	// batchInterval is for how long the primary gathers commands into one batch, and
+	// standbyBatchInterval for how long those for the voters that are no backups.
+	batchInterval        = 8 * time.Millisecond
+	standbyBatchInterval = 40 * time.Millisecond
 	// minRetryAfter is the least time after which a rejected command may be retried.
 	minRetryAfter = time.Second
 	// resendTimeout is how long a peer's replies to older messages are ignored after
--- a/core/replica/membership.go
+++ b/core/replica/membership.go
@@ -76,6 +76,7 @@
 	if len(slow) == 0 {
 		return false
 	}
+	r.replication.hurry(now)
 	backups := r.pickBackups(now, slow...)
 	if !r.areReadyBackups(now, backups) || !r.improvesOn(slow[0], backups) {
 		return false
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -69,7 +69,9 @@
 	wallClock       time.Time
 	stopping        bool
 	stopRequestedAt time.Duration
-	nextTimer       time.Duration
+	// regularTimer is when the next timer is due that no other input puts off.
+	regularTimer time.Duration
+	nextTimer    time.Duration
 }
 
 // ID is the identity of this replica, which belongs to its disk.
@@ -202,9 +204,12 @@
 // runTimers does what is due by time alone, at a timer or after another input, which puts no
 // timer off: some things are looked at in these only.
 func (r *Replica) runTimers(now time.Duration, isTimer bool, out *machine.Output) {
-	if isTimer || r.nextTimer == 0 {
-		r.nextTimer = now + timerInterval
+	interrupted := r.config.Phases.Enter(machine.PhaseTimers)
+	defer r.config.Phases.Enter(interrupted)
+	if isTimer || r.regularTimer == 0 {
+		r.regularTimer = now + timerInterval
 	}
+	r.nextTimer = r.regularTimer
 	if !r.identitySynced {
 		return
 	}
@@ -237,6 +242,8 @@
 // flush writes what changed since the last batch and, on the primary, sends the new
 // commands along at the same moment.
 func (r *Replica) flush(now time.Duration, out *machine.Output) {
+	interrupted := r.config.Phases.Enter(machine.PhaseReplicate)
+	defer r.config.Phases.Enter(interrupted)
 	if r.leadership.serving && !r.stopping {
 		// What arrives within the interval goes out as one message to each peer and one write.
 		if next := r.leadership.flushedAt + batchInterval; now < next {
--- a/core/scheduler/scan.go
+++ b/core/scheduler/scan.go
@@ -110,6 +110,8 @@
 // scan proposes grants for the workers with free resources, and preemptions, then
 // answers the heartbeats for which there are orders or that have waited long enough.
 func (s *Scheduler) scan(now time.Duration, out *machine.Output) {
+	interrupted := s.config.Phases.Enter(machine.PhaseSchedule)
+	defer s.config.Phases.Enter(interrupted)
 	s.scans.next, s.scans.last, s.scans.running = now+fullScanInterval, now, true
 	full := !s.access.IsLocal() || now >= s.scans.nextFull
 	workers := s.workersToScan(full)
@@ -120,9 +122,11 @@
 	if !s.stopping && s.access.Fresh(now) {
 		s.proposeGrants(now, workers, out)
 		if now >= s.nextPreemption || !s.access.IsLocal() {
+			s.config.Phases.Enter(machine.PhasePreempt)
 			s.proposePreemptions(now, out)
 		}
 	}
+	s.config.Phases.Enter(machine.PhaseOrders)
 	uncommitted := s.uncommittedAttempts()
 	for _, worker := range workers {
 		if pending := s.heartbeats[worker]; pending.recorded {
@@ -210,15 +214,16 @@
 	s.scans.next = min(s.scans.next, now+minScanGap)
 }
 
-// proposePreemptions proposes one preemption in each zone. Where there was one, the
-// next scan looks for more.
+// proposePreemptions proposes one preemption in each zone at most. Where there was one, or
+// the dispatcher has more tasks to look at, the next scan goes on.
 func (s *Scheduler) proposePreemptions(now time.Duration, out *machine.Output) {
 	s.nextPreemption = now + preemptionInterval
-	for _, zone := range s.LedZones() {
-		if proposal, ok := s.dispatcher.Preempt(s.access.State(), zone, s.inFlight(now)); ok {
-			s.propose(now, zone, state.KindPreempt, proposal, out)
-			s.nextPreemption = now
-		}
+	propose := func(zone string, proposal dispatch.Proposal) {
+		s.propose(now, zone, state.KindPreempt, proposal, out)
+		s.nextPreemption = now
+	}
+	if s.dispatcher.Preempt(s.access.State(), s.LedZones(), s.inFlight(now), propose) {
+		s.nextPreemption = now
 	}
 }
 
--- a/daemon/host/runner.go
+++ b/daemon/host/runner.go
@@ -74,9 +74,7 @@
 
 // step gives the machine one input and does what it returns. Only the event loop calls it.
 func (r *Runner) step(in machine.Input) {
-	startedAt := r.host.Now()
 	out := r.stepLocked(in)
-	r.host.counters.Stepped(inputKind(in), r.host.Now()-startedAt)
 	for _, response := range out.Responses {
 		r.host.requests.respond(response)
 	}
@@ -85,32 +83,15 @@
 	}
 }
 
-// Names of the inputs that are no messages, in counts of steps.
-const (
-	inputWritten = "written"
-	inputRequest = "request"
-	inputTimer   = "timer"
-)
-
-// inputKind names what a step is given: a message by its kind.
-func inputKind(in machine.Input) string {
-	switch {
-	case in.Message.Kind != "":
-		return in.Message.Kind
-	case in.CompletedWrite > 0:
-		return inputWritten
-	case in.Request.ID > 0:
-		return inputRequest
-	}
-	return inputTimer
-}
-
 func (r *Runner) stepLocked(in machine.Input) machine.Output {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := r.host.Now()
+	now, meter := r.host.Now(), r.host.load
 	in.WallTime, in.Backlog = time.Now(), r.host.receiveQueue.Len()
+	meter.phases.BeginStep()
+	defer meter.endStep(now, in)
 	out := r.machine.Step(now, in)
+	meter.phases.Enter(machine.PhaseSend)
 	for _, event := range out.LogEvents {
 		logging.Log(event.Level, event.Name, event.Fields...)
 	}
