Updates of the feed wait with the reports of workers, not behind them

In the product's composition a scheduler gets both: with reports first, one that is short of processor would work on an ever older state. TestQuestionWaitsBehindNewJobs has an update among what waits.

--- a/daemon/transport/receive_queue_test.go
+++ b/daemon/transport/receive_queue_test.go
@@ -74,13 +74,16 @@
 		q.Enqueue(newMessage(wire.KindCommand, "gateway", "", fmt.Sprint(i)))
 	}
 	q.Enqueue(newMessage(wire.KindHeartbeat, "agent", "w", "report"))
+	q.Enqueue(newMessage(wire.KindFeedUpdate, "replica", "", "update"))
 	q.Enqueue(newMessage(wire.KindCommand, "gateway", machine.QuestionKeyPrefix+"1", "question"))
 	q.Enqueue(newMessage(wire.KindCommand, "gateway", machine.UrgentKeyPrefix+"2", "operator"))
 	q.Enqueue(newMessage(wire.KindCommand, "gateway", machine.QuestionKeyPrefix+"1", "question, resent"))
-	if waiting := q.Len(); waiting != jobs+3 {
+	if waiting := q.Len(); waiting != jobs+4 {
 		t.Errorf("%d messages wait", waiting)
 	}
-	equal(t, drain(q)[:4], []string{"command operator", "command question, resent", "beat report", "command 0"})
+	equal(t, drain(q)[:5], []string{
+		"command operator", "command question, resent", "beat report", "news update", "command 0",
+	})
 	if got := counters.TakeAndReset().Dropped; got[DropKey{Kind: wire.KindCommand, Reason: DropReplaced}] != 1 {
 		t.Errorf("dropped: %v", got)
 	}
--- a/daemon/transport/traffic_class.go
+++ b/daemon/transport/traffic_class.go
@@ -37,9 +37,9 @@
 	// PriorityQuestion messages are questions: after a job, or whether this process leads. They
 	// change nothing and cost little, and are asked again and again until they are answered.
 	PriorityQuestion
-	// PriorityHeartbeat messages are the reports of workers, with what has ended there. New
-	// work can wait: it would find no room before that.
-	PriorityHeartbeat
+	// PriorityReport messages are the heartbeats of workers, with what has ended there, and
+	// what follows the state. New work can wait: it would find no room before that.
+	PriorityReport
 	// PriorityRequest messages are processed when nothing else waits, and expire.
 	PriorityRequest
 	priorityCount
@@ -82,10 +82,10 @@
 		Channel: ChannelBulk, Priority: PriorityQuestion, MaxReceiveWait: requestMaxAge, MaxSendWait: requestMaxAge,
 	}
 	heartbeatClass = TrafficClass{
-		Channel: ChannelBulk, Priority: PriorityHeartbeat, MaxReceiveWait: requestMaxAge, MaxSendWait: requestMaxAge,
+		Channel: ChannelBulk, Priority: PriorityReport, MaxReceiveWait: requestMaxAge, MaxSendWait: requestMaxAge,
 	}
 	defaultClass = TrafficClass{
-		Channel: ChannelBulk, Priority: PriorityRequest, MaxReceiveWait: defaultMaxAge, MaxSendWait: defaultMaxAge,
+		Channel: ChannelBulk, Priority: PriorityReport, MaxReceiveWait: defaultMaxAge, MaxSendWait: defaultMaxAge,
 	}
 )
 
@@ -125,7 +125,7 @@
 	return ClassOf(message.Kind)
 }
 
-// ClassOf returns the class of a kind. An unknown kind is handled as any other request.
+// ClassOf returns the class of a kind. An unknown kind is handled as what follows the state.
 func ClassOf(kind string) TrafficClass {
 	if class, ok := classByKind[kind]; ok {
 		return class
