--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -70,7 +70,9 @@
 	wallClock       time.Time
 	stopping        bool
 	stopRequestedAt time.Duration
-	nextTimer       time.Duration
+	// regularTimer is when the next timer is due that no other input puts off.
+	regularTimer time.Duration
+	nextTimer    time.Duration
 }
 
 // ID is the identity of this replica, which belongs to its disk.
@@ -208,9 +210,10 @@
 func (r *Replica) runTimers(now time.Duration, isTimer bool, out *machine.Output) {
 	interrupted := r.config.Phases.Enter(machine.PhaseTimers)
 	defer r.config.Phases.Enter(interrupted)
-	if isTimer || r.nextTimer == 0 {
-		r.nextTimer = now + timerInterval
+	if isTimer || r.regularTimer == 0 {
+		r.regularTimer = now + timerInterval
 	}
+	r.nextTimer = r.regularTimer
 	if !r.identitySynced {
 		return
 	}
