--- a/core/machine/machine.go
+++ b/core/machine/machine.go
@@ -22,6 +22,9 @@
 type Input struct {
 	// Message is a message from another process, if its Kind is set.
 	Message Message
+	// Waited is how long the message, if it is a request, waited for the process. It tells a
+	// machine that more comes than it can do.
+	Waited time.Duration
 	// CompletedWrite is the ID of a Write that is durable now; 0 is none.
 	CompletedWrite uint64
 	// SnapshotDue comes with CompletedWrite: the log has grown long, and the next
@@ -39,6 +42,12 @@
 	WallTime time.Time
 }
 
+// IsTimer reports whether an input is an expired timer. It comes only once the completed writes
+// and the messages of other members that wait are handled.
+func (in Input) IsTimer() bool {
+	return in.Message.Kind == "" && in.CompletedWrite == 0 && in.Request.ID == 0 && !in.Stop
+}
+
 // Request is a request by a client of the process. Which of the fields are set depends
 // on its kind.
 type Request struct {
--- a/core/replica/leader.go
+++ b/core/replica/leader.go
@@ -5,17 +5,16 @@
 	"time"
 
 	"sorrelloom/core/machine"
-	"sorrelloom/core/paxos"
 	"sorrelloom/core/state"
 	"sorrelloom/core/wire"
 )
 
-// lead does the primary's part by time.
+// lead does the primary's part by time, at a timer or after another input.
 //
 // A primary that was restarted proposes a new view before it serves: what it sent before
 // the restart may have reached others and not its own disk, and no log position may ever
 // stand for two commands.
-func (r *Replica) lead(now time.Duration, out *machine.Output) {
+func (r *Replica) lead(now time.Duration, isTimer bool, out *machine.Output) {
 	if !r.hearsMajority(now) {
 		return
 	}
@@ -28,6 +27,9 @@
 		return
 	}
 	r.tickIfDue(now, out)
+	if isTimer {
+		r.watchDisks(out)
+	}
 	if r.needsNewBackups(now) {
 		r.proposeWhenReady(now, r.nextView(r.self, r.pickBackups(now)), out)
 		return
@@ -67,7 +69,7 @@
 	r.feed.publishedIndex = r.log.commitIndex
 	r.replication.startAt(position)
 	for _, member := range r.view().Backups {
-		r.peers.of(member.ID).await(now, position.Index)
+		r.peers.of(member.ID).await(r.attentive.elapsed, position.Index)
 	}
 	r.announcePrimary(out)
 	if !r.leadership.resuming {
@@ -146,11 +148,12 @@
 	if now-r.roleSince <= suspectTimeout {
 		return true
 	}
-	heard := map[string]bool{r.self.ID: true}
-	for _, member := range r.view().Voters {
-		if r.discovery.heard(now, member) || now-r.peers.heardAt(member.ID) <= suspectTimeout {
-			heard[member.ID] = true
+	voters, heard := r.view().Voters, 0
+	for i := range voters {
+		id := voters[i].ID
+		if id == r.self.ID || now-r.peers.heardAt(id) <= suspectTimeout || r.discovery.heard(now, voters[i]) {
+			heard++
 		}
 	}
-	return paxos.HasMajority(r.view().Voters, heard)
+	return heard > len(voters)/2
 }
--- a/core/scheduler/heartbeat.go
+++ b/core/scheduler/heartbeat.go
@@ -62,6 +62,10 @@
 	if earlier, ok := s.heartbeats[heartbeat.Worker]; ok {
 		s.reply(&earlier, state.Result{Code: status.StaleHeartbeat, Reason: "a later heartbeat replaced this one"}, out)
 	}
+	if !s.access.IsLocal() {
+		// The command's position is not known yet, so the state goes by the report's number.
+		heartbeat.AwaitingGang, heartbeat.LastReply = nil, 0
+	}
 	pending := pendingHeartbeat{
 		requestID: request.ID, replyTo: from, heartbeat: heartbeat, replyBy: now + request.MaxWait,
 	}
@@ -161,7 +165,7 @@
 }
 
 // handleHeartbeatResult takes the result of a heartbeat's command.
-func (s *Scheduler) handleHeartbeatResult(commandID uint64, result state.Result, out *machine.Output) {
+func (s *Scheduler) handleHeartbeatResult(commandID uint64, result *state.Result, out *machine.Output) {
 	worker := s.heartbeatCommands[commandID]
 	delete(s.heartbeatCommands, commandID)
 	pending, ok := s.heartbeats[worker]
@@ -169,7 +173,7 @@
 		return
 	}
 	if !result.Code.IsSuccess() {
-		s.reply(&pending, result, out)
+		s.reply(&pending, *result, out)
 		return
 	}
 	pending.recorded = true
--- a/core/state/heartbeat.go
+++ b/core/state/heartbeat.go
@@ -40,6 +40,12 @@
 	// others which its agent does not know. The primary takes only what such a call cannot
 	// be wrong about; no command carries it.
 	Unconfirmed bool `json:"unconfirmed,omitempty"`
+	// AwaitingGang are running members of gangs of which the worker does not show that the
+	// others have started. The primary answers for them; no command carries them.
+	AwaitingGang []Attempt `json:"awaitingGang,omitempty"`
+	// LastReply is the number of the newest report whose reply was taken, with all its orders;
+	// 0 is unknown. No command carries it.
+	LastReply uint64 `json:"lastReply,omitempty"`
 }
 
 // HeartbeatReply tells a worker what to start and to stop, and which ends are known.
@@ -49,6 +55,8 @@
 	Starts []StartOrder `json:"starts,omitempty"`
 	Stops  []Attempt    `json:"stops,omitempty"`
 	Acks   []Attempt    `json:"acks,omitempty"`
+	// StartedGangs are those of the report's AwaitingGang whose gangs have started whole.
+	StartedGangs []Attempt `json:"startedGangs,omitempty"`
 	// LeaseDuration is how long after its report the worker may run what it has.
 	LeaseDuration time.Duration `json:"lease,omitempty"`
 	Incarnation   int64         `json:"incarnation,omitempty"`
@@ -160,7 +168,7 @@
 	}
 	// What runs and what has ended is in the tasks; a delta is not kept.
 	worker.Running, worker.Ended, worker.Progress, worker.NotRunning, worker.Delta = nil, nil, nil, nil, false
-	worker.Unconfirmed = false
+	worker.Unconfirmed, worker.AwaitingGang, worker.LastReply = false, nil, 0
 	return worker
 }
 
@@ -280,5 +288,20 @@
 // showsNotRunning says whether a report that does not list a lease of its worker shows
 // that the worker does not run it: it had started it, or had two reports to list it.
 func (hb *Heartbeat) showsNotRunning(lease *Lease) bool {
-	return lease.StartedAt > 0 || hb.Number >= lease.HeartbeatNumber+2
+	return lease.StartedAt > 0 || hb.Number >= lease.HeartbeatNumber+StartReplies
+}
+
+// showsLost says whether a report that does not list a lease of its worker shows that the
+// worker does not run it, although it has had the start order if it had not started it.
+func (hb *Heartbeat) showsLost(lease *Lease) bool {
+	return hb.showsNotRunning(lease) && (lease.StartedAt > 0 || hb.HasSeenStart(lease))
+}
+
+// HasSeenStart says whether the worker of a report has had the start order of a lease: by the
+// replies that it took or, where it does not tell them, by the number of its reports.
+func (hb *Heartbeat) HasSeenStart(lease *Lease) bool {
+	if hb.LastReply > 0 {
+		return hb.LastReply >= lease.HeartbeatNumber+StartReplies
+	}
+	return hb.Number >= lease.HeartbeatNumber+StartReplies
 }
--- a/daemon/transport/receive_queue.go
+++ b/daemon/transport/receive_queue.go
@@ -12,13 +12,18 @@
 	maxClusterBytes  = 512 << 20
 	maxRequestFrames = 8192
 	maxRequestBytes  = 64 << 20
+	// maxHeartbeatsInRow is how many heartbeats are given out while a request of a lower
+	// priority waits: it is at least told then that too much waits.
+	maxHeartbeatsInRow = 3
 )
 
 // QueueItem is one thing to be done by the goroutine that steps the state machines: a
 // received message, or a call if it is set.
 type QueueItem struct {
 	Message machine.Message
-	Call    func()
+	// Waited is how long a request waited here.
+	Waited time.Duration
+	Call   func()
 }
 
 // ReceiveQueue holds what waits for the goroutine that steps the state machines. It gives
@@ -42,6 +47,8 @@
 	local         fifo[QueueItem]
 	// requests are those that wait, by their priority.
 	requests [priorityCount]boundedQueue
+	// heartbeatsInRow counts the heartbeats given out since the last other request.
+	heartbeatsInRow int
 	// latestByKey are the waiting requests that a later one with the same key replaces.
 	latestByKey map[coalescingKey]*receivedMessage
 }
@@ -225,9 +232,19 @@
 	if q.local.len() > 0 {
 		return q.local.pop(), true
 	}
+	if q.heartbeatsInRow >= maxHeartbeatsInRow {
+		q.heartbeatsInRow = 0
+		if item, ok := q.dequeueFreshLocked(&q.requests[PriorityRequest]); ok {
+			return item, true
+		}
+	}
 	for priority := range q.requests {
-		if message, ok := q.dequeueFreshLocked(&q.requests[priority]); ok {
-			return QueueItem{Message: message}, true
+		item, ok := q.dequeueFreshLocked(&q.requests[priority])
+		if ok && Priority(priority) == PriorityHeartbeat {
+			q.heartbeatsInRow++
+		}
+		if ok {
+			return item, true
 		}
 	}
 	return QueueItem{}, false
@@ -235,9 +252,9 @@
 
 // dequeueFreshLocked returns the oldest message of a queue that has not expired, and drops
 // the expired ones before it.
-func (q *ReceiveQueue) dequeueFreshLocked(queue *boundedQueue) (machine.Message, bool) {
+func (q *ReceiveQueue) dequeueFreshLocked(queue *boundedQueue) (QueueItem, bool) {
 	if queue.len() == 0 {
-		return machine.Message{}, false
+		return QueueItem{}, false
 	}
 	now := q.now()
 	for queue.len() > 0 {
@@ -245,9 +262,9 @@
 		waited := now - frame.receivedAt
 		q.counters.waited(frame.message.Kind, waited)
 		if limit := ClassOfMessage(frame.message).MaxReceiveWait; limit == 0 || waited <= limit {
-			return frame.message, true
+			return QueueItem{Message: frame.message, Waited: waited}, true
 		}
 		q.drop(frame, DropExpired)
 	}
-	return machine.Message{}, false
+	return QueueItem{}, false
 }
--- a/daemon/transport/receive_queue_test.go
+++ b/daemon/transport/receive_queue_test.go
@@ -129,6 +129,26 @@
 	equal(t, drain(q), []string{"command in time"})
 }
 
+// TestSomeNewWorkIsTakenBetweenHeartbeats has both wait: of each four one is new work, and each
+// says how long it has waited.
+func TestSomeNewWorkIsTakenBetweenHeartbeats(t *testing.T) {
+	q, clock, _ := newTestQueue()
+	for i := range 4 {
+		q.Enqueue(newMessage(wire.KindCommand, "gateway", "", fmt.Sprint(i)))
+	}
+	for i := range 8 {
+		q.Enqueue(newMessage(wire.KindHeartbeat, "agent", fmt.Sprint("w", i), fmt.Sprint(i)))
+	}
+	clock.at = requestMaxAge
+	if item, _ := q.Dequeue(0); item.Message.Kind != wire.KindHeartbeat || item.Waited != requestMaxAge {
+		t.Errorf("first comes a %s that waited %s", item.Message.Kind, item.Waited)
+	}
+	equal(t, drain(q), []string{
+		"beat 1", "beat 2", "command 0", "beat 3", "beat 4", "beat 5", "command 1", "beat 6", "beat 7", "command 2",
+		"command 3",
+	})
+}
+
 // TestNewestMessageReplacesWaitingOne ensures that it takes the waiting one's place in the
 // queue, and that heartbeats of other workers, also by the same sender, are unaffected.
 func TestNewestMessageReplacesWaitingOne(t *testing.T) {
