The look for stalled tasks comes as soon as a rebuild is over

A task of the large deployment that nobody took for 19 s was found only then: the look comes once a second, and was skipped for another whole second when the queues of lost workers were being emptied. As these have come to be emptied in the batches of a rebuild, begun each half second in the same step, one look after another was skipped.

The look is put off until the rebuild is over. TestRebuildPutsOffLookForStalledTasks, seen to fail.

--- a/core/scheduler/stalled.go
+++ b/core/scheduler/stalled.go
@@ -34,16 +34,16 @@
 // under way takes already.
 func (s *Scheduler) CommitLatency(now time.Duration) time.Duration { return s.latency.current(now) }
 
-// requeueStalled looks for stalled tasks in the state and queues them anew, unless a rebuild
-// of the queues is under way.
+// requeueStalled looks for stalled tasks in the state and queues them anew. While a rebuild
+// of the queues is under way, the look is put off until it is over.
 func (s *Scheduler) requeueStalled(now time.Duration, out *machine.Output) {
 	watch := &s.stalled
-	if now < watch.nextCheck {
+	if now < watch.nextCheck || s.dispatcher.Rebuilding() {
 		return
 	}
 	watch.nextCheck = now + stalledCheckInterval
 	watch.now = 0
-	if s.stopping || s.dispatcher.Rebuilding() || !s.access.Fresh(now) || len(s.LedZones()) == 0 {
+	if s.stopping || !s.access.Fresh(now) || len(s.LedZones()) == 0 {
 		return
 	}
 	store := s.access.State()
--- a/core/scheduler/stalled_test.go
+++ b/core/scheduler/stalled_test.go
@@ -72,3 +72,29 @@
 		t.Errorf("the events are %v", events)
 	}
 }
+
+// TestRebuildPutsOffLookForStalledTasks has a rebuild of the queues be under way when a look
+// for stalled tasks is due: it comes when the rebuild is over, not a whole interval later.
+func TestRebuildPutsOffLookForStalledTasks(t *testing.T) {
+	f := statetest.New(t)
+	f.AddWorker("w1", 4)
+	f.AddWorker("w2", 4)
+	access := &storeAccess{fixture: f}
+	s := NewWith(Config{Address: "s1", Zone: "a"}, access)
+	s.Step(time.Second, machine.Input{})
+	f.AcceptJob("j", "quick", "a", "b")
+	f.Now += stalledCheckInterval + 3*time.Second
+	f.Apply(state.Command{Kind: state.KindTick})
+	f.Store.TakeChanges()
+	s.dispatcher.TakeChanges(f.Store, []state.Change{{All: true}})
+	if s.Step(f.Now, machine.Input{}); !s.dispatcher.Rebuilding() {
+		t.Fatal("the queues are not being rebuilt")
+	}
+	for range 5 {
+		f.Now += rebuildPause
+		s.Step(f.Now, machine.Input{})
+	}
+	if now, _ := s.StalledTasks(); now != 2 {
+		t.Errorf("%d stalled tasks are found %s after the look was due", now, 5*rebuildPause)
+	}
+}
