Scheduler: a heartbeat that a later one replaced is answered once its command is committed

Cause: a heartbeat whose command was under way was answered as stale as soon as the next one came. Where heartbeats follow one another faster than commands commit, none was answered with its acknowledgements and orders until the agent paused. Change: it is kept until its command is committed, and answered with the result and the orders of the state.

--- a/core/scheduler/heartbeat.go
+++ b/core/scheduler/heartbeat.go
@@ -60,7 +60,7 @@
 		return
 	}
 	if earlier, ok := s.heartbeats[heartbeat.Worker]; ok {
-		s.reply(&earlier, state.Result{Code: status.StaleHeartbeat, Reason: "a later heartbeat replaced this one"}, out)
+		s.replaceHeartbeat(&earlier, out)
 	}
 	if !s.access.IsLocal() {
 		// The command's position is not known yet, so the state goes by the report's number.
@@ -79,6 +79,17 @@
 	s.heartbeatCommands[pending.commandID] = heartbeat.Worker
 }
 
+// replaceHeartbeat ends the wait of a heartbeat that a later one has replaced. If its command
+// is under way, it is answered once that is committed: its agent takes late replies, and a
+// worker whose heartbeats follow one another faster than commands commit would else get none.
+func (s *Scheduler) replaceHeartbeat(earlier *pendingHeartbeat, out *machine.Output) {
+	if _, underWay := s.heartbeatCommands[earlier.commandID]; underWay && s.access.IsLocal() {
+		s.replacedHeartbeats[earlier.commandID] = *earlier
+		return
+	}
+	s.reply(earlier, state.Result{Code: status.StaleHeartbeat, Reason: "a later heartbeat replaced this one"}, out)
+}
+
 // noteUnledZone has the next registration vote on a zone that nobody leads.
 func (s *Scheduler) noteUnledZone(now time.Duration, zone string) {
 	leader := s.access.State().Leadership(LeadershipOf(zone)).Leader
@@ -165,9 +176,16 @@
 }
 
 // handleHeartbeatResult takes the result of a heartbeat's command.
-func (s *Scheduler) handleHeartbeatResult(commandID uint64, result *state.Result, out *machine.Output) {
+func (s *Scheduler) handleHeartbeatResult(
+	now time.Duration, commandID uint64, result *state.Result, out *machine.Output,
+) {
 	worker := s.heartbeatCommands[commandID]
 	delete(s.heartbeatCommands, commandID)
+	if replaced, ok := s.replacedHeartbeats[commandID]; ok {
+		delete(s.replacedHeartbeats, commandID)
+		s.answerReplaced(now, &replaced, *result, out)
+		return
+	}
 	pending, ok := s.heartbeats[worker]
 	if !ok || pending.commandID != commandID {
 		return
@@ -183,6 +201,21 @@
 	s.keepHeartbeat(&pending)
 }
 
+// answerReplaced answers a heartbeat that a later one has replaced with the result of its
+// command and the orders of the state.
+func (s *Scheduler) answerReplaced(
+	now time.Duration, replaced *pendingHeartbeat, result state.Result, out *machine.Output,
+) {
+	if result.Code.IsSuccess() {
+		result.Heartbeat.Starts = nil
+		if s.access.State().HasPendingOrders(replaced.heartbeat.Worker) {
+			s.addOrders(now, &result.Heartbeat, &replaced.heartbeat, s.uncommittedAttempts())
+		}
+		result.RetryAfter, result.Heartbeat.Epoch = s.reportInterval(now), s.access.State().Position().Epoch
+	}
+	sendResult(replaced.replyTo, replaced.requestID, result, out)
+}
+
 // notYetApplied reports whether the state hasn't taken this heartbeat. The primary's
 // own state never takes an unchanged one, so that its number may be smaller; a larger
 // number is that of a later heartbeat.
--- a/core/scheduler/proposals.go
+++ b/core/scheduler/proposals.go
@@ -67,7 +67,7 @@
 	}
 	s.latency.ended(now, result.ID)
 	s.handleLeaseResult(now, result.ID, result.Result.Code.IsSuccess())
-	s.handleHeartbeatResult(result.ID, &result.Result, out)
+	s.handleHeartbeatResult(now, result.ID, &result.Result, out)
 }
 
 func (s *Scheduler) handleProposalResult(
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -49,9 +49,11 @@
 	// heartbeatCommands the workers of those that were submitted as commands.
 	heartbeats        map[string]pendingHeartbeat
 	heartbeatCommands map[uint64]string
-	admission         admission
-	latency           commandLatency
-	leases            leaseTracker
+	// replacedHeartbeats are those that a later one has replaced, by their commands under way.
+	replacedHeartbeats map[uint64]pendingHeartbeat
+	admission          admission
+	latency            commandLatency
+	leases             leaseTracker
 
 	proposals map[uint64]pendingProposal
 	// overShareUntil holds the classes that the state machine found over their shares,
@@ -101,6 +103,7 @@
 func (s *Scheduler) clear() {
 	s.heartbeats = map[string]pendingHeartbeat{}
 	s.heartbeatCommands = map[uint64]string{}
+	s.replacedHeartbeats = map[uint64]pendingHeartbeat{}
 	s.proposals = map[uint64]pendingProposal{}
 	s.overShareUntil = map[state.ClassKey]uint64{}
 	s.atLimitUntil = map[string]uint64{}
