--- a/core/replica/disk.go
+++ b/core/replica/disk.go
@@ -38,6 +38,8 @@
 	lastWriteID uint64
 	inFlight    inFlightWrite
 	startedAt   time.Duration // of the last write
+	// loggedSlowID is the write for which a handover was logged last.
+	loggedSlowID uint64
 }
 
 // inFlightWrite is a batch on its way to the disk, and what holds once it is synced.
@@ -47,6 +49,8 @@
 	// index is the last command and candidateEpoch the last candidacy on the disk then.
 	index          uint64
 	candidateEpoch uint64
+	// withSnapshot says that a snapshot is written behind it.
+	withSnapshot bool
 }
 
 // putRecord has one of the replica's own records written.
@@ -117,6 +121,7 @@
 	}
 	d.inFlight = inFlightWrite{
 		id: d.lastWriteID, messages: d.messages, index: store.Position().Index, candidateEpoch: candidateEpoch,
+		withSnapshot: write.Snapshot != nil,
 	}
 	d.records, d.truncateCount, d.commands, d.messages = nil, 0, nil, nil
 	d.snapshotDue, d.replaceLog = false, false
--- a/core/replica/lag.go
+++ b/core/replica/lag.go
@@ -41,6 +41,17 @@
 
 func silentMs(now time.Duration, p *progress) int64 { return (now - p.heardAt).Milliseconds() }
 
+// logHandover says that this primary gives up the lead since its own disk is slow, once for
+// each write that is waited for.
+func (r *Replica) logHandover(now time.Duration, successor wire.Member, out *machine.Output) {
+	if r.disk.loggedSlowID == r.disk.inFlight.id {
+		return
+	}
+	r.disk.loggedSlowID = r.disk.inFlight.id
+	out.Warn("leadership_handed_over", "to", successor.Address, "writeWaitsMs", (now - r.disk.startedAt).Milliseconds(),
+		"withSnapshot", r.disk.inFlight.withSnapshot)
+}
+
 // logSlowBackup says that commits wait for a backup's disk, once for each wait.
 func (r *Replica) logSlowBackup(now time.Duration, member wire.Member, p *progress, out *machine.Output) {
 	if p.slowLoggedAt == p.awaitedSince {
--- a/core/replica/lag_test.go
+++ b/core/replica/lag_test.go
@@ -23,6 +23,18 @@
 	}
 }
 
+// TestHandoverForASlowDiskIsLogged slows the disk of the primary down: it says once, for the
+// write that it waits for, that it gives up the lead.
+func TestHandoverForASlowDiskIsLogged(t *testing.T) {
+	c := newCluster(t)
+	first := c.hostByRole("primary")
+	first.diskDelay = 3 * time.Second
+	c.advance(2 * time.Second)
+	if handovers := c.events["leadership_handed_over"]; handovers != 1 || c.hostByRole("primary") == first {
+		t.Errorf("it is said %d times", handovers)
+	}
+}
+
 // TestCommitsThatWaitForBackupAreLogged slows the disk of the backup down: the log says that
 // commits wait for it, once for each wait.
 func TestCommitsThatWaitForBackupAreLogged(t *testing.T) {
--- a/core/replica/membership.go
+++ b/core/replica/membership.go
@@ -69,6 +69,7 @@
 	if r.disk.slow(now) && ahead.ID != "" {
 		backups := r.pickBackups(now, append(slow, ahead.ID)...)
 		if r.areReadyBackups(now, backups) {
+			r.logHandover(now, ahead, out)
 			r.proposeWhenReady(now, r.nextView(ahead, backups), out)
 			return true
 		}
