--- a/core/replica/lag.go
+++ b/core/replica/lag.go
@@ -53,11 +53,11 @@
 }
 
 // logSlowBackup says that commits wait for a backup's disk, once for each wait.
-func (r *Replica) logSlowBackup(now time.Duration, member wire.Member, p *progress, out *machine.Output) {
+func (r *Replica) logSlowBackup(member wire.Member, p *progress, out *machine.Output) {
 	if p.slowLoggedAt == p.awaitedSince {
 		return
 	}
 	p.slowLoggedAt = p.awaitedSince
 	out.Warn("commits_wait_for_backup", "member", member.Address, "index", p.awaitedIndex,
-		"waitedMs", (now - p.awaitedSince).Milliseconds())
+		"waitedMs", (r.attentive.elapsed - p.awaitedSince).Milliseconds())
 }
