Scheduler: a scan looks for tasks for 48 workers at most, in turn

A scan on the primary's own state looks for tasks for 48 workers; the others come in the next ones, so that each has its turn. All workers that wait for an answer still get it.

--- a/core/scheduler/scan.go
+++ b/core/scheduler/scan.go
@@ -25,6 +25,9 @@
 	minScanGap = 8 * time.Millisecond
 	// maxGrantsPerScan bounds the grants that one scan proposes on the primary's own state.
 	maxGrantsPerScan = 64
+	// maxPullingWorkers bounds the workers for which one scan looks for tasks there. To find
+	// nothing for one costs the more, the more tasks wait.
+	maxPullingWorkers = 48
 	// maxYield is for how long inputs go before a scan at most, also after a scan during
 	// which the process was suspended.
 	maxYield = 250 * time.Millisecond
@@ -43,6 +46,25 @@
 	yieldUntil time.Duration
 	// changedWorkers are those that the next scan looks at, unless it is a full one.
 	changedWorkers map[string]bool
+	// lastPulling is the last worker for which a scan looked for tasks.
+	lastPulling string
+}
+
+// takeTurn returns the workers whose turn it is to have tasks looked for, of those that may
+// pull, by name, and the rest. It goes on after those of the last scan.
+func (t *scanSchedule) takeTurn(pulling []string) (turn, rest []string) {
+	next, found := slices.BinarySearch(pulling, t.lastPulling)
+	if found {
+		next++
+	}
+	turn = slices.Concat(pulling[next:], pulling[:next])
+	if len(turn) > maxPullingWorkers {
+		turn, rest = turn[:maxPullingWorkers], turn[maxPullingWorkers:]
+	}
+	if len(turn) > 0 {
+		t.lastPulling = turn[len(turn)-1]
+	}
+	return turn, rest
 }
 
 // requestSoon has the next scan come as soon as it may.
@@ -143,6 +165,11 @@
 func (s *Scheduler) proposeGrants(now time.Duration, workers []string, out *machine.Output) {
 	inFlight := s.inFlight(now)
 	pulling := s.pullingWorkers(now, workers)
+	if s.access.IsLocal() && len(pulling) > maxPullingWorkers {
+		turn, rest := s.scans.takeTurn(pulling)
+		s.deferGrants(now, rest)
+		pulling = turn
+	}
 	proposed := 0
 	for _, round := range dispatch.PullRounds {
 		for _, worker := range pulling {
