--- a/core/scheduler/heartbeat.go
+++ b/core/scheduler/heartbeat.go
@@ -62,6 +62,10 @@
 	if earlier, ok := s.heartbeats[heartbeat.Worker]; ok {
 		s.reply(&earlier, state.Result{Code: status.StaleHeartbeat, Reason: "a later heartbeat replaced this one"}, out)
 	}
+	if !s.access.IsLocal() {
+		// The command's position is not known yet, so the state goes by the report's number.
+		heartbeat.AwaitingGang, heartbeat.LastReply = nil, 0
+	}
 	pending := pendingHeartbeat{
 		requestID: request.ID, replyTo: from, heartbeat: heartbeat, replyBy: now + request.MaxWait,
 	}
@@ -89,6 +93,7 @@
 func (s *Scheduler) admitHeartbeat(now time.Duration, pending *pendingHeartbeat, out *machine.Output) {
 	store, heartbeat := s.access.State(), pending.heartbeat
 	delta, changes := store.ReduceHeartbeat(heartbeat)
+	s.takeover.noteReport(heartbeat.Worker, changes)
 	worker, known := store.Worker(heartbeat.Worker)
 	last := s.leases.workers[heartbeat.Worker]
 	if !known {
@@ -108,6 +113,7 @@
 			s.submitHeartbeat(now, pending, last, delta, out)
 			return
 		}
+		s.takeover.deferred++
 		last.renewalDue = known && worker.Incarnation == heartbeat.Incarnation
 		if last.renewalDue {
 			s.leases.workers[heartbeat.Worker] = last
--- a/core/scheduler/orders.go
+++ b/core/scheduler/orders.go
@@ -15,9 +15,6 @@
 	resendStopAfter = 500 * time.Millisecond
 	// forgetStopAfter is how long it is known that a stop order was sent.
 	forgetStopAfter = 10 * resendStopAfter
-	// startRepeats is how many heartbeats carry a start order: the one on which the
-	// lease was granted, and the one after it in case the reply was lost.
-	startRepeats = 2
 )
 
 // sendOrders answers a heartbeat if there are orders for its worker, or if it has
@@ -28,7 +25,12 @@
 ) {
 	orders := pending.orders
 	if !s.notYetApplied(pending) && s.access.State().HasPendingOrders(pending.heartbeat.Worker) {
-		s.addOrders(&orders, &pending.heartbeat, uncommitted)
+		s.addOrders(now, &orders, &pending.heartbeat, uncommitted)
+	}
+	for _, attempt := range pending.heartbeat.AwaitingGang {
+		if s.access.State().GangStarted(attempt) {
+			orders.StartedGangs = append(orders.StartedGangs, attempt)
+		}
 	}
 	if !s.isUrgent(now, &orders) && now < pending.replyBy {
 		return
@@ -45,7 +47,7 @@
 
 // addOrders adds the starts and stops that the state has for a heartbeat's worker.
 func (s *Scheduler) addOrders(
-	orders *state.HeartbeatReply, heartbeat *state.Heartbeat, uncommitted map[state.Attempt]bool,
+	now time.Duration, orders *state.HeartbeatReply, heartbeat *state.Heartbeat, uncommitted map[state.Attempt]bool,
 ) {
 	store := s.access.State()
 	for pending := range store.PendingOrders(heartbeat.Worker) {
@@ -58,12 +60,29 @@
 		switch {
 		case stopping && runs && !slices.Contains(orders.Stops, pending.Attempt):
 			orders.Stops = append(orders.Stops, pending.Attempt)
-		case !stopping && lease.StartedAt == 0 && !runs && heartbeat.Number < lease.HeartbeatNumber+startRepeats:
-			orders.Starts = append(orders.Starts, store.StartOrder(pending))
+		case !stopping && lease.StartedAt == 0 && !runs && !heartbeat.HasSeenStart(lease):
+			if start, inTime := s.startOrder(now, pending); inTime {
+				orders.Starts = append(orders.Starts, start)
+			}
 		}
 	}
 }
 
+// startOrder returns the order to start what is leased. A member of a gang is told how long
+// it may wait for the others; its start is not in time once the gang is to be stopped.
+func (s *Scheduler) startOrder(now time.Duration, pending state.PendingOrder) (start state.StartOrder, inTime bool) {
+	start = s.access.State().StartOrder(pending)
+	if s.access.IsLocal() {
+		start.GrantedOn = pending.Lease.HeartbeatNumber
+	}
+	if start.Gang == "" {
+		return start, true
+	}
+	startTimeout := s.access.State().Config().Limits.StartTimeout.Duration
+	start.GangWait = pending.Lease.GrantedAt + startTimeout - s.access.Time(now)
+	return start, start.GangWait > 0
+}
+
 // isUrgent reports whether orders are to be sent at once.
 func (s *Scheduler) isUrgent(now time.Duration, orders *state.HeartbeatReply) bool {
 	if len(orders.Acks) > 0 || len(orders.Starts) > 0 {
--- a/core/state/heartbeat_delta.go
+++ b/core/state/heartbeat_delta.go
@@ -20,6 +20,8 @@
 	if known && worker.Incarnation == hb.Incarnation && worker.Leaving && !hb.Leaving {
 		hb.Leaving, hb.LeavesIn = true, worker.LeavesIn
 	}
+	report := hb
+	hb.AwaitingGang, hb.LastReply = nil, 0
 	if hb.Unconfirmed {
 		hb = worker.confirmedPart(hb)
 	}
@@ -32,7 +34,7 @@
 	reduced.Zone, reduced.Rack, reduced.Service, reduced.Address, reduced.Labels = "", "", "", "", nil
 	reduced.Running, reduced.NotRunning = nil, nil
 	if !hb.Unconfirmed {
-		reduced.Running, reduced.NotRunning = s.compareLeases(&hb)
+		reduced.Running, reduced.NotRunning = s.compareLeases(&report)
 	}
 	reduced.Unconfirmed = false
 	changes = len(reduced.Running)+len(reduced.NotRunning)+len(hb.Ended)+len(hb.Progress) > 0 ||
@@ -79,7 +81,8 @@
 }
 
 // compareLeases gives the attempts of a report that are not a started lease of the
-// worker, and the leases of the worker that the report shows it does not run.
+// worker, and the leases of the worker that the report shows it does not run. A start whose
+// replies were all lost on their way is no such lease: it is sent again.
 func (s *Store) compareLeases(hb *Heartbeat) (added, notRunning []Attempt) {
 	leases := s.usageOf(hb.Worker).leases
 	listed, find := make([]bool, len(leases)), leases.finder()
@@ -93,7 +96,7 @@
 		}
 	}
 	for i := range leases {
-		if lease := &leases[i].task.Lease; !listed[i] && lease.heldBy(hb) && hb.showsNotRunning(lease) {
+		if lease := &leases[i].task.Lease; !listed[i] && lease.heldBy(hb) && hb.showsLost(lease) {
 			notRunning = append(notRunning, leases[i].attempt())
 		}
 	}
