Dispatch: a gang is tried with one pass over the workers, and not where a smaller one failed

Each try for a gang built lists of all workers for each rack in turn, and chose each member's worker by a scan of all of them. Each waiting gang was tried again after 10 ms, so the cost grew with the gangs that wait. The look for reservations walked all queues, compared most gangs that it met with the workers, and each of their members with each worker.

One pass now collects the workers that may run members, with how many fit on each and in each rack, in memory that is used again (gang_search.go). Racks that can't hold the gang are not tried. Members that are all alike take their workers from a heap by preference (gang_uniform.go). A gang of a step is left alone while one that needs no more of the same workers found too little in the last 10 ms (gang_misses.go). The tries are kept by the gang's first member, and dropped when it leaves its queue: those of cancelled jobs stayed before. The reservations start with the oldest gangs, and count the places for members that are alike. The written order of preference and of racks is unchanged.

A randomized test holds the places of each gang, the gangs left alone and the reservation against plain scans.

--- a/core/dispatch/best_in_queue.go
+++ b/core/dispatch/best_in_queue.go
@@ -150,7 +150,7 @@
 // excluded reports whether the worker may not take one task of a group that it fits.
 func (d *Dispatcher) excluded(pull *pullRequest, key *groupKey, job *state.Job, task queuedTask) bool {
 	i := task.ref.Index
-	if key.isGang() && d.gangTriedRecently(pull.store, gangRef{task.ref.Job, job.Spec.Tasks[i].Gang}) {
+	if key.isGang() && d.gangTriedRecently(pull.store, key, job, task.ref) {
 		return true
 	}
 	return pull.store.AtWorkerLimit(job, i, pull.id, 0) ||
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -81,8 +81,12 @@
 	reservations reservationCache
 	// tenantsAtLimit are those for which tasks were held back since TakeTenantsAtLimit.
 	tenantsAtLimit map[string]bool
-	// gangTriedAt is when members of a gang were last looked for workers in vain.
-	gangTriedAt map[gangRef]time.Duration
+	// gangTriedAt is when gangs, by their first members, were last looked workers for in vain.
+	gangTriedAt map[TaskRef]time.Duration
+	gangMisses  gangMisses
+	// gangSearch and gangMembers are the memory of the last search for a gang, used again.
+	gangSearch  gangSearch
+	gangMembers []int
 
 	// changedWorkers are those into whose queues a task came, or whose lease ended.
 	changedWorkers map[string]bool
@@ -128,7 +132,7 @@
 	d.triedEligibility = map[string]eligibility{}
 	d.redistributing = map[string]bool{}
 	d.rebuild = rebuildProgress{}
-	d.gangTriedAt = map[gangRef]time.Duration{}
+	d.gangTriedAt, d.gangMisses = map[TaskRef]time.Duration{}, nil
 }
 
 // Update takes the changes of the state, and continues a rebuild that is under way.
--- a/core/dispatch/gang.go
+++ b/core/dispatch/gang.go
@@ -1,20 +1,15 @@
 package dispatch
 
 import (
-	"slices"
 	"time"
 
 	"sorrelloom/core/state"
-	"sorrelloom/core/status"
 )
 
 // gangRetryInterval is how long a gang for which no workers were found is left alone:
 // it would find none for another worker's pull either.
 const gangRetryInterval = 10 * time.Millisecond
 
-// gangRef identifies a gang of a job.
-type gangRef struct{ job, gang string }
-
 // gangSlots returns the slots of all members of a task's gang that are not complete,
 // or those of the task itself if it is in no gang.
 func gangSlots(job *state.Job, i int) int {
@@ -34,172 +29,80 @@
 	return slots
 }
 
-func (d *Dispatcher) gangTriedRecently(store *state.Store, gang gangRef) bool {
-	triedAt, tried := d.gangTriedAt[gang]
-	return tried && store.Now() < triedAt+gangRetryInterval
+// gangTriedRecently reports whether a gang, whose first member is the task, was looked workers
+// for in vain a moment ago, or one was that needs no more than it does.
+func (d *Dispatcher) gangTriedRecently(store *state.Store, key *groupKey, job *state.Job, ref TaskRef) bool {
+	triedAt, tried := d.gangTriedAt[ref]
+	if tried && store.Now() < triedAt+gangRetryInterval {
+		return true
+	}
+	if len(job.Spec.Steps) == 0 {
+		return false
+	}
+	need := gangNeed{service: key.service, labels: key.labels, each: key.resources}
+	if need.members = job.Spec.Steps[job.Spec.Tasks[ref.Index].Step].Count; !d.gangMisses.covers(&need, store.Now()) {
+		return false
+	}
+	// Members that have succeeded are not needed any more.
+	need.members = len(d.openGangMembers(job, ref.Index))
+	return d.gangMisses.covers(&need, store.Now())
 }
 
 // proposeGang assigns all members of a gang at once, or none.
 func (d *Dispatcher) proposeGang(pull *pullRequest, best *bestCandidate, proposal *Proposal) bool {
-	gang := gangRef{best.ref.Job, best.job.Spec.Tasks[best.ref.Index].Gang}
-	if d.gangTriedRecently(pull.store, gang) {
-		return false
-	}
-	d.gangTriedAt[gang] = pull.store.Now()
-	members, ok := pull.gangMembers(best.job, gang)
-	if !ok || !d.tenantAllows(pull.store, &pull.inFlight, best.job.Tenant, memberResources(best.job, members)) {
+	job := best.job
+	d.gangTriedAt[best.ref] = pull.store.Now()
+	members := d.openGangMembers(job, best.ref.Index)
+	if !pull.allStartable(job, members) ||
+		!d.tenantAllows(pull.store, &pull.inFlight, job.Tenant, memberResources(job, members)) {
 		return false
 	}
-	for _, rack := range pull.candidateRacks(&best.job.Spec.Tasks[best.ref.Index]) {
-		workers, ok := pull.placeGang(best.job, members, rack)
-		if !ok {
+	search := &d.gangSearch
+	search.begin(pull, job, members)
+	for _, rack := range search.racksToTry() {
+		if !search.place(rack) {
 			continue
 		}
 		for n, i := range members {
-			proposal.assign(best.job, TaskRef{gang.job, i}, workers[n])
+			proposal.assign(job, TaskRef{best.ref.Job, i}, search.chosen[n])
 		}
-		delete(d.gangTriedAt, gang)
+		delete(d.gangTriedAt, best.ref)
 		return true
 	}
-	return false
-}
-
-// gangMembers returns the members of a gang that are not complete, if all of them
-// can start.
-func (p *pullRequest) gangMembers(job *state.Job, gang gangRef) ([]int, bool) {
-	var members []int
-	for i := range job.Spec.Tasks {
-		task := job.Tasks[i]
-		if job.Spec.Tasks[i].Gang != gang.gang || task.State == state.Done {
-			continue
-		}
-		if task.State != state.Ready || task.Lease.Held() || p.inFlight.Tasks[TaskRef{gang.job, i}] {
-			return nil, false
-		}
-		members = append(members, i)
-	}
-	return members, true
-}
-
-// candidateRacks returns the racks to try for a gang, one after the other. A gang
-// that asks for one rack tries that of its data first, then the pulling worker's,
-// then all others. The empty name at the end stands for all racks together.
-func (p *pullRequest) candidateRacks(task *state.TaskSpec) []string {
-	if !task.SameRack {
-		return []string{""}
-	}
-	var racks []string
-	add := func(rack string) {
-		if rack != "" && !slices.Contains(racks, rack) {
-			racks = append(racks, rack)
-		}
-	}
-	add(task.PreferredRack)
-	add(p.worker.Rack)
-	for _, entry := range p.store.WorkerEntries() {
-		worker := entry.Record()
-		add(worker.Rack)
-	}
-	return append(racks, "")
-}
-
-// gangSearch looks for workers for the members of a gang, one member after the other.
-type gangSearch struct {
-	pull    *pullRequest
-	job     *state.Job
-	workers []*state.WorkerEntry
-	// uniform says that all members have the same needs, as those of a step do.
-	uniform bool
-	// The following are of one worker each, in the order of workers: whether it may
-	// run members, what it has left, and how many members were placed on it.
-	eligible []bool
-	free     []state.Resources
-	placed   []int
-}
-
-// placeGang returns a worker for every member of a gang, in one rack if that is
-// named: near the gang's data if possible, then the pulling worker, then the one
-// with the most free slots.
-func (p *pullRequest) placeGang(job *state.Job, members []int, rack string) ([]string, bool) {
-	search := gangSearch{pull: p, job: job, workers: p.store.WorkerEntries(), uniform: len(job.Spec.Steps) > 0}
-	if fitting := search.collectEligible(members, rack); search.uniform && fitting < len(members) {
-		return nil, false
-	}
-	workers := make([]string, 0, len(members))
-	for _, member := range members {
-		chosen := search.choose(member, members[0])
-		if chosen < 0 {
-			return nil, false
-		}
-		search.free[chosen] = search.free[chosen].Sub(job.Spec.Tasks[member].Resources)
-		search.placed[chosen]++
-		workers = append(workers, search.workers[chosen].ID())
+	if need, lacks := search.lacking(); lacks {
+		d.gangMisses.add(need, pull.store.Now())
 	}
-	return workers, true
+	return false
 }
 
-// collectEligible finds the workers that may run members. Of a uniform gang it
-// counts how many members would fit, up to all.
-func (s *gangSearch) collectEligible(members []int, rack string) int {
-	store := s.pull.store
-	s.eligible = make([]bool, len(s.workers))
-	s.free = make([]state.Resources, len(s.workers))
-	s.placed = make([]int, len(s.workers))
-	need := s.job.Spec.Tasks[members[0]].Resources
-	fitting := 0
-	for n := range s.workers {
-		worker := s.workers[n].Record()
-		if rack != "" && worker.Rack != rack {
-			continue
-		}
-		if s.uniform && store.Fits(s.job, members[0], worker) != status.OK {
-			continue
-		}
-		s.eligible[n] = true
-		s.free[n] = s.workers[n].FreeResources().Sub(s.pull.inFlight.Resources[worker.ID()])
-		if !s.uniform {
-			continue
-		}
-		for left := s.free[n]; left.Covers(need) && fitting < len(members); left = left.Sub(need) {
-			fitting++
+// openGangMembers returns the members of a gang that are not complete, in memory that the next
+// call uses again. The task is its first member.
+func (d *Dispatcher) openGangMembers(job *state.Job, first int) []int {
+	members, gang := d.gangMembers[:0], job.Spec.Tasks[first].Gang
+	uniform := len(job.Spec.Steps) > 0
+	for i := first; i < len(job.Spec.Tasks); i++ {
+		switch {
+		case job.Spec.Tasks[i].Gang == gang:
+			if job.Tasks[i].State != state.Done {
+				members = append(members, i)
+			}
+		case uniform:
+			// The members of a step follow each other.
+			d.gangMembers = members
+			return members
 		}
 	}
-	return fitting
+	d.gangMembers = members
+	return members
 }
 
-// choose returns the index of the best worker for a member, or -1. The first member
-// says whether a worker may run a limited number of them.
-func (s *gangSearch) choose(member, first int) int {
-	store, need := s.pull.store, s.job.Spec.Tasks[member].Resources
-	limited := s.job.Spec.Tasks[first].MaxPerWorker > 0
-	chosen := -1
-	for n := range s.workers {
-		worker := s.workers[n].Record()
-		if !s.eligible[n] || !s.free[n].Covers(need) {
-			continue
-		}
-		if !s.uniform && store.Fits(s.job, member, worker) != status.OK {
-			continue
-		}
-		if limited && store.AtWorkerLimit(s.job, member, worker.ID(), s.placed[n]) {
-			continue
-		}
-		if chosen < 0 || s.prefers(member, n, chosen) {
-			chosen = n
+// allStartable reports whether all of some tasks can start.
+func (p *pullRequest) allStartable(job *state.Job, tasks []int) bool {
+	for _, i := range tasks {
+		task := job.Tasks[i]
+		if task.State != state.Ready || task.Lease.Held() || p.inFlight.Tasks[TaskRef{job.Spec.ID, i}] {
+			return false
 		}
 	}
-	return chosen
-}
-
-// prefers reports whether worker n is better for a member than the one chosen so far.
-func (s *gangSearch) prefers(member, n, chosen int) bool {
-	worker, best := s.workers[n].Record(), s.workers[chosen].Record()
-	near, bestNear := isNearData(s.job, member, worker), isNearData(s.job, member, best)
-	if near != bestNear {
-		return near
-	}
-	if worker.ID() == s.pull.id {
-		return true
-	}
-	return best.ID() != s.pull.id && s.free[n].Slots > s.free[chosen].Slots
+	return true
 }
--- /dev/null
+++ b/core/dispatch/gang_plain_test.go
@@ -0,0 +1,209 @@
+package dispatch
+
+import (
+	"slices"
+	"testing"
+
+	"sorrelloom/core/state"
+	"sorrelloom/core/status"
+)
+
+// plainRacks returns the racks that a gang is tried on, the empty name for all together.
+func plainRacks(pull *pullRequest, task *state.TaskSpec) []string {
+	if !task.SameRack {
+		return []string{""}
+	}
+	var racks []string
+	add := func(rack string) {
+		if rack != "" && !slices.Contains(racks, rack) {
+			racks = append(racks, rack)
+		}
+	}
+	add(task.PreferredRack)
+	add(pull.worker.Rack)
+	for _, entry := range pull.store.WorkerEntries() {
+		add(entry.Record().Rack)
+	}
+	return append(racks, "")
+}
+
+// plainGangPlaces looks through all workers for each member of a gang, rack by rack.
+func plainGangPlaces(pull *pullRequest, job *state.Job, members []int) []string {
+	for _, rack := range plainRacks(pull, &job.Spec.Tasks[members[0]]) {
+		if places := plainGangPlacesIn(pull, job, members, rack); places != nil {
+			return places
+		}
+	}
+	return nil
+}
+
+func plainGangPlacesIn(pull *pullRequest, job *state.Job, members []int, rack string) (places []string) {
+	workers := pull.store.WorkerEntries()
+	free, placed := make([]state.Resources, len(workers)), make([]int, len(workers))
+	for n, entry := range workers {
+		free[n] = pull.store.FreeResources(entry.ID()).Sub(pull.inFlight.Resources[entry.ID()])
+	}
+	for _, member := range members {
+		need, chosen := job.Spec.Tasks[member].Resources, -1
+		for n, entry := range workers {
+			worker := entry.Record()
+			if rack != "" && worker.Rack != rack || !free[n].Covers(need) ||
+				pull.store.Fits(job, member, worker) != status.OK ||
+				pull.store.AtWorkerLimit(job, member, worker.ID(), placed[n]) {
+				continue
+			}
+			if chosen < 0 || plainPrefers(pull, job, member, worker, workers[chosen].Record(), free[n], free[chosen]) {
+				chosen = n
+			}
+		}
+		if chosen < 0 {
+			return nil
+		}
+		free[chosen] = free[chosen].Sub(need)
+		placed[chosen]++
+		places = append(places, workers[chosen].ID())
+	}
+	return places
+}
+
+// plainPrefers is the written order: near the data, the pulling worker, most free slots.
+func plainPrefers(
+	pull *pullRequest, job *state.Job, member int, worker, best *state.Worker, free, bestFree state.Resources,
+) bool {
+	near, bestNear := isNearData(job, member, worker), isNearData(job, member, best)
+	if near != bestNear {
+		return near
+	}
+	if worker.ID() == pull.id {
+		return true
+	}
+	return best.ID() != pull.id && free.Slots > bestFree.Slots
+}
+
+// plainReservation returns the oldest gang of a service that has waited for long and that the
+// workers could run if they were idle, first fit.
+func plainReservation(d *Dispatcher, store *state.Store, service string) (oldest reservation, found bool) {
+	for _, queue := range d.queues.byWorker {
+		for _, group := range queue.groups {
+			for _, task := range group.tasks {
+				job, ok := store.Job(task.ref.Job)
+				if !ok || !group.key.isGang() || group.key.service != service ||
+					store.Now()-job.Tasks[task.ref.Index].ReadyAt < reserveAfter ||
+					found && oldest.number <= task.number {
+					continue
+				}
+				_, share := store.ClassUse(service, group.key.class)
+				if share > 0 && plainFitsIdle(store, job, task.ref.Index) {
+					oldest, found = reservation{task.number, job, task.ref.Index}, true
+				}
+			}
+		}
+	}
+	return oldest, found
+}
+
+func plainFitsIdle(store *state.Store, job *state.Job, i int) bool {
+	workers := store.WorkerEntries()
+	free := make([]state.Resources, len(workers))
+	for n := range workers {
+		free[n] = workers[n].Record().Capacity
+	}
+	for _, member := range openMembers(job, job.Spec.Tasks[i].Gang) {
+		need, task := job.Spec.Tasks[member].Resources, job.Tasks[member]
+		n := slices.IndexFunc(workers, func(entry *state.WorkerEntry) bool {
+			at := slices.Index(workers, entry)
+			return store.Fits(job, member, entry.Record()) == status.OK && free[at].Covers(need)
+		})
+		if n < 0 || task.State != state.Ready || task.Lease.Held() {
+			return false
+		}
+		free[n] = free[n].Sub(need)
+	}
+	return true
+}
+
+// gangsSeen counts what was compared.
+type gangsSeen struct{ placed, unplaced, missed, reserved int }
+
+// checkGangs compares the places of each waiting gang with those of a plain scan, for one worker
+// that pulls.
+func (c *randomCluster) checkGangs(t *testing.T, seen *gangsSeen) {
+	t.Helper()
+	d, id := c.dispatcher, c.workers[c.random.IntN(len(c.workers))]
+	worker, _ := c.Store.Worker(id)
+	pull := &pullRequest{store: c.Store, id: id, worker: worker}
+	pull.inFlight.Resources = map[string]state.Resources{c.workers[0]: {Slots: c.random.IntN(2)}}
+	d.gangMisses = nil
+	clear(d.gangTriedAt)
+	for _, queue := range d.queues.withGangs {
+		for _, group := range queue.groups {
+			if !group.key.isGang() {
+				continue
+			}
+			for _, task := range group.tasks {
+				c.checkGang(t, pull, &group.key, task.ref, seen)
+			}
+		}
+	}
+}
+
+// checkGang compares one gang. A gang that others rule out must have no places either.
+func (c *randomCluster) checkGang(t *testing.T, pull *pullRequest, key *groupKey, ref TaskRef, seen *gangsSeen) {
+	t.Helper()
+	d := c.dispatcher
+	job, _ := c.Store.Job(ref.Job)
+	members := openMembers(job, job.Spec.Tasks[ref.Index].Gang)
+	if !pull.allStartable(job, members) {
+		return
+	}
+	want := plainGangPlaces(pull, job, members)
+	if d.gangTriedRecently(c.Store, key, job, ref) {
+		seen.missed++
+		if want != nil {
+			t.Fatalf("gang %v is left alone, and could have %v", ref, want)
+		}
+		return
+	}
+	var proposal Proposal
+	proposed := d.proposeGang(pull, &bestCandidate{candidate: candidate{ref: ref, job: job}}, &proposal)
+	var got []string
+	for n, assignment := range proposal.Assignments {
+		got = append(got, assignment.Worker)
+		if proposal.Tasks[n].Index != members[n] {
+			t.Fatalf("gang %v: member %d is %v", ref, n, proposal.Tasks[n])
+		}
+	}
+	if !slices.Equal(got, want) || proposed != (want != nil) {
+		t.Fatalf("gang %v: got %v, want %v", ref, got, want)
+	}
+	if proposed {
+		seen.placed++
+	} else {
+		seen.unplaced++
+	}
+}
+
+// TestGangsByPlainScan places gangs of equal and of different members on workers that fill and
+// empty at random, and finds the gang that has a reservation.
+func TestGangsByPlainScan(t *testing.T) {
+	var seen gangsSeen
+	for seed := range uint64(2) {
+		c := newRandomCluster(t, seed, 12)
+		for range 1000 {
+			c.step()
+			c.checkGangs(t, &seen)
+			c.dispatcher.reservations.computedAt = -reservationTTL
+			got, found := c.dispatcher.reservation(c.Store, "tickets")
+			want, wanted := plainReservation(c.dispatcher, c.Store, "tickets")
+			if got != want || found != wanted {
+				t.Fatalf("reservation: got %v %v, want %v %v", got.number, found, want.number, wanted)
+			}
+			if found {
+				seen.reserved++
+			}
+		}
+	}
+	if seen.placed < 100 || seen.unplaced < 100 || seen.missed < 20 || seen.reserved < 100 {
+		t.Errorf("too little was compared: %+v", seen)
+	}
+}
--- a/core/dispatch/requeue.go
+++ b/core/dispatch/requeue.go
@@ -9,8 +9,7 @@
 	if !ok || ref.Index >= len(job.Tasks) {
 		return
 	}
-	if gang := job.Spec.Tasks[ref.Index].Gang; gang != "" {
-		delete(d.gangTriedAt, gangRef{ref.Job, gang})
+	if job.Spec.Tasks[ref.Index].Gang != "" {
 		for !isGangHead(job, ref.Index) {
 			ref.Index--
 		}
--- a/core/dispatch/reservation.go
+++ b/core/dispatch/reservation.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"sorrelloom/core/state"
@@ -34,6 +36,9 @@
 	computedAt time.Duration
 	byService  map[string]reservation
 	byTenant   map[string]waitingGang
+	// groups and free are memory that is used again.
+	groups []*taskGroup
+	free   []state.Resources
 }
 
 // reservation returns a service's reservation, if there is one.
@@ -43,20 +48,33 @@
 	return found, ok
 }
 
-// refreshReservations finds the reservations anew if they are old.
+// refreshReservations finds the reservations anew if they are old. The groups with the oldest
+// gangs come first, so that mostly one gang of a service is compared with the workers.
 func (d *Dispatcher) refreshReservations(store *state.Store) {
 	cache := &d.reservations
 	if cache.byService != nil && store.Now() < cache.computedAt+reservationTTL {
 		return
 	}
-	*cache = reservationCache{store.Now(), map[string]reservation{}, map[string]waitingGang{}}
+	if cache.byService == nil {
+		cache.byService, cache.byTenant = map[string]reservation{}, map[string]waitingGang{}
+	}
+	cache.computedAt = store.Now()
+	clear(cache.byService)
+	clear(cache.byTenant)
+	groups := cache.groups[:0]
 	for _, queue := range d.queues.withGangs {
 		for _, group := range queue.groups {
 			if group.key.isGang() {
-				cache.addGroup(store, group)
+				groups = append(groups, group)
 			}
 		}
 	}
+	slices.SortFunc(groups, func(a, b *taskGroup) int { return cmp.Compare(a.tasks[0].number, b.tasks[0].number) })
+	for _, group := range groups {
+		cache.addGroup(store, group)
+	}
+	clear(groups)
+	cache.groups = groups
 }
 
 // addGroup takes the gangs of a group that have waited long enough: those that wait for the
@@ -74,44 +92,67 @@
 			return
 		}
 		_, share := store.ClassUse(group.key.service, group.key.class)
-		if share > 0 && gangFitsIdleWorkers(store, job, task.ref.Index) {
+		if share > 0 && c.fitsIdleWorkers(store, job, task.ref.Index) {
 			c.byService[group.key.service] = reservation{task.number, job, task.ref.Index}
 			return
 		}
 	}
 }
 
-// gangFitsIdleWorkers reports whether the present workers could run the whole gang
-// if they had nothing else to do.
-func gangFitsIdleWorkers(store *state.Store, job *state.Job, i int) bool {
-	workers := store.WorkerEntries()
-	free := make([]state.Resources, len(workers))
-	for n := range workers {
-		free[n] = workers[n].Record().Capacity
-	}
-	gang := job.Spec.Tasks[i].Gang
-	for member := range job.Spec.Tasks {
-		task := job.Tasks[member]
-		if job.Spec.Tasks[member].Gang != gang || task.State == state.Done {
-			continue
-		}
-		if task.State != state.Ready || task.Lease.Held() {
-			return false
-		}
-		if !placeFirstFit(store, job, member, workers, free) {
+// fitsIdleWorkers reports whether the present workers could run the whole gang if they had
+// nothing else to do.
+func (c *reservationCache) fitsIdleWorkers(store *state.Store, job *state.Job, i int) bool {
+	members, startable := openMembersOf(job, i)
+	if !startable {
+		return false
+	}
+	if len(job.Spec.Steps) > 0 {
+		return len(members) == 0 || idlePlaces(store, job, members[0], len(members)) == len(members)
+	}
+	c.free = c.free[:0]
+	for _, entry := range store.WorkerEntries() {
+		c.free = append(c.free, entry.Record().Capacity)
+	}
+	for _, member := range members {
+		if !placeFirstFit(store, job, member, c.free) {
 			return false
 		}
 	}
 	return true
 }
 
+// openMembersOf returns the members of a task's gang that are not complete, and whether all of
+// them can start.
+func openMembersOf(job *state.Job, i int) (members []int, startable bool) {
+	members = openMembers(job, job.Spec.Tasks[i].Gang)
+	for _, member := range members {
+		if task := job.Tasks[member]; task.State != state.Ready || task.Lease.Held() {
+			return nil, false
+		}
+	}
+	return members, true
+}
+
+// idlePlaces counts how many tasks like this one the present workers could run if they had
+// nothing else to do, up to a limit.
+func idlePlaces(store *state.Store, job *state.Job, i, limit int) int {
+	places := 0
+	for _, entry := range store.WorkerEntries() {
+		if worker := entry.Record(); store.Fits(job, i, worker) == status.OK {
+			places += timesCovered(worker.Capacity, job.Spec.Tasks[i].Resources, limit-places)
+		}
+		if places == limit {
+			break
+		}
+	}
+	return places
+}
+
 // placeFirstFit takes a task's resources from the first worker that fits.
-func placeFirstFit(
-	store *state.Store, job *state.Job, i int, workers []*state.WorkerEntry, free []state.Resources,
-) bool {
+func placeFirstFit(store *state.Store, job *state.Job, i int, free []state.Resources) bool {
 	need := job.Spec.Tasks[i].Resources
-	for n := range workers {
-		if store.Fits(job, i, workers[n].Record()) == status.OK && free[n].Covers(need) {
+	for n, entry := range store.WorkerEntries() {
+		if free[n].Covers(need) && store.Fits(job, i, entry.Record()) == status.OK {
 			free[n] = free[n].Sub(need)
 			return true
 		}
@@ -126,7 +167,7 @@
 		return false
 	}
 	reserved, ok := d.reservation(store, key.service)
-	if !ok || number <= reserved.number || isQuick(store, key.service, key.class) {
+	if !ok || number <= reserved.number || key.quick {
 		return false
 	}
 	if key.isGang() || store.Fits(reserved.job, reserved.task, worker) != status.OK {
--- a/core/dispatch/tenant_limit.go
+++ b/core/dispatch/tenant_limit.go
@@ -57,7 +57,7 @@
 
 // keptForTenantsGang reports whether a task waits for an older gang of its tenant.
 func (d *Dispatcher) keptForTenantsGang(store *state.Store, key *groupKey, number uint64) bool {
-	if key.tenant == "" || d.options.WithoutReservation || isQuick(store, key.service, key.class) {
+	if key.tenant == "" || d.options.WithoutReservation || key.quick {
 		return false
 	}
 	d.refreshReservations(store)
