--- a/core/dispatch/best_in_queue.go
+++ b/core/dispatch/best_in_queue.go
@@ -56,7 +56,7 @@
 	}
 	owner := queueOwner{id: queue.worker, canTake: queue.worker != pull.id && !gangsOnly}
 	for _, group := range queue.groups {
-		if gangsOnly && !group.key.isGang() {
+		if gangsOnly && !group.key.isGang() || d.allTriedRecently(pull.store, group) {
 			continue
 		}
 		if admitted, ownerTakes := d.admit(pull, group, &owner); admitted {
--- a/core/dispatch/gang.go
+++ b/core/dispatch/gang.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"sorrelloom/core/state"
@@ -48,6 +49,18 @@
 	return d.gangMisses.covers(&need, store.Now())
 }
 
+// allTriedRecently reports whether a group has nothing but gangs that were looked workers for in
+// vain a moment ago. It is asked first, as most gangs that wait are such.
+func (d *Dispatcher) allTriedRecently(store *state.Store, group *taskGroup) bool {
+	if !group.key.isGang() {
+		return false
+	}
+	return !slices.ContainsFunc(group.tasks, func(task queuedTask) bool {
+		triedAt, tried := d.gangTriedAt[task.ref]
+		return !tried || store.Now() >= triedAt+gangRetryInterval
+	})
+}
+
 // proposeGang assigns all members of a gang at once, or none.
 func (d *Dispatcher) proposeGang(pull *pullRequest, best *bestCandidate, proposal *Proposal) bool {
 	job := best.job
