Dispatch: gangs that can't be placed now are passed over queue by queue

With many gangs waiting, each pull looked at every one of them in every queue to find that it had been tried a moment ago: at four and a half times the load that the workers take, 72 % of all time went into the look for gangs, and a start cost more the more gangs waited.

A gang that was not tried for 10 ms is now first compared with what all workers have together, and what was found stands for 10 ms, as before for one that was tried in vain. Groups and queues remember until when all their gangs are left alone, so that a pull passes over them by one check. A gang that comes into a queue ends that. Needs that were too large are not forgotten early any more. Two lines of best_in_queue.go and one of pull.go call this; queues.go keeps the two times.

What gangs that wait for the rack of their data cost still grows with their number.

--- a/core/dispatch/best_in_queue.go
+++ b/core/dispatch/best_in_queue.go
@@ -56,7 +56,8 @@
 	}
 	owner := queueOwner{id: queue.worker, canTake: queue.worker != pull.id && !gangsOnly}
 	for _, group := range queue.groups {
-		if gangsOnly && !group.key.isGang() || d.allTriedRecently(pull.store, group) {
+		isGang := group.key.isGang()
+		if gangsOnly && !isGang || isGang && d.gangsTriedUntil(pull, group) > 0 {
 			continue
 		}
 		if admitted, ownerTakes := d.admit(pull, group, &owner); admitted {
@@ -150,7 +151,7 @@
 // excluded reports whether the worker may not take one task of a group that it fits.
 func (d *Dispatcher) excluded(pull *pullRequest, key *groupKey, job *state.Job, task queuedTask) bool {
 	i := task.ref.Index
-	if key.isGang() && d.gangTriedRecently(pull.store, key, job, task.ref) {
+	if key.isGang() && pull.store.Now() < d.gangTriedUntil(pull, key, task.ref) {
 		return true
 	}
 	return pull.store.AtWorkerLimit(job, i, pull.id, 0) ||
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -12,11 +12,7 @@
 // dispatcher costs time only.
 package dispatch
 
-import (
-	"time"
-
-	"sorrelloom/core/state"
-)
+import "sorrelloom/core/state"
 
 // TaskRef identifies a task by its job and its index in the job.
 type TaskRef struct {
@@ -81,9 +77,9 @@
 	reservations reservationCache
 	// tenantsAtLimit are those for which tasks were held back since TakeTenantsAtLimit.
 	tenantsAtLimit map[string]bool
-	// gangTriedAt is when gangs, by their first members, were last looked workers for in vain.
-	gangTriedAt map[TaskRef]time.Duration
-	gangMisses  gangMisses
+	// gangTries are the last looks for workers for gangs, by their first members.
+	gangTries  map[TaskRef]gangTry
+	gangMisses gangMisses
 	// gangSearch and gangMembers are the memory of the last search for a gang, used again.
 	gangSearch  gangSearch
 	gangMembers []int
@@ -132,7 +128,7 @@
 	d.triedEligibility = map[string]eligibility{}
 	d.redistributing = map[string]bool{}
 	d.rebuild = rebuildProgress{}
-	d.gangTriedAt, d.gangMisses = map[TaskRef]time.Duration{}, nil
+	d.gangTries, d.gangMisses = map[TaskRef]gangTry{}, nil
 }
 
 // Update takes the changes of the state, and continues a rebuild that is under way.
--- a/core/dispatch/gang.go
+++ b/core/dispatch/gang.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"slices"
 	"time"
 
 	"sorrelloom/core/state"
@@ -30,41 +29,96 @@
 	return slots
 }
 
-// gangTriedRecently reports whether a gang, whose first member is the task, was looked workers
-// for in vain a moment ago, or one was that needs no more than it does.
-func (d *Dispatcher) gangTriedRecently(store *state.Store, key *groupKey, job *state.Job, ref TaskRef) bool {
-	triedAt, tried := d.gangTriedAt[ref]
-	if tried && store.Now() < triedAt+gangRetryInterval {
-		return true
+// gangTry is what a look for workers for a gang has found.
+type gangTry struct {
+	at time.Duration
+	// mayFit says that the workers together may have enough for the gang.
+	mayFit bool
+}
+
+// gangTriedUntil returns until when a gang, whose first member is the task, is left alone: it
+// was looked workers for in vain a moment ago, or one was that needs no more than it does. A gang
+// that was not tried for a while is compared with what the workers have together. It is 0 for a
+// gang that may start.
+func (d *Dispatcher) gangTriedUntil(pull *pullRequest, key *groupKey, ref TaskRef) time.Duration {
+	now := pull.store.Now()
+	if try, tried := d.gangTries[ref]; tried && now < try.at+gangRetryInterval {
+		if try.mayFit {
+			return 0
+		}
+		return try.at + gangRetryInterval
 	}
-	if len(job.Spec.Steps) == 0 {
-		return false
+	job, ok := pull.store.Job(ref.Job)
+	if !ok {
+		return 0
 	}
-	need := gangNeed{service: key.service, labels: key.labels, each: key.resources}
-	if need.members = job.Spec.Steps[job.Spec.Tasks[ref.Index].Step].Count; !d.gangMisses.covers(&need, store.Now()) {
-		return false
+	members := d.openGangMembers(job, ref.Index)
+	if len(job.Spec.Steps) > 0 {
+		need := gangNeed{service: key.service, labels: key.labels, each: key.resources, members: len(members)}
+		if until := d.gangMisses.coverUntil(&need, now); until > 0 {
+			return until
+		}
 	}
-	// Members that have succeeded are not needed any more.
-	need.members = len(d.openGangMembers(job, ref.Index))
-	return d.gangMisses.covers(&need, store.Now())
+	mayFit := len(members) > 0 && pull.allStartable(job, members) && d.gangMayFit(pull, job, members)
+	d.gangTries[ref] = gangTry{now, mayFit}
+	if mayFit {
+		return 0
+	}
+	return now + gangRetryInterval
 }
 
-// allTriedRecently reports whether a group has nothing but gangs that were looked workers for in
-// vain a moment ago. It is asked first, as most gangs that wait are such.
-func (d *Dispatcher) allTriedRecently(store *state.Store, group *taskGroup) bool {
-	if !group.key.isGang() {
-		return false
+// gangMayFit reports whether the workers together may have enough for the members of a gang.
+// If they have too little, that is noted.
+func (d *Dispatcher) gangMayFit(pull *pullRequest, job *state.Job, members []int) bool {
+	d.gangSearch.begin(pull, job, members)
+	if need, lacks := d.gangSearch.lacking(); lacks {
+		d.gangMisses.add(need, pull.store.Now())
+	}
+	return d.gangSearch.mayHold(&d.gangSearch.all)
+}
+
+// gangsTriedUntil returns until when all gangs of a group are left alone; 0 if one is not.
+func (d *Dispatcher) gangsTriedUntil(pull *pullRequest, group *taskGroup) time.Duration {
+	if pull.store.Now() < group.triedUntil {
+		return group.triedUntil
 	}
-	return !slices.ContainsFunc(group.tasks, func(task queuedTask) bool {
-		triedAt, tried := d.gangTriedAt[task.ref]
-		return !tried || store.Now() >= triedAt+gangRetryInterval
-	})
+	until := pull.store.Now() + gangRetryInterval
+	for _, task := range group.tasks {
+		triedUntil := d.gangTriedUntil(pull, &group.key, task.ref)
+		if triedUntil <= pull.store.Now() {
+			return 0
+		}
+		until = min(until, triedUntil)
+	}
+	group.triedUntil = until
+	return until
+}
+
+// leavesGangsAlone reports whether all gangs of a queue are left alone now. It looks at them
+// only when the first of them is due again.
+func (d *Dispatcher) leavesGangsAlone(pull *pullRequest, queue *workerQueue) bool {
+	if pull.store.Now() < queue.gangsTriedUntil {
+		return true
+	}
+	until := pull.store.Now() + gangRetryInterval
+	for _, group := range queue.groups {
+		if !group.key.isGang() {
+			continue
+		}
+		triedUntil := d.gangsTriedUntil(pull, group)
+		if triedUntil == 0 {
+			return false
+		}
+		until = min(until, triedUntil)
+	}
+	queue.gangsTriedUntil = until
+	return true
 }
 
 // proposeGang assigns all members of a gang at once, or none.
 func (d *Dispatcher) proposeGang(pull *pullRequest, best *bestCandidate, proposal *Proposal) bool {
 	job := best.job
-	d.gangTriedAt[best.ref] = pull.store.Now()
+	d.gangTries[best.ref] = gangTry{at: pull.store.Now()}
 	members := d.openGangMembers(job, best.ref.Index)
 	if !pull.allStartable(job, members) ||
 		!d.tenantAllows(pull.store, &pull.inFlight, job.Tenant, memberResources(job, members)) {
@@ -79,7 +133,7 @@
 		for n, i := range members {
 			proposal.assign(job, TaskRef{best.ref.Job, i}, search.chosen[n])
 		}
-		delete(d.gangTriedAt, best.ref)
+		delete(d.gangTries, best.ref)
 		return true
 	}
 	if need, lacks := search.lacking(); lacks {
--- a/core/dispatch/gang_misses.go
+++ b/core/dispatch/gang_misses.go
@@ -35,23 +35,25 @@
 // that needs as much or more need not be tried.
 type gangMisses []gangMiss
 
-// add takes a need in, in place of those that are as large or no longer hold, or of the oldest.
+// add takes a need in, in place of those that are as large or no longer hold, unless there are
+// too many others.
 func (m *gangMisses) add(need gangNeed, now time.Duration) {
 	misses := slices.DeleteFunc(*m, func(miss gangMiss) bool {
 		return now >= miss.at+gangRetryInterval || miss.need.atLeast(&need)
 	})
-	if len(misses) == maxGangMisses {
-		misses = slices.Delete(misses, 0, 1)
+	if len(misses) < maxGangMisses {
+		misses = append(misses, gangMiss{need, now})
 	}
-	*m = append(misses, gangMiss{need, now})
+	*m = misses
 }
 
-// covers reports whether the workers had too little for a need, or for a smaller one, a moment ago.
-func (m gangMisses) covers(need *gangNeed, now time.Duration) bool {
+// coverUntil returns until when a need is taken to be too large, since the workers had too little
+// for it, or for a smaller one, a moment ago; 0 if they had not.
+func (m gangMisses) coverUntil(need *gangNeed, now time.Duration) (until time.Duration) {
 	for i := range m {
-		if now < m[i].at+gangRetryInterval && need.atLeast(&m[i].need) {
-			return true
+		if expiresAt := m[i].at + gangRetryInterval; now < expiresAt && need.atLeast(&m[i].need) {
+			until = max(until, expiresAt)
 		}
 	}
-	return false
+	return until
 }
--- a/core/dispatch/pull.go
+++ b/core/dispatch/pull.go
@@ -100,7 +100,7 @@
 // queue. A gang is in one queue for all its members, and counts as every worker's own.
 func (d *Dispatcher) bestGang(pull *pullRequest, best bestCandidate) bestCandidate {
 	for _, queue := range d.queues.withGangs {
-		if queue.worker == pull.id {
+		if queue.worker == pull.id || d.leavesGangsAlone(pull, queue) {
 			continue
 		}
 		gang := d.bestInQueue(pull, queue, true)
--- a/core/dispatch/queues.go
+++ b/core/dispatch/queues.go
@@ -7,6 +7,7 @@
 	"slices"
 	"sort"
 	"strings"
+	"time"
 
 	"sorrelloom/core/state"
 )
@@ -39,6 +40,8 @@
 type taskGroup struct {
 	key   groupKey
 	tasks []queuedTask
+	// triedUntil is until when gangs are left alone that were looked workers for in vain.
+	triedUntil time.Duration
 }
 
 type queuedTask struct {
@@ -60,6 +63,8 @@
 	length int
 	slots  int
 	gangs  int
+	// gangsTriedUntil is until when all its gangs are left alone, as taskGroup.triedUntil.
+	gangsTriedUntil time.Duration
 	// version counts the tasks that ever came into the queue.
 	version uint64
 	// summary tells in short what the queue holds.
@@ -151,6 +156,7 @@
 	if !key.isGang() {
 		return
 	}
+	group.triedUntil, queue.gangsTriedUntil = 0, 0
 	if queue.gangs++; queue.gangs == 1 {
 		q.withGangs.add(queue)
 	}
--- a/core/dispatch/task_changes.go
+++ b/core/dispatch/task_changes.go
@@ -119,7 +119,7 @@
 
 func (d *Dispatcher) dequeue(ref TaskRef) {
 	delete(d.unplaced, ref)
-	delete(d.gangTriedAt, ref)
+	delete(d.gangTries, ref)
 	if d.queues.remove(ref) {
 		d.placement = lastPlacement{}
 		d.locations.move(ref, location{})
