--- a/daemon/transport/receive_queue.go
+++ b/daemon/transport/receive_queue.go
@@ -12,9 +12,9 @@
 	maxClusterBytes  = 512 << 20
 	maxRequestFrames = 8192
 	maxRequestBytes  = 64 << 20
-	// maxHeartbeatsInRow is how many heartbeats are given out while a request of a lower
+	// maxReportsInRow is how many heartbeats are given out while a request of a lower
 	// priority waits: it is at least told then that too much waits.
-	maxHeartbeatsInRow = 3
+	maxReportsInRow = 3
 )
 
 // QueueItem is one thing to be done by the goroutine that steps the state machines: a
@@ -47,8 +47,8 @@
 	local         fifo[QueueItem]
 	// requests are those that wait, by their priority.
 	requests [priorityCount]boundedQueue
-	// heartbeatsInRow counts the heartbeats given out since the last other request.
-	heartbeatsInRow int
+	// reportsInRow counts the heartbeats given out since the last other request.
+	reportsInRow int
 	// latestByKey are the waiting requests that a later one with the same key replaces.
 	latestByKey map[coalescingKey]*receivedMessage
 }
@@ -232,16 +232,16 @@
 	if q.local.len() > 0 {
 		return q.local.pop(), true
 	}
-	if q.heartbeatsInRow >= maxHeartbeatsInRow {
-		q.heartbeatsInRow = 0
+	if q.reportsInRow >= maxReportsInRow {
+		q.reportsInRow = 0
 		if item, ok := q.dequeueFreshLocked(&q.requests[PriorityRequest]); ok {
 			return item, true
 		}
 	}
 	for priority := range q.requests {
 		item, ok := q.dequeueFreshLocked(&q.requests[priority])
-		if ok && Priority(priority) == PriorityHeartbeat {
-			q.heartbeatsInRow++
+		if ok && Priority(priority) == PriorityReport {
+			q.reportsInRow++
 		}
 		if ok {
 			return item, true
