Scheduler: a scan for which inputs wait long looks for tasks for fewer workers

The next turn is half as large after a scan of over 40 ms for which inputs waited, 3 workers at least, and twice as large after one of under 10 ms.

--- a/core/scheduler/scan.go
+++ b/core/scheduler/scan.go
@@ -26,8 +26,12 @@
 	// maxGrantsPerScan bounds the grants that one scan proposes on the primary's own state.
 	maxGrantsPerScan = 64
 	// maxPullingWorkers bounds the workers for which one scan looks for tasks there. To find
-	// nothing for one costs the more, the more tasks wait.
+	// nothing for one costs the more, the more tasks wait: where inputs had to wait for a scan
+	// for longer than longScan, the next one looks for half as many, for minPullingWorkers at
+	// least, and for twice as many after a scan of less than a quarter of that.
 	maxPullingWorkers = 48
+	minPullingWorkers = 3
+	longScan          = 40 * time.Millisecond
 	// maxYield is for how long inputs go before a scan at most, also after a scan during
 	// which the process was suspended.
 	maxYield = 250 * time.Millisecond
@@ -48,6 +52,27 @@
 	changedWorkers map[string]bool
 	// lastPulling is the last worker for which a scan looked for tasks.
 	lastPulling string
+	// adaptedTurn is for how many workers the next scan looks for tasks; 0 is
+	// maxPullingWorkers.
+	adaptedTurn int
+}
+
+// turnSize is for how many workers the next scan looks for tasks.
+func (t *scanSchedule) turnSize() int {
+	if t.adaptedTurn == 0 {
+		return maxPullingWorkers
+	}
+	return t.adaptedTurn
+}
+
+// adaptTurn has the next scan look for tasks for as many workers as the last one allows.
+func (t *scanSchedule) adaptTurn(took time.Duration, backlog int) {
+	switch {
+	case took > longScan && backlog > 0:
+		t.adaptedTurn = max(minPullingWorkers, t.turnSize()/2)
+	case took < longScan/4:
+		t.adaptedTurn = min(maxPullingWorkers, 2*t.turnSize())
+	}
 }
 
 // takeTurn returns the workers whose turn it is to have tasks looked for, of those that may
@@ -58,8 +83,8 @@
 		next++
 	}
 	turn = slices.Concat(pulling[next:], pulling[:next])
-	if len(turn) > maxPullingWorkers {
-		turn, rest = turn[:maxPullingWorkers], turn[maxPullingWorkers:]
+	if size := t.turnSize(); len(turn) > size {
+		turn, rest = turn[:size], turn[size:]
 	}
 	if len(turn) > 0 {
 		t.lastPulling = turn[len(turn)-1]
@@ -72,10 +97,12 @@
 	t.next = min(t.next, max(now, t.last+minScanGap))
 }
 
-// noteStep notes when the last scan was over: by the time of the first step after it.
-func (t *scanSchedule) noteStep(now time.Duration) {
+// noteStep notes when the last scan was over: by the time of the first step after it, behind
+// which inputs wait.
+func (t *scanSchedule) noteStep(now time.Duration, backlog int) {
 	if t.running && now > t.last {
 		t.running, t.yieldUntil = false, now+min(now-t.last, maxYield)
+		t.adaptTurn(now-t.last, backlog)
 	}
 }
 
@@ -165,7 +192,7 @@
 func (s *Scheduler) proposeGrants(now time.Duration, workers []string, out *machine.Output) {
 	inFlight := s.inFlight(now)
 	pulling := s.pullingWorkers(now, workers)
-	if s.access.IsLocal() && len(pulling) > maxPullingWorkers {
+	if s.access.IsLocal() && len(pulling) > s.scans.turnSize() {
 		turn, rest := s.scans.takeTurn(pulling)
 		s.deferGrants(now, rest)
 		pulling = turn
--- a/core/scheduler/scan_test.go
+++ b/core/scheduler/scan_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 )
 
 // TestWorkersTakeTurns has all of many workers pull in each scan: each one's turn comes once in
@@ -43,3 +44,23 @@
 		t.Errorf("of no workers it is the turn of %v", turn)
 	}
 }
+
+// TestTurnsFollowTheTimeOfScans has scans take long while inputs wait: fewer workers have their
+// turn, until scans are short again. A long time in which nothing waits counts for nothing.
+func TestTurnsFollowTheTimeOfScans(t *testing.T) {
+	var scans scanSchedule
+	for _, row := range []struct {
+		took    time.Duration
+		backlog int
+		want    int
+	}{
+		{30 * ms, 9, 48}, {50 * ms, 0, 48}, {50 * ms, 9, 24}, {900 * ms, 1, 12}, {41 * ms, 1, 6}, {50 * ms, 9, 3},
+		{500 * ms, 9, 3}, {20 * ms, 9, 3}, {9 * ms, 9, 6}, {ms, 0, 12}, {10 * ms, 0, 12}, {ms, 9, 24}, {ms, 9, 48},
+		{ms, 9, 48},
+	} {
+		scans.adaptTurn(row.took, row.backlog)
+		if got := scans.turnSize(); got != row.want {
+			t.Fatalf("after %s with %d inputs waiting it is the turn of %d, not %d", row.took, row.backlog, got, row.want)
+		}
+	}
+}
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -142,7 +142,7 @@
 	if s.takeover.pending {
 		s.beginTakeover(now)
 	}
-	s.scans.noteStep(now)
+	s.scans.noteStep(now, in.Backlog)
 	received := s.receive(now, in, &out)
 	results := s.access.HandleTimers(now, &out)
 	if len(received) > 0 {
