--- a/core/scheduler/orders.go
+++ b/core/scheduler/orders.go
@@ -15,9 +15,6 @@
 	resendStopAfter = 500 * time.Millisecond
 	// forgetStopAfter is how long it is known that a stop order was sent.
 	forgetStopAfter = 10 * resendStopAfter
-	// startRepeats is how many heartbeats carry a start order: the one on which the
-	// lease was granted, and the one after it in case the reply was lost.
-	startRepeats = 2
 )
 
 // sendOrders answers a heartbeat if there are orders for its worker, or if it has
@@ -28,7 +25,12 @@
 ) {
 	orders := pending.orders
 	if !s.notYetApplied(pending) && s.access.State().HasPendingOrders(pending.heartbeat.Worker) {
-		s.addOrders(&orders, &pending.heartbeat, uncommitted)
+		s.addOrders(now, &orders, &pending.heartbeat, uncommitted)
+	}
+	for _, attempt := range pending.heartbeat.AwaitingGang {
+		if s.access.State().GangStarted(attempt) {
+			orders.StartedGangs = append(orders.StartedGangs, attempt)
+		}
 	}
 	if !s.isUrgent(now, &orders) && now < pending.replyBy {
 		return
@@ -45,28 +47,42 @@
 
 // addOrders adds the starts and stops that the state has for a heartbeat's worker.
 func (s *Scheduler) addOrders(
-	orders *state.HeartbeatReply, heartbeat *state.Heartbeat, uncommitted map[state.Attempt]bool,
+	now time.Duration, orders *state.HeartbeatReply, heartbeat *state.Heartbeat, uncommitted map[state.Attempt]bool,
 ) {
-	running := map[state.Attempt]bool{}
-	for _, attempt := range heartbeat.Running {
-		running[attempt] = true
-	}
-	for _, leased := range s.access.State().PendingOrders(heartbeat.Worker) {
-		lease := &leased.Lease
-		if lease.Incarnation != heartbeat.Incarnation || uncommitted[state.Attempt{Job: leased.Job, Task: leased.Task}] {
+	store := s.access.State()
+	for pending := range store.PendingOrders(heartbeat.Worker) {
+		lease := pending.Lease
+		if lease.Incarnation != heartbeat.Incarnation || uncommitted[state.Attempt{Job: pending.Job, Task: pending.Task}] {
 			continue
 		}
+		runs := slices.Contains(heartbeat.Running, pending.Attempt)
 		stopping := lease.StopReason != ""
 		switch {
-		case stopping && running[leased.Attempt] && !slices.Contains(orders.Stops, leased.Attempt):
-			orders.Stops = append(orders.Stops, leased.Attempt)
-		case !stopping && lease.StartedAt == 0 && !running[leased.Attempt] &&
-			heartbeat.Number < lease.HeartbeatNumber+startRepeats:
-			orders.Starts = append(orders.Starts, leased.Start)
+		case stopping && runs && !slices.Contains(orders.Stops, pending.Attempt):
+			orders.Stops = append(orders.Stops, pending.Attempt)
+		case !stopping && lease.StartedAt == 0 && !runs && !heartbeat.HasSeenStart(lease):
+			if start, inTime := s.startOrder(now, pending); inTime {
+				orders.Starts = append(orders.Starts, start)
+			}
 		}
 	}
 }
 
+// startOrder returns the order to start what is leased. A member of a gang is told how long
+// it may wait for the others; its start is not in time once the gang is to be stopped.
+func (s *Scheduler) startOrder(now time.Duration, pending state.PendingOrder) (start state.StartOrder, inTime bool) {
+	start = s.access.State().StartOrder(pending)
+	if s.access.IsLocal() {
+		start.GrantedOn = pending.Lease.HeartbeatNumber
+	}
+	if start.Gang == "" {
+		return start, true
+	}
+	startTimeout := s.access.State().Config().Limits.StartTimeout.Duration
+	start.GangWait = pending.Lease.GrantedAt + startTimeout - s.access.Time(now)
+	return start, start.GangWait > 0
+}
+
 // isUrgent reports whether orders are to be sent at once.
 func (s *Scheduler) isUrgent(now time.Duration, orders *state.HeartbeatReply) bool {
 	if len(orders.Acks) > 0 || len(orders.Starts) > 0 {
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -25,8 +25,6 @@
 	commandTimeout = 2 * time.Second
 	// stopTimeout is how long a scheduler that stops waits for its successors.
 	stopTimeout = 2 * time.Second
-	// rebuildInterval is the time between two batches of a rebuild.
-	rebuildInterval = 2 * time.Millisecond
 )
 
 // Config is what a scheduler is started with.
@@ -67,6 +65,8 @@
 	scans          scanSchedule
 	stalled        stalledWatch
 	idle           map[string]idleMark
+	takeover       takeover
+	rebuild        rebuildPace
 
 	nextRegistration time.Duration
 	// unledZones are zones without a leader from which a heartbeat came.
@@ -94,7 +94,7 @@
 // Reset forgets what was under way, since leadership was gained or lost, and has the
 // dispatcher take all tasks from the state again.
 func (s *Scheduler) Reset() {
-	s.dispatcher.Update(s.access.State(), []state.Change{{All: true}})
+	s.dispatcher.TakeChanges(s.access.State(), []state.Change{{All: true}})
 	s.clear()
 }
 
@@ -112,6 +112,7 @@
 	s.scans.nextFull = 0
 	s.latency = commandLatency{sentAt: map[uint64]time.Duration{}}
 	s.leases.reset(s.access)
+	s.takeover = takeover{pending: s.access.IsLocal()}
 }
 
 // NextTimer implements machine.Machine.
@@ -120,6 +121,9 @@
 // Counters returns the dispatcher's counters.
 func (s *Scheduler) Counters() dispatch.Counters { return s.dispatcher.Counters }
 
+// Rebuilding reports whether the queues are being rebuilt after leadership was gained.
+func (s *Scheduler) Rebuilding() bool { return s.dispatcher.Rebuilding() }
+
 // QueueLengths returns the number of tasks in each worker's queue.
 func (s *Scheduler) QueueLengths() map[string]int { return s.dispatcher.QueueLengths() }
 
@@ -132,15 +136,22 @@
 // Step implements machine.Machine.
 func (s *Scheduler) Step(now time.Duration, in machine.Input) machine.Output {
 	var out machine.Output
+	if s.takeover.pending {
+		s.beginTakeover(now)
+	}
 	s.scans.noteStep(now)
-	results := s.receive(now, in, &out)
-	results = append(results, s.access.HandleTimers(now, &out)...)
-	for _, result := range results {
-		s.handleResult(now, result, &out)
+	received := s.receive(now, in, &out)
+	results := s.access.HandleTimers(now, &out)
+	if len(received) > 0 {
+		results = append(received, results...)
+	}
+	for i := range results {
+		s.handleResult(now, &results[i], &out)
 	}
 	changes := s.access.State().TakeChanges()
 	interrupted := s.config.Phases.Enter(machine.PhaseEnqueue)
-	s.dispatcher.Update(s.access.State(), changes)
+	s.dispatcher.TakeChanges(s.access.State(), changes)
+	s.continueRebuild(now)
 	s.config.Phases.Enter(interrupted)
 	if now >= s.nextRegistration {
 		s.register(now, &out)
@@ -156,6 +167,7 @@
 	if !s.access.IsLocal() || s.scans.isDue(now, in.Backlog) {
 		s.scan(now, &out)
 	}
+	s.followTakeover(now, &out)
 	s.setTimer(now, in.Backlog)
 	if s.stopping && (now >= s.stopDeadline || len(s.LedZones()) == 0) {
 		out.Stopped = true
@@ -211,6 +223,6 @@
 		s.nextTimer = max(s.nextTimer, s.scans.yieldUntil)
 	}
 	if s.dispatcher.Rebuilding() {
-		s.nextTimer = min(s.nextTimer, now+rebuildInterval)
+		s.nextTimer = min(s.nextTimer, s.rebuild.nextStep(now))
 	}
 }
--- a/core/state/orders.go
+++ b/core/state/orders.go
@@ -2,10 +2,16 @@
 
 import (
 	"encoding/json"
+	"iter"
+	"time"
 
 	"sorrelloom/core/config"
 )
 
+// StartReplies is how many reports of a worker are answered with a start order: the one on
+// which the lease was granted, and the one after it in case the reply was lost.
+const StartReplies = 2
+
 // StartOrder is an order to run one attempt.
 type StartOrder struct {
 	Attempt
@@ -18,6 +24,13 @@
 	DependencyWorkers []string        `json:"holders,omitempty"`
 	Payload           json.RawMessage `json:"payload,omitempty"`
 	Checkpoint        string          `json:"saved,omitempty"`
+	// GangWait is how long after its reply a member of a gang may wait for the others. The
+	// primary sets it when it sends the order, and then tells of gangs that have started.
+	GangWait time.Duration `json:"gangWait,omitempty"`
+	// GrantedOn is the Lease's HeartbeatNumber, from a primary that goes by LastReply of the
+	// reports: the order holds as long as no report with a LastReply of StartReplies more has
+	// been sent.
+	GrantedOn uint64 `json:"grantedOn,omitempty"`
 }
 
 // startOrder is the order to start what a task is leased for.
@@ -64,17 +77,32 @@
 	return attempts
 }
 
+// PendingOrder is an attempt that is leased and is to be started or stopped. The lease must
+// not be changed.
+type PendingOrder struct {
+	Attempt
+	Lease *Lease
+	ref   taskRef
+}
+
 // PendingOrders gives what is leased to a worker and is to be started or stopped.
-func (s *Store) PendingOrders(worker string) []LeasedAttempt {
-	var attempts []LeasedAttempt
-	for _, leased := range s.usageOf(worker).leases {
-		if lease := &leased.task.Lease; lease.StopReason != "" || lease.StartedAt == 0 {
-			attempts = append(attempts, s.leasedAttempt(leased.ref))
+func (s *Store) PendingOrders(worker string) iter.Seq[PendingOrder] {
+	return func(yield func(PendingOrder) bool) {
+		leases := s.usageOf(worker).leases
+		for i := range leases {
+			leased := &leases[i]
+			lease := &leased.task.Lease
+			isPending := lease.StopReason != "" || lease.StartedAt == 0
+			if isPending && !yield(PendingOrder{leased.attempt(), lease, leased.ref}) {
+				return
+			}
 		}
 	}
-	return attempts
 }
 
+// StartOrder is the order to start a pending attempt.
+func (s *Store) StartOrder(pending PendingOrder) StartOrder { return s.startOrder(pending.ref) }
+
 // HasPendingOrders says whether a worker has something to be started or stopped.
 func (s *Store) HasPendingOrders(worker string) bool {
 	usage := s.usageOf(worker)
