--- a/daemon/transport/receive_queue.go
+++ b/daemon/transport/receive_queue.go
@@ -240,7 +240,7 @@
 	}
 	for priority := range q.requests {
 		item, ok := q.dequeueFreshLocked(&q.requests[priority])
-		if ok && Priority(priority) == PriorityHeartbeat {
+		if ok && Priority(priority) == PriorityReport {
 			q.heartbeatsInRow++
 		}
 		if ok {
