Scheduler: idle workers are left alone for longer when scans are long

They are left alone for eight times as long as the last scan took, 50 ms to 1 s, if nothing changes for them. TestIdleWorkersAreAskedInEveryScan.

--- a/core/scheduler/scan.go
+++ b/core/scheduler/scan.go
@@ -28,6 +28,11 @@
 	// maxYield is for how long inputs go before a scan at most, also after a scan during
 	// which the process was suspended.
 	maxYield = 250 * time.Millisecond
+	// A worker that found nothing to pull, and for which nothing has changed, is left alone for
+	// fullScanInterval, or idleFactor times as long as the last scan took, up to maxIdle: while
+	// nothing fits anywhere, most of the time must not go into asking again.
+	idleFactor = 8
+	maxIdle    = time.Second
 	// preemptionInterval is the time between two looks for a lease to preempt.
 	preemptionInterval = 50 * time.Millisecond
 )
@@ -41,6 +46,10 @@
 	// until yieldUntil inputs that wait go before the next one.
 	running    bool
 	yieldUntil time.Duration
+	// took is how long the last scan took, if inputs waited behind it: without them, the
+	// next step tells nothing.
+	took       time.Duration
+	inputsWait bool
 	// changedWorkers are those that the next scan looks at, unless it is a full one.
 	changedWorkers map[string]bool
 }
@@ -53,8 +62,26 @@
 // noteStep notes when the last scan was over: by the time of the first step after it.
 func (t *scanSchedule) noteStep(now time.Duration) {
 	if t.running && now > t.last {
-		t.running, t.yieldUntil = false, now+min(now-t.last, maxYield)
+		t.running, t.yieldUntil, t.took = false, now+min(now-t.last, maxYield), 0
+		if t.inputsWait {
+			t.took = now - t.last
+		}
+	}
+}
+
+// idleTime returns for how long a worker is left alone that found nothing.
+func (t *scanSchedule) idleTime() time.Duration {
+	return max(fullScanInterval, min(idleFactor*t.took, maxIdle))
+}
+
+// begin begins a scan in a step behind which inputs wait, and reports whether it is one of all
+// workers.
+func (t *scanSchedule) begin(now time.Duration, backlog int) (full bool) {
+	t.next, t.last, t.running, t.inputsWait = now+fullScanInterval, now, true, backlog > 0
+	if full = now >= t.nextFull; full {
+		t.nextFull = now + fullScanInterval
 	}
+	return full
 }
 
 // isDue reports whether to scan in a step behind which inputs wait.
@@ -109,16 +136,12 @@
 
 // scan proposes grants for the workers with free resources, and preemptions, then
 // answers the heartbeats for which there are orders or that have waited long enough.
-func (s *Scheduler) scan(now time.Duration, out *machine.Output) {
+func (s *Scheduler) scan(now time.Duration, backlog int, out *machine.Output) {
 	interrupted := s.config.Phases.Enter(machine.PhaseSchedule)
 	defer s.config.Phases.Enter(interrupted)
-	s.scans.next, s.scans.last, s.scans.running = now+fullScanInterval, now, true
-	full := !s.access.IsLocal() || now >= s.scans.nextFull
+	full := s.scans.begin(now, backlog) || !s.access.IsLocal()
 	workers := s.workersToScan(full)
 	s.scans.changedWorkers = map[string]bool{}
-	if full {
-		s.scans.nextFull = now + fullScanInterval
-	}
 	if !s.stopping && s.access.Fresh(now) {
 		s.proposeGrants(now, workers, out)
 		if now >= s.nextPreemption || !s.access.IsLocal() {
@@ -201,7 +224,7 @@
 		s.idle[worker] = idleMark{
 			queueVersion: s.dispatcher.QueueVersion(worker),
 			free:         s.access.State().FreeResources(worker),
-			until:        now + fullScanInterval,
+			until:        now + s.scans.idleTime(),
 		}
 	}
 }
--- a/core/scheduler/scan_share_test.go
+++ b/core/scheduler/scan_share_test.go
@@ -72,3 +72,29 @@
 		}
 	}
 }
+
+// TestIdleWorkersAreAskedInEveryScan has scans take longer than idle workers are left alone at
+// least: they are left alone for longer then, up to a bound, and for no longer where no input
+// shows how long a scan took.
+func TestIdleWorkersAreAskedInEveryScan(t *testing.T) {
+	for _, row := range []struct {
+		name      string
+		scanTakes time.Duration
+		backlog   int
+		idled     time.Duration
+	}{
+		{"short scans", 2 * ms, 1, fullScanInterval},
+		{"long scans", 60 * ms, 1, idleFactor * 60 * ms},
+		{"very long scans", 600 * ms, 1, maxIdle},
+		{"nothing waits", 40 * ms, 0, fullScanInterval},
+	} {
+		s := newLocalScheduler(t)
+		scansAt(s, time.Second, row.backlog)
+		now := time.Second + row.scanTakes
+		s.Step(now, machine.Input{Backlog: 1})
+		s.markIdle(now, []string{"w1"})
+		if until := now + row.idled; !s.isIdle(until-1, "w1") || s.isIdle(until, "w1") {
+			t.Errorf("%s: left alone for %s, want %s", row.name, s.idle["w1"].until-now, row.idled)
+		}
+	}
+}
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -165,7 +165,7 @@
 		s.scans.requestSoon(now)
 	}
 	if !s.access.IsLocal() || s.scans.isDue(now, in.Backlog) {
-		s.scan(now, &out)
+		s.scan(now, in.Backlog, &out)
 	}
 	s.followTakeover(now, &out)
 	s.setTimer(now, in.Backlog)
