Transport: a report may wait at the primary for as long as its reply is awaited

Cause: a report that had waited for 0.4 s was dropped unread. An agent that has waited for a reply for 0.5 s sends no other report for 0.6 s, so that the one dropped cost it 1.1 s, and it then asked another replica. Change: reports may wait for 1 s before they are dropped; an agent's next report still takes the place of the one that waits, so there is one for each agent at most.

TestHeartbeatWaitsAsLongAsItsReplyIsAwaited fails without the change.

--- a/daemon/transport/receive_queue_test.go
+++ b/daemon/transport/receive_queue_test.go
@@ -129,6 +129,24 @@
 	equal(t, drain(q), []string{"command in time"})
 }
 
+// TestHeartbeatWaitsAsLongAsItsReplyIsAwaited has a heartbeat wait longer than a command may: its
+// agent sends no other one for over a second once it has waited for a reply for a while.
+func TestHeartbeatWaitsAsLongAsItsReplyIsAwaited(t *testing.T) {
+	q, clock, counters := newTestQueue()
+	for _, wait := range []time.Duration{2 * requestMaxAge, heartbeatMaxAge} {
+		q.Enqueue(newMessage(wire.KindHeartbeat, "agent", "w", "in time"))
+		q.Enqueue(newMessage(wire.KindCommand, "gateway", "", "late"))
+		clock.at += wait
+		equal(t, drain(q), []string{"beat in time"})
+	}
+	q.Enqueue(newMessage(wire.KindHeartbeat, "agent", "w", "late"))
+	clock.at += heartbeatMaxAge + 1
+	equal(t, drain(q), []string(nil))
+	if got := counters.TakeAndReset().Dropped[DropKey{Kind: wire.KindHeartbeat, Reason: DropExpired}]; got != 1 {
+		t.Errorf("%d heartbeats count as expired", got)
+	}
+}
+
 // TestSomeNewWorkIsTakenBetweenHeartbeats has both wait: of each four one is new work, and each
 // says how long it has waited.
 func TestSomeNewWorkIsTakenBetweenHeartbeats(t *testing.T) {
--- a/daemon/transport/traffic_class.go
+++ b/daemon/transport/traffic_class.go
@@ -46,9 +46,12 @@
 )
 
 const (
-	// requestMaxAge is how long commands and worker heartbeats may wait. Their senders
-	// repeat them after about this time.
+	// requestMaxAge is how long commands may wait. Their senders repeat them after about
+	// this time.
 	requestMaxAge = 400 * time.Millisecond
+	// heartbeatMaxAge is how long worker heartbeats may wait. An agent that has waited for a
+	// reply for a while sends no other one until 1.1 s have passed.
+	heartbeatMaxAge = time.Second
 	// urgentMaxAge is how long calls of operators may wait: as long as their callers do.
 	urgentMaxAge = 850 * time.Millisecond
 	// defaultMaxAge is how long any other request, and any frame to be sent, may wait.
@@ -82,7 +85,7 @@
 		Channel: ChannelBulk, Priority: PriorityQuestion, MaxReceiveWait: requestMaxAge, MaxSendWait: requestMaxAge,
 	}
 	heartbeatClass = TrafficClass{
-		Channel: ChannelBulk, Priority: PriorityHeartbeat, MaxReceiveWait: requestMaxAge, MaxSendWait: requestMaxAge,
+		Channel: ChannelBulk, Priority: PriorityHeartbeat, MaxReceiveWait: heartbeatMaxAge, MaxSendWait: heartbeatMaxAge,
 	}
 	defaultClass = TrafficClass{
 		Channel: ChannelBulk, Priority: PriorityRequest, MaxReceiveWait: defaultMaxAge, MaxSendWait: defaultMaxAge,
