--- a/core/replica/disk.go
+++ b/core/replica/disk.go
@@ -38,6 +38,8 @@
 	lastWriteID uint64
 	inFlight    inFlightWrite
 	startedAt   time.Duration // of the last write
+	// loggedSlowID is the write for which a handover was logged last.
+	loggedSlowID uint64
 	// awaitedSince is when the batch on its way was first looked at, on the attentive
 	// clock; late says that it had taken too long when last looked at.
 	awaitedSince time.Duration
@@ -51,6 +53,8 @@
 	// index is the last command and candidateEpoch the last candidacy on the disk then.
 	index          uint64
 	candidateEpoch uint64
+	// withSnapshot says that a snapshot is written behind it.
+	withSnapshot bool
 }
 
 // putRecord has one of the replica's own records written.
@@ -124,6 +128,7 @@
 	}
 	d.inFlight = inFlightWrite{
 		id: d.lastWriteID, messages: d.messages, index: store.Position().Index, candidateEpoch: candidateEpoch,
+		withSnapshot: write.Snapshot != nil,
 	}
 	d.records, d.truncateCount, d.commands, d.messages = nil, 0, nil, nil
 	d.snapshotDue, d.replaceLog = false, false
