Dispatch: rounds of quick work don't look at other gangs, and misses count at once

In each pull in a round of quick work compared gangs that are not quick with what the workers have. What it found then stood for 10 ms though quick work had taken the resources since: of 6,000 gangs proposed in BenchmarkLarge 5,759 found no place, and 624,264 times a gang was let through that a miss noted since had ruled out.

Rounds of quick work pass over other gangs, and a miss counts before what was found earlier. Nothing else changes.

--- a/core/dispatch/best_in_queue.go
+++ b/core/dispatch/best_in_queue.go
@@ -57,7 +57,8 @@
 	owner := queueOwner{id: queue.worker, canTake: queue.worker != pull.id && !gangsOnly}
 	for _, group := range queue.groups {
 		isGang := group.key.isGang()
-		if gangsOnly && !isGang || isGang && d.gangsTriedUntil(pull, group) > 0 {
+		if gangsOnly && !isGang || pull.round.QuickOnly && !group.key.quick ||
+			isGang && d.gangsTriedUntil(pull, group) > 0 {
 			continue
 		}
 		if admitted, ownerTakes := d.admit(pull, group, &owner); admitted {
--- a/core/dispatch/gang.go
+++ b/core/dispatch/gang.go
@@ -42,10 +42,9 @@
 // gang that may start.
 func (d *Dispatcher) gangTriedUntil(pull *pullRequest, key *groupKey, ref TaskRef) time.Duration {
 	now := pull.store.Now()
-	if try, tried := d.gangTries[ref]; tried && now < try.at+gangRetryInterval {
-		if try.mayFit {
-			return 0
-		}
+	try, tried := d.gangTries[ref]
+	tried = tried && now < try.at+gangRetryInterval
+	if tried && !try.mayFit {
 		return try.at + gangRetryInterval
 	}
 	job, ok := pull.store.Job(ref.Job)
@@ -59,6 +58,9 @@
 			return until
 		}
 	}
+	if tried {
+		return 0
+	}
 	mayFit := len(members) > 0 && pull.allStartable(job, members) && d.gangMayFit(pull, job, members)
 	d.gangTries[ref] = gangTry{now, mayFit}
 	if mayFit {
@@ -105,12 +107,17 @@
 		if !group.key.isGang() {
 			continue
 		}
+		if pull.round.QuickOnly && !group.key.quick {
+			until = 0
+			continue
+		}
 		triedUntil := d.gangsTriedUntil(pull, group)
 		if triedUntil == 0 {
 			return false
 		}
 		until = min(until, triedUntil)
 	}
+	// A round of quick work doesn't look at the other gangs.
 	queue.gangsTriedUntil = until
 	return true
 }
