--- a/core/control/benchmark_test.go
+++ b/core/control/benchmark_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -189,8 +190,10 @@
 		return changed, 0
 	}
 	delete(n.heartbeatReplies, worker.openRequest)
-	worker.ended = nil
 	orders := reply.Result.Heartbeat
+	worker.ended = slices.DeleteFunc(worker.ended, func(end state.AttemptResult) bool {
+		return slices.Contains(orders.Acks, end.Attempt)
+	})
 	for _, start := range orders.Starts {
 		runTime := benchmarkRunTime
 		if classTime, mixed := mixedRunTimes[start.Class]; mixed && worker.mixed {
