--- a/core/dispatch/best_in_queue.go
+++ b/core/dispatch/best_in_queue.go
@@ -56,8 +56,7 @@
 	}
 	owner := queueOwner{id: queue.worker, canTake: queue.worker != pull.id && !gangsOnly}
 	for _, group := range queue.groups {
-		d.looks++
-		if isGang := group.key.isGang(); gangsOnly && !isGang || isGang && !pull.triesGangs() {
+		if gangsOnly && !group.key.isGang() {
 			continue
 		}
 		if admitted, ownerTakes := d.admit(pull, group, &owner); admitted {
@@ -116,7 +115,6 @@
 		limit = maxExaminedWithInputs
 	}
 	for _, task := range group.tasks {
-		d.looks++
 		job, ok := pull.store.Job(task.ref.Job)
 		if !ok || pull.inFlight.Tasks[task.ref] || pull.skipped[task.ref] {
 			continue
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -77,7 +77,6 @@
 	// tasks, were left for the next Update.
 	redistributing map[string]bool
 	rebuild        rebuildProgress
-	looks          uint64
 
 	reservations reservationCache
 	// tenantsAtLimit are those for which tasks were held back since TakeTenantsAtLimit.
@@ -175,10 +174,6 @@
 // QueueLengths returns the number of tasks in each worker's queue.
 func (d *Dispatcher) QueueLengths() map[string]int { return d.queues.lengths() }
 
-// Looks counts the groups of tasks, the tasks, and for gangs the racks of workers that pulls
-// have looked at, in vain or not: it tells about how long they took.
-func (d *Dispatcher) Looks() uint64 { return d.looks }
-
 // QueuedTasks returns the number of tasks in all queues.
 func (d *Dispatcher) QueuedTasks() int { return len(d.queues.positions) }
 
--- a/core/dispatch/gang.go
+++ b/core/dispatch/gang.go
@@ -12,9 +12,6 @@
 // it would find none for another worker's pull either.
 const gangRetryInterval = 10 * time.Millisecond
 
-// looksPerRack is as how many looks at a task a search for a gang's workers counts.
-const looksPerRack = 16
-
 // gangRef identifies a gang of a job.
 type gangRef struct{ job, gang string }
 
@@ -54,7 +51,6 @@
 		return false
 	}
 	for _, rack := range pull.candidateRacks(&best.job.Spec.Tasks[best.ref.Index]) {
-		d.looks += looksPerRack
 		workers, ok := pull.placeGang(best.job, members, rack)
 		if !ok {
 			continue
--- a/core/dispatch/pull.go
+++ b/core/dispatch/pull.go
@@ -47,18 +47,10 @@
 	free     state.Resources
 	inFlight InFlight
 	round    PullRound
-	// skipped are the gangs for which this pull found no resources. After maxGangTries of them
-	// it looks at no more gangs: each try looks through all queues again.
+	// skipped are the gangs for which this pull found no resources.
 	skipped map[TaskRef]bool
 }
 
-// maxGangTries is for how many gangs one pull looks for workers in vain. Those are left alone
-// by the pulls that follow for a while, which try others.
-const maxGangTries = 4
-
-// triesGangs reports whether the pull still looks at gangs.
-func (p *pullRequest) triesGangs() bool { return len(p.skipped) < maxGangTries }
-
 // Pull proposes the next task for a worker in one round, for a gang with those of all
 // its members; nothing for a worker without a free slot or whose health forbids it.
 func (d *Dispatcher) Pull(store *state.Store, worker string, inFlight InFlight, round PullRound) (Proposal, bool) {
@@ -107,9 +99,6 @@
 // bestGang looks for a gang that comes before the best task of the worker's own
 // queue. A gang is in one queue for all its members, and counts as every worker's own.
 func (d *Dispatcher) bestGang(pull *pullRequest, best bestCandidate) bestCandidate {
-	if !pull.triesGangs() {
-		return best
-	}
 	for _, queue := range d.queues.withGangs {
 		if queue.worker == pull.id {
 			continue
--- a/core/scheduler/scan.go
+++ b/core/scheduler/scan.go
@@ -23,6 +23,8 @@
 	fullScanInterval = 50 * time.Millisecond
 	// minScanGap is the least time between two scans on the primary's own state.
 	minScanGap = 8 * time.Millisecond
+	// maxGrantsPerScan bounds the grants that one scan proposes on the primary's own state.
+	maxGrantsPerScan = 64
 	// maxYield is for how long inputs go before a scan at most, also after a scan during
 	// which the process was suspended.
 	maxYield = 250 * time.Millisecond
@@ -41,8 +43,6 @@
 	yieldUntil time.Duration
 	// changedWorkers are those that the next scan looks at, unless it is a full one.
 	changedWorkers map[string]bool
-	// pass is what the last scan has left to the next one.
-	pass grantPass
 }
 
 // requestSoon has the next scan come as soon as it may.
@@ -138,6 +138,39 @@
 	}
 }
 
+// proposeGrants lets the workers with free resources pull: quick work before all
+// other, and their own queues before stealing.
+func (s *Scheduler) proposeGrants(now time.Duration, workers []string, out *machine.Output) {
+	inFlight := s.inFlight(now)
+	pulling := s.pullingWorkers(now, workers)
+	proposed := 0
+	for _, round := range dispatch.PullRounds {
+		for _, worker := range pulling {
+			for {
+				if proposed >= maxGrantsPerScan && s.access.IsLocal() {
+					s.deferGrants(now, pulling)
+					return
+				}
+				proposal, ok := s.dispatcher.Pull(s.access.State(), worker, inFlight, round)
+				if !ok {
+					break
+				}
+				proposed++
+				zone := s.heartbeats[worker].heartbeat.Zone
+				s.propose(now, zone, state.KindGrantLeases, proposal, out)
+				if !s.access.IsLocal() {
+					inFlight = s.inFlight(now)
+					continue
+				}
+				for _, ref := range proposal.Tasks {
+					inFlight.Tasks[ref] = true
+				}
+			}
+		}
+	}
+	s.markIdle(now, pulling)
+}
+
 // pullingWorkers returns those workers that may pull now. On the primary's own state,
 // where a proposal takes effect at once, a worker that found nothing is left alone
 // until something has changed for it.
@@ -145,9 +178,14 @@
 	var pulling []string
 	for _, worker := range workers {
 		pending := s.heartbeats[worker]
-		if s.mayPull(&pending) && !(s.access.IsLocal() && s.isIdle(now, worker)) {
-			pulling = append(pulling, worker)
+		if !pending.recorded && !s.access.IsLocal() || pending.heartbeat.Leaving ||
+			!s.leads(pending.heartbeat.Zone) || s.notYetApplied(&pending) {
+			continue
+		}
+		if s.access.IsLocal() && s.isIdle(now, worker) {
+			continue
 		}
+		pulling = append(pulling, worker)
 	}
 	return pulling
 }
@@ -158,6 +196,24 @@
 		mark.queueVersion == s.dispatcher.QueueVersion(worker) && now < mark.until
 }
 
+func (s *Scheduler) markIdle(now time.Duration, workers []string) {
+	for _, worker := range workers {
+		s.idle[worker] = idleMark{
+			queueVersion: s.dispatcher.QueueVersion(worker),
+			free:         s.access.State().FreeResources(worker),
+			until:        now + fullScanInterval,
+		}
+	}
+}
+
+// deferGrants leaves the rest of a scan's grants to the next scan.
+func (s *Scheduler) deferGrants(now time.Duration, workers []string) {
+	for _, worker := range workers {
+		s.scans.changedWorkers[worker] = true
+	}
+	s.scans.next = min(s.scans.next, now+minScanGap)
+}
+
 // proposePreemptions proposes one preemption in each zone at most. Where there was one, or
 // the dispatcher has more tasks to look at, the next scan goes on.
 func (s *Scheduler) proposePreemptions(now time.Duration, out *machine.Output) {
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -110,7 +110,6 @@
 	s.idle = map[string]idleMark{}
 	s.scans.changedWorkers = map[string]bool{}
 	s.scans.nextFull = 0
-	s.scans.pass = grantPass{}
 	s.latency = commandLatency{sentAt: map[uint64]time.Duration{}}
 	s.leases.reset(s.access)
 	s.takeover = takeover{pending: s.access.IsLocal()}
@@ -125,9 +124,6 @@
 // Rebuilding reports whether the queues are being rebuilt after leadership was gained.
 func (s *Scheduler) Rebuilding() bool { return s.dispatcher.Rebuilding() }
 
-// Looks returns the dispatcher's count of what its pulls have looked at.
-func (s *Scheduler) Looks() uint64 { return s.dispatcher.Looks() }
-
 // QueueLengths returns the number of tasks in each worker's queue.
 func (s *Scheduler) QueueLengths() map[string]int { return s.dispatcher.QueueLengths() }
 
