Dispatch: the limit of a step on a worker is looked up once a group, among the worker's leases

The tasks of such a group are of one step; the worker's leases are few; and the tasks that are younger than one that waits for a gang's reservation wait too.

--- a/core/dispatch/best_in_queue.go
+++ b/core/dispatch/best_in_queue.go
@@ -116,7 +116,14 @@
 	if group.key.hasInputs {
 		limit = maxExaminedWithInputs
 	}
+	if d.atStepLimit(pull, group) {
+		return
+	}
 	for _, task := range group.tasks {
+		if d.keptForGang(pull, &group.key, task.number) {
+			// The younger ones, which come after it, are kept too.
+			return
+		}
 		job, ok := pull.store.Job(task.ref.Job)
 		if !ok || pull.inFlight.Tasks[task.ref] || pull.skipped[task.ref] {
 			continue
@@ -155,10 +162,25 @@
 	if key.isGang() && pull.store.Now() < d.gangTriedUntil(pull, key, task.ref) {
 		return true
 	}
-	return pull.store.AtWorkerLimit(job, i, pull.id, 0) ||
-		d.waitsForRack(pull.store, job, task, pull.worker) ||
+	return d.waitsForRack(pull.store, job, task, pull.worker) ||
 		d.waitsForProof(pull.store, job, task.ref, pull.id) ||
-		d.failedOnWorker(pull.store, job, i, pull.worker) ||
-		d.keptForTenantsGang(pull.store, key, task.number) ||
-		d.reservedForGang(pull.store, pull.worker, key, task.number)
+		d.failedOnWorker(pull.store, job, i, pull.worker)
+}
+
+// atStepLimit reports whether the worker runs as many tasks of a group's step as it may. The
+// tasks of a group with a limit are all of one step.
+func (d *Dispatcher) atStepLimit(pull *pullRequest, group *taskGroup) bool {
+	if group.key.spreadKey == "" {
+		return false
+	}
+	head := group.head()
+	job, ok := pull.store.Job(head.Job)
+	return ok && pull.store.AtWorkerLimit(job, head.Index, pull.id, 0)
+}
+
+// keptForGang reports whether a task of a number waits for an older gang, and so do all
+// younger ones of its group.
+func (d *Dispatcher) keptForGang(pull *pullRequest, key *groupKey, number uint64) bool {
+	return d.keptForTenantsGang(pull.store, key, number) ||
+		d.reservedForGang(pull.store, pull.worker, key, number)
 }
--- a/core/state/steps.go
+++ b/core/state/steps.go
@@ -160,9 +160,8 @@
 		return false
 	}
 	count := pending
-	for j := range job.Tasks {
-		lease := job.Tasks[j].Lease
-		if j != i && lease.Held() && lease.Worker == worker && job.sameStep(i, j) {
+	for _, leased := range s.usageOf(worker).leases {
+		if leased.ref.job == job.Spec.ID && leased.ref.index != i && job.sameStep(i, leased.ref.index) {
 			count++
 		}
 	}
