Dispatch: what a pull may not take of one kind is not asked again in other queues

The tasks of a wide step are in many queues; a pull asked the same rules for them in each. The answer holds for the key, so it is noted at the tasks of the key for the rest of the pull. What pulls have noted is left out of the comparison of the index with a plain one; the comparison of choices now runs with notes.

--- a/core/dispatch/best_in_queue.go
+++ b/core/dispatch/best_in_queue.go
@@ -72,22 +72,29 @@
 // whether the queue's owner could run them as well.
 func (d *Dispatcher) admit(p *pullRequest, group *taskGroup, owner *queueOwner) (admitted, ownerTakes bool) {
 	key, head := &group.key, group.head()
-	if p.round.QuickOnly && !key.quick || !p.free.Covers(key.resources) {
-		return false, false
-	}
-	if !d.tenantAllows(p.store, &p.inFlight, key.tenant, key.resources) {
+	if p.round.QuickOnly && !key.quick || !p.free.Covers(key.resources) || group.alike.refusedBy(p) {
 		return false, false
 	}
 	job, ok := p.store.Job(head.Job)
-	if !ok || p.store.Fits(job, head.Index, p.worker) != status.OK {
+	if !ok || !d.admitsKey(p, key, job, head.Index) {
+		group.alike.refuse(p)
 		return false, false
 	}
-	if d.withheld(p, group, job) || !p.shareAllows(key) {
+	if d.withheld(p, group, job) {
 		return false, false
 	}
 	return true, owner.couldRun(d, p, job, head.Index)
 }
 
+// admitsKey reports whether the worker may run tasks of a key, of which one is given. The
+// answer is the same for all of them, whichever queue they are in.
+func (d *Dispatcher) admitsKey(p *pullRequest, key *groupKey, job *state.Job, i int) bool {
+	return p.store.Fits(job, i, p.worker) == status.OK &&
+		d.tenantAllows(p.store, &p.inFlight, key.tenant, key.resources) &&
+		p.shareAllows(key) &&
+		!(key.spreadKey != "" && p.store.AtWorkerLimit(job, i, p.id, 0))
+}
+
 // withheld reports whether the tasks of a group wait for another worker than this one. The
 // oldest speaks for all, so that a long queue is not looked through in vain.
 func (d *Dispatcher) withheld(p *pullRequest, group *taskGroup, job *state.Job) bool {
@@ -116,9 +123,6 @@
 	if group.key.hasInputs {
 		limit = maxExaminedWithInputs
 	}
-	if d.atStepLimit(pull, group) {
-		return
-	}
 	for _, task := range group.tasks {
 		if d.keptForGang(pull, &group.key, task.number) {
 			// The younger ones, which come after it, are kept too.
@@ -167,17 +171,6 @@
 		d.failedOnWorker(pull.store, job, i, pull.worker)
 }
 
-// atStepLimit reports whether the worker runs as many tasks of a group's step as it may. The
-// tasks of a group with a limit are all of one step.
-func (d *Dispatcher) atStepLimit(pull *pullRequest, group *taskGroup) bool {
-	if group.key.spreadKey == "" {
-		return false
-	}
-	head := group.head()
-	job, ok := pull.store.Job(head.Job)
-	return ok && pull.store.AtWorkerLimit(job, head.Index, pull.id, 0)
-}
-
 // keptForGang reports whether a task of a number waits for an older gang, and so do all
 // younger ones of its group.
 func (d *Dispatcher) keptForGang(pull *pullRequest, key *groupKey, number uint64) bool {
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -90,6 +90,8 @@
 	// valid until anything changes that the candidates depend on.
 	candidates []queueCandidate
 	placement  lastPlacement
+	// pullCount counts the pulls.
+	pullCount uint64
 	// rows are those of the workers that the store had last.
 	rows workerRows
 	// preemptionRoom and victims are the memory of the last Preempt, used again.
--- a/core/dispatch/plain_scan_test.go
+++ b/core/dispatch/plain_scan_test.go
@@ -180,6 +180,8 @@
 						store: f.Store, id: worker, worker: record, free: f.Store.FreeResources(worker), round: round,
 					}
 					want := f.dispatcher.plainBestForPull(&pull)
+					f.dispatcher.pullCount++
+					pull.number = f.dispatcher.pullCount
 					got := f.dispatcher.bestForPull(&pull)
 					if got.found != want.found || got.ref != want.ref || got.queue != want.queue {
 						t.Fatalf("seed %d: %s chose %v from %q, a plain scan %v from %q",
--- a/core/dispatch/preempt_plain_test.go
+++ b/core/dispatch/preempt_plain_test.go
@@ -245,7 +245,12 @@
 		t.Errorf("%s: %d groups, want %d", where, len(waiting.byKey), len(plain))
 	}
 	for _, want := range plain {
-		if got := waiting.byKey[want.key]; !reflect.DeepEqual(got, want) {
+		got := waiting.byKey[want.key]
+		if got != nil {
+			// What pulls have noted is no part of the index.
+			want.refusedPull = got.refusedPull
+		}
+		if !reflect.DeepEqual(got, want) {
 			t.Errorf("%s: got %+v, want %+v", where, got, want)
 		}
 	}
--- a/core/dispatch/pull.go
+++ b/core/dispatch/pull.go
@@ -41,6 +41,8 @@
 
 // pullRequest is one worker's pull in one round.
 type pullRequest struct {
+	// number differs between any two pulls; with 0, nothing is remembered of the pull.
+	number   uint64
 	store    *state.Store
 	id       string
 	worker   *state.Worker
@@ -64,7 +66,10 @@
 		!d.health.mayPull(store, w, proposed.Slots) {
 		return Proposal{}, false
 	}
-	pull := pullRequest{store: store, id: worker, worker: w, free: free, inFlight: inFlight, round: round}
+	d.pullCount++
+	pull := pullRequest{
+		number: d.pullCount, store: store, id: worker, worker: w, free: free, inFlight: inFlight, round: round,
+	}
 	for {
 		best := d.bestForPull(&pull)
 		if !best.found {
--- a/core/dispatch/queues.go
+++ b/core/dispatch/queues.go
@@ -40,6 +40,8 @@
 type taskGroup struct {
 	key   groupKey
 	tasks []queuedTask
+	// alike are the tasks of the key in all queues, nil for gangs.
+	alike *waitingGroup
 	// triedUntil is until when gangs are left alone that were looked workers for in vain.
 	triedUntil time.Duration
 }
@@ -138,7 +140,7 @@
 	queue := q.of(worker)
 	group := queue.group(&key)
 	if group == nil {
-		group = &taskGroup{key: key}
+		group = &taskGroup{key: key, alike: q.waiting.group(&key)}
 		queue.groups = append(queue.groups, group)
 		queue.summary.add(&group.key)
 		q.floor.add(&group.key)
@@ -146,7 +148,7 @@
 	i, _ := searchNumber(group.tasks, task.number)
 	group.tasks = slices.Insert(group.tasks, i, task)
 	q.positions[task.ref] = queuePosition{queue, group, task.number}
-	q.waiting.insert(task, &key)
+	q.waiting.insert(task, group.alike)
 	queue.version++
 	queue.length++
 	queue.slots += key.resources.Slots
@@ -170,7 +172,7 @@
 	}
 	delete(q.positions, ref)
 	queue, group := position.queue, position.group
-	q.waiting.remove(position.number, &group.key)
+	q.waiting.remove(position.number, group.alike)
 	if i, found := searchNumber(group.tasks, position.number); found {
 		group.tasks = slices.Delete(group.tasks, i, i+1)
 	}
--- a/core/dispatch/waiting_groups.go
+++ b/core/dispatch/waiting_groups.go
@@ -21,6 +21,20 @@
 	// firstNumber is that of its first task.
 	firstNumber uint64
 	tasks       []queuedTask
+	// refusedPull is the number of the last pull that may take none of the tasks.
+	refusedPull uint64
+}
+
+// refuse notes that a pull may take none of the tasks.
+func (g *waitingGroup) refuse(pull *pullRequest) {
+	if g != nil {
+		g.refusedPull = pull.number
+	}
+}
+
+// refusedBy reports whether it was noted that a pull may take none of the tasks.
+func (g *waitingGroup) refusedBy(pull *pullRequest) bool {
+	return g != nil && pull.number > 0 && g.refusedPull == pull.number
 }
 
 // waitingClass holds the groups of one class, by their first numbers, and how far the round
@@ -48,37 +62,47 @@
 	return state.ClassKey{Service: k.service, Class: k.class}
 }
 
-// insert takes a task that came into a queue.
-func (w *waitingGroups) insert(task queuedTask, key *groupKey) {
+// group returns that of a key, which is empty until a task is inserted; nil for gangs.
+func (w *waitingGroups) group(key *groupKey) *waitingGroup {
 	if key.isGang() {
-		return
+		return nil
 	}
-	group := w.byKey[*key]
+	if group := w.byKey[*key]; group != nil {
+		return group
+	}
+	return &waitingGroup{key: *key}
+}
+
+// insert takes a task that came into a queue into the group of its key.
+func (w *waitingGroups) insert(task queuedTask, group *waitingGroup) {
 	if group == nil {
-		group = &waitingGroup{key: *key, firstNumber: task.number}
-		w.byKey[*key] = group
-		w.class(key.classKey()).add(group)
+		return
+	}
+	class := w.class(group.key.classKey())
+	if len(group.tasks) == 0 {
+		group.firstNumber = task.number
+		w.byKey[group.key] = group
+		class.add(group)
 	}
 	i, _ := searchNumber(group.tasks, task.number)
 	group.tasks = slices.Insert(group.tasks, i, task)
-	w.class(key.classKey()).reorder(group)
+	class.reorder(group)
 }
 
-// remove takes out a task that left its queue.
-func (w *waitingGroups) remove(number uint64, key *groupKey) {
-	group := w.byKey[*key]
+// remove takes a task that left its queue out of the group of its key.
+func (w *waitingGroups) remove(number uint64, group *waitingGroup) {
 	if group == nil {
 		return
 	}
 	if i, found := searchNumber(group.tasks, number); found {
 		group.tasks = deleteNearEnd(group.tasks, i)
 	}
-	class := w.class(key.classKey())
+	class := w.class(group.key.classKey())
 	if len(group.tasks) > 0 {
 		class.reorder(group)
 		return
 	}
-	delete(w.byKey, *key)
+	delete(w.byKey, group.key)
 	class.remove(group)
 }
 
