Simulator: the broken drain of a zone is found whatever tasks are about

TestBrokenControlsAreDetected has a request to drain a zone turned round, and wants the starts there to be found.

--- a/tool/sim/control_broken_test.go
+++ b/tool/sim/control_broken_test.go
@@ -161,7 +161,12 @@
 // refillInsteadOfDrain turns the request to drain a zone into one to refill it.
 func refillInsteadOfDrain(s *ControlScenario) {
 	rewriteCommands(s, state.KindSetZoneDrained, func(command *state.Command) { command.Drain = false })
-	s.world.At(9*time.Second, func() { ControlFaults["empty-site"](s) })
+	s.world.At(9*time.Second, func() {
+		ControlFaults["empty-site"](s)
+		// Whichever zone it is, some of these start there after it is to be empty.
+		repeat := state.Repeat{Count: 40, FirstAt: s.world.wallTime(), Every: millis(250)}
+		s.submit(s.newJob("batch", "everywhere", []state.StepSpec{{Count: 11}}, []int64{100}, repeat))
+	})
 }
 
 // readInsteadOfCancel turns the request to cancel a job into one to read it.
