Agents take no start from a reply that may have been overtaken by a report taken by its number

The replies to reports before such a change are refused once these are replaced, and a start says on which report it was granted only to workers whose reports go by the replies they took. TestStartOfReplyToReport- BeforeChangedProperties fails without the change.

With it: changes have their turn among reports only and overtake no operator and no question, as the leader's clients assume (TestChangeOvertakesNoOperator); a report's wait for its reply counts the time that it waited to be read; the workers' turns grow again after scans of under 20 ms, not only under 10.

--- a/core/agent/calls.go
+++ b/core/agent/calls.go
@@ -125,8 +125,9 @@
 	propertiesChanged := w.propertiesChanged(call)
 	freeChanged := w.lastCall.Free != call.Free
 	if propertiesChanged {
-		// The next report is compared with the state in another way, see handleLateReply.
-		w.reports.replaced = nil
+		// The next report is compared with the state in another way, by its number: no start
+		// of a reply to an earlier one may be taken after it.
+		w.reports.refuseLateReplies()
 	}
 	w.lastCall, w.lastCallAt, w.endAcknowledged, w.lossLogged = call, now, false, false
 	w.capacity = w.capacity.Max(call.Free)
--- a/core/agent/late_reply_test.go
+++ b/core/agent/late_reply_test.go
@@ -123,6 +123,25 @@
 	}
 }
 
+// TestStartOfReplyToReportBeforeChangedProperties has the properties of a worker change while
+// a report is in flight: the next report is taken by its number, so that the start of the late
+// reply may have been granted elsewhere by then.
+func TestStartOfReplyToReportBeforeChangedProperties(t *testing.T) {
+	h, _ := newHarnessWithReplacedReport(t)
+	h.agent.worker.reports.number += 10 // so that no number is below 1
+	replaceReport(h)
+	h.accept(state.HeartbeatReply{})
+	replaceReport(h)
+	inFlight := h.lastReport()
+	h.advance(20 * ms)
+	h.callAgent(func(c *Call) { c.Labels = []string{"new"} })
+	h.advance(20 * ms)
+	start := grantedStart("a", inFlight.Heartbeat.LastReply)
+	h.answer(inFlight, state.HeartbeatReply{Starts: []state.StartOrder{start}})
+	h.equal("starts", startedJobs(h.callAgent(nil)), []string(nil))
+	h.equal("another report was sent", h.lastReport().ID > inFlight.ID, true)
+}
+
 // TestLateReplyOfEarlierReleaseStartsNothing has a start come that does not say on which
 // report it was granted: its primary goes by the numbers of reports.
 func TestLateReplyOfEarlierReleaseStartsNothing(t *testing.T) {
--- a/core/agent/report.go
+++ b/core/agent/report.go
@@ -30,6 +30,8 @@
 	// endNumbers are the worker's numbers of the ends that it carries.
 	endNumbers []uint64
 	heartbeat  state.Heartbeat
+	// refusesLateReply says that its reply isn't taken any more once it is replaced.
+	refusesLateReply bool
 }
 
 // reportState is where the reports of a worker stand.
@@ -67,11 +69,20 @@
 // replace keeps the report in flight for a late reply, without those that are too old.
 func (r *reportState) replace(now time.Duration) {
 	r.replaced = slices.DeleteFunc(r.replaced, func(sent *report) bool { return now-sent.sentAt > replyTimeout })
-	if r.inFlight != nil {
+	if r.inFlight != nil && !r.inFlight.refusesLateReply {
 		r.replaced = append(r.replaced, r.inFlight)
 	}
 }
 
+// refuseLateReplies has no reply taken any more to a report that a later one has replaced, or
+// will replace, of those sent so far.
+func (r *reportState) refuseLateReplies() {
+	r.replaced = nil
+	if r.inFlight != nil {
+		r.inFlight.refusesLateReply = true
+	}
+}
+
 // forget has no reply taken any more to what was sent.
 func (r *reportState) forget() { r.inFlight, r.replaced = nil, nil }
 
--- a/core/scheduler/orders.go
+++ b/core/scheduler/orders.go
@@ -61,7 +61,7 @@
 		case stopping && runs && !slices.Contains(orders.Stops, pending.Attempt):
 			orders.Stops = append(orders.Stops, pending.Attempt)
 		case !stopping && lease.StartedAt == 0 && !runs && !heartbeat.HasSeenStart(lease):
-			if start, inTime := s.startOrder(now, pending); inTime {
+			if start, inTime := s.startOrder(now, heartbeat, pending); inTime {
 				orders.Starts = append(orders.Starts, start)
 			}
 		}
@@ -69,10 +69,13 @@
 }
 
 // startOrder returns the order to start what is leased. A member of a gang is told how long
-// it may wait for the others; its start is not in time once the gang is to be stopped.
-func (s *Scheduler) startOrder(now time.Duration, pending state.PendingOrder) (start state.StartOrder, inTime bool) {
+// it may wait for the others; its start is not in time once the gang is to be stopped. A worker
+// whose reports may be taken by their numbers is not told on which of them it was granted.
+func (s *Scheduler) startOrder(
+	now time.Duration, heartbeat *state.Heartbeat, pending state.PendingOrder,
+) (start state.StartOrder, inTime bool) {
 	start = s.access.State().StartOrder(pending)
-	if s.access.IsLocal() {
+	if s.access.IsLocal() && heartbeat.LastReply > 0 && heartbeat.Total != (state.Resources{}) {
 		start.GrantedOn = pending.Lease.HeartbeatNumber
 	}
 	if start.Gang == "" {
--- a/core/scheduler/scan.go
+++ b/core/scheduler/scan.go
@@ -70,7 +70,7 @@
 	switch {
 	case took > longScan && backlog > 0:
 		t.adaptedTurn = max(minPullingWorkers, t.turnSize()/2)
-	case took < longScan/4:
+	case took < longScan/2:
 		t.adaptedTurn = min(maxPullingWorkers, 2*t.turnSize())
 	}
 }
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -192,6 +192,7 @@
 			out.Warn("message_malformed", "kind", message.Kind, "from", message.From, "error", err.Error())
 			break
 		}
+		request.MaxWait = max(0, request.MaxWait-in.Waited)
 		s.handleHeartbeat(now, message.From, request, out)
 	case message.Kind != "":
 		results, handled := s.access.Receive(now, message, out)
--- a/daemon/transport/receive_queue.go
+++ b/daemon/transport/receive_queue.go
@@ -12,8 +12,8 @@
 	maxClusterBytes  = 512 << 20
 	maxRequestFrames = 8192
 	maxRequestBytes  = 64 << 20
-	// maxReportsInRow is how many heartbeats are given out while a request of a lower
-	// priority waits: it is at least told then that too much waits.
+	// maxReportsInRow is how many reports are given out while a request of a lower priority
+	// waits: it is at least told then that too much waits.
 	maxReportsInRow = 3
 )
 
@@ -47,7 +47,7 @@
 	local         fifo[QueueItem]
 	// requests are those that wait, by their priority.
 	requests [priorityCount]boundedQueue
-	// reportsInRow counts the heartbeats given out since the last other request.
+	// reportsInRow counts the reports given out since the last request of a lower priority.
 	reportsInRow int
 	// latestByKey are the waiting requests that a later one with the same key replaces.
 	latestByKey map[coalescingKey]*receivedMessage
@@ -232,22 +232,28 @@
 	if q.local.len() > 0 {
 		return q.local.pop(), true
 	}
-	if q.reportsInRow >= maxReportsInRow {
-		q.reportsInRow = 0
-		if item, ok := q.dequeueFreshLocked(&q.requests[PriorityRequest]); ok {
+	for priority := range PriorityReport {
+		if item, ok := q.dequeueFreshLocked(&q.requests[priority]); ok {
 			return item, true
 		}
 	}
-	for priority := range q.requests {
-		item, ok := q.dequeueFreshLocked(&q.requests[priority])
-		if ok && Priority(priority) == PriorityReport {
+	return q.dequeueReportOrRequestLocked()
+}
+
+// dequeueReportOrRequestLocked returns the next report or request: a report first, but a
+// request after maxReportsInRow of them.
+func (q *ReceiveQueue) dequeueReportOrRequestLocked() (QueueItem, bool) {
+	if q.reportsInRow < maxReportsInRow {
+		if item, ok := q.dequeueFreshLocked(&q.requests[PriorityReport]); ok {
 			q.reportsInRow++
-		}
-		if ok {
 			return item, true
 		}
 	}
-	return QueueItem{}, false
+	q.reportsInRow = 0
+	if item, ok := q.dequeueFreshLocked(&q.requests[PriorityRequest]); ok {
+		return item, true
+	}
+	return q.dequeueFreshLocked(&q.requests[PriorityReport])
 }
 
 // dequeueFreshLocked returns the oldest message of a queue that has not expired, and drops
--- a/daemon/transport/receive_queue_test.go
+++ b/daemon/transport/receive_queue_test.go
@@ -244,3 +244,20 @@
 		t.Errorf("got %+v", item)
 	}
 }
+
+// TestChangeOvertakesNoOperator has many reports and a change wait, then a question and a call of
+// an operator: the change has its turn among the reports, not before these two.
+func TestChangeOvertakesNoOperator(t *testing.T) {
+	q := NewReceiveQueue(func() time.Duration { return 0 }, NewCounters())
+	for i := range maxReportsInRow + 1 {
+		q.Enqueue(newMessage(wire.KindHeartbeat, "agent", fmt.Sprint(i), fmt.Sprint(i)))
+	}
+	q.Enqueue(newMessage(wire.KindCommand, "gateway", "", "change"))
+	for range maxReportsInRow {
+		q.tryDequeue()
+	}
+	q.Enqueue(newMessage(wire.KindCommand, "gateway", machine.QuestionKeyPrefix+"1", "question"))
+	q.Enqueue(newMessage(wire.KindCommand, "gateway", machine.UrgentKeyPrefix+"2", "operator"))
+	want := []string{"command operator", "command question", "command change", fmt.Sprint("beat ", maxReportsInRow)}
+	equal(t, drain(q), want)
+}
