One constant for how long a command waits for its process

400 ms stood in the leader's client, which takes a command for lost after it, and in the transport, which drops it then: the first is right only as long as both are equal.

--- a/core/leaderclient/commands.go
+++ b/core/leaderclient/commands.go
@@ -25,8 +25,6 @@
 	minRetryDelay     = 100 * time.Millisecond
 	maxRetryDelay     = 800 * time.Millisecond
 	maxRetryDoublings = 8
-	// leaderQueueTimeout is how long a command waits at the leader before it is dropped.
-	leaderQueueTimeout = 400 * time.Millisecond
 	// latencyWeight is the inverse of the weight of the newest latency in the mean.
 	latencyWeight = 8
 )
@@ -86,12 +84,12 @@
 	// answers in order but for the priorities, a message of a lower number and of the same
 	// priority or a higher one that has no answer is lost, or its answer is.
 	answered [priorityCount]uint64
-	// expiring are the probes that the leader answered less than leaderQueueTimeout ago.
+	// expiring are the probes that the leader answered less than wire.MaxCommandWait ago.
 	expiring []answeredProbe
 }
 
 // answeredProbe is a probe that the leader has answered. It overtakes changes, but the leader
-// keeps nothing waiting for longer than leaderQueueTimeout: whatever was sent before the
+// keeps nothing waiting for longer than wire.MaxCommandWait: whatever was sent before the
 // probe is taken up or dropped by expiresAt.
 type answeredProbe struct {
 	sendIndex uint64
@@ -116,7 +114,7 @@
 // noteProbeAnswered notes that the leader has answered a probe.
 func (l *sendLog) noteProbeAnswered(now time.Duration, index uint64) {
 	l.noteAnswered(priorityQuestion, index)
-	l.expiring = append(l.expiring, answeredProbe{index, now + leaderQueueTimeout})
+	l.expiring = append(l.expiring, answeredProbe{index, now + wire.MaxCommandWait})
 }
 
 // expire notes that the changes sent before answered probes wait at the leader no longer.
--- a/core/leaderclient/urgent_test.go
+++ b/core/leaderclient/urgent_test.go
@@ -6,6 +6,7 @@
 
 	"sorrelloom/core/machine"
 	"sorrelloom/core/state"
+	"sorrelloom/core/wire"
 )
 
 // TestAnsweredConfigurationIsNoEvidenceOfLostJobs has the leader answer an operator's command
@@ -66,7 +67,7 @@
 			h.reply(at, "k0", "prove", success)
 		}
 	}
-	if resentAt < leaderQueueTimeout || resentAt > 2*maxProbeInterval {
+	if resentAt < wire.MaxCommandWait || resentAt > 2*maxProbeInterval {
 		t.Errorf("the command was sent again at %s", resentAt)
 	}
 }
--- a/core/wire/requests.go
+++ b/core/wire/requests.go
@@ -9,6 +9,10 @@
 	"sorrelloom/core/state"
 )
 
+// MaxCommandWait is how long a command waits for the process that it was sent to before it is
+// dropped unread. Its sender counts on that when it judges whether a command is lost.
+const MaxCommandWait = 400 * time.Millisecond
+
 // CommandRequest asks the primary to run a command.
 type CommandRequest struct {
 	ID       uint64 `json:"id"`
--- a/daemon/transport/receive_queue_test.go
+++ b/daemon/transport/receive_queue_test.go
@@ -116,7 +116,7 @@
 	q.Enqueue(newMessage(wire.KindSubscribe, "front", "", "kept"))
 	q.Enqueue(newMessage(wire.KindReplicate, "replica", "", "kept"))
 	q.Enqueue(newMessage(wire.KindCommandReply, "replica", "", "kept"))
-	clock.at = requestMaxAge + 1
+	clock.at = wire.MaxCommandWait + 1
 	q.Enqueue(newMessage(wire.KindCommand, "gateway", "", "new"))
 	q.Enqueue(newMessage(wire.KindHeartbeat, "agent", "w", "new"))
 	equal(t, drain(q), []string{"replicate kept", "command-back kept", "beat new", "follow kept", "command new"})
@@ -128,7 +128,7 @@
 		t.Errorf("the longest wait is %s", counts.LongestWait)
 	}
 	q.Enqueue(newMessage(wire.KindCommand, "gateway", "", "in time"))
-	clock.at += requestMaxAge
+	clock.at += wire.MaxCommandWait
 	equal(t, drain(q), []string{"command in time"})
 }
 
@@ -136,7 +136,7 @@
 // agent sends no other one for over a second once it has waited for a reply for a while.
 func TestHeartbeatWaitsAsLongAsItsReplyIsAwaited(t *testing.T) {
 	q, clock, counters := newTestQueue()
-	for _, wait := range []time.Duration{2 * requestMaxAge, heartbeatMaxAge} {
+	for _, wait := range []time.Duration{2 * wire.MaxCommandWait, heartbeatMaxAge} {
 		q.Enqueue(newMessage(wire.KindHeartbeat, "agent", "w", "in time"))
 		q.Enqueue(newMessage(wire.KindCommand, "gateway", "", "late"))
 		clock.at += wait
@@ -160,8 +160,8 @@
 	for i := range 8 {
 		q.Enqueue(newMessage(wire.KindHeartbeat, "agent", fmt.Sprint("w", i), fmt.Sprint(i)))
 	}
-	clock.at = requestMaxAge
-	if item, _ := q.Dequeue(0); item.Message.Kind != wire.KindHeartbeat || item.Waited != requestMaxAge {
+	clock.at = wire.MaxCommandWait
+	if item, _ := q.Dequeue(0); item.Message.Kind != wire.KindHeartbeat || item.Waited != wire.MaxCommandWait {
 		t.Errorf("first comes a %s that waited %s", item.Message.Kind, item.Waited)
 	}
 	equal(t, drain(q), []string{
--- a/daemon/transport/send_queue_test.go
+++ b/daemon/transport/send_queue_test.go
@@ -31,7 +31,7 @@
 	c := newConnection("peer", clock.now, counters, make(chan struct{}))
 	c.queue.push(newMessage(wire.KindCommand, "me", "", ""), []byte("old command"))
 	c.queue.push(newMessage(wire.KindReplicate, "me", "", ""), []byte("heartbeat in time"))
-	clock.at = requestMaxAge + 1
+	clock.at = wire.MaxCommandWait + 1
 	c.queue.push(newMessage(wire.KindCommand, "me", "", ""), []byte("new command"))
 	var sent []string
 	for _, frame := range c.queue.nextBatch() {
--- a/daemon/transport/traffic_class.go
+++ b/daemon/transport/traffic_class.go
@@ -46,9 +46,6 @@
 )
 
 const (
-	// requestMaxAge is how long commands may wait. Their senders repeat them after about
-	// this time.
-	requestMaxAge = 400 * time.Millisecond
 	// heartbeatMaxAge is how long worker heartbeats may wait. An agent that has waited for a
 	// reply for a while sends no other one until 1.1 s have passed.
 	heartbeatMaxAge = time.Second
@@ -76,13 +73,15 @@
 	logClass     = TrafficClass{Channel: ChannelLog, Priority: PriorityCluster, MaxSendWait: clusterMaxAge}
 	replyClass   = TrafficClass{Channel: ChannelBulk, Priority: PriorityReply, MaxSendWait: defaultMaxAge}
 	requestClass = TrafficClass{
-		Channel: ChannelBulk, Priority: PriorityRequest, MaxReceiveWait: requestMaxAge, MaxSendWait: requestMaxAge,
+		Channel: ChannelBulk, Priority: PriorityRequest,
+		MaxReceiveWait: wire.MaxCommandWait, MaxSendWait: wire.MaxCommandWait,
 	}
 	urgentClass = TrafficClass{
 		Channel: ChannelBulk, Priority: PriorityUrgent, MaxReceiveWait: urgentMaxAge, MaxSendWait: urgentMaxAge,
 	}
 	questionClass = TrafficClass{
-		Channel: ChannelBulk, Priority: PriorityQuestion, MaxReceiveWait: requestMaxAge, MaxSendWait: requestMaxAge,
+		Channel: ChannelBulk, Priority: PriorityQuestion,
+		MaxReceiveWait: wire.MaxCommandWait, MaxSendWait: wire.MaxCommandWait,
 	}
 	heartbeatClass = TrafficClass{
 		Channel: ChannelBulk, Priority: PriorityReport, MaxReceiveWait: heartbeatMaxAge, MaxSendWait: heartbeatMaxAge,
--- a/daemon/transport/transport.go
+++ b/daemon/transport/transport.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"sorrelloom/core/machine"
+	"sorrelloom/core/wire"
 	"sorrelloom/daemon/logging"
 	"sorrelloom/daemon/pool"
 )
@@ -28,7 +29,7 @@
 	// frameLogInterval is how often dropped and delayed frames are logged, and longWait the
 	// wait of a frame from which on it is.
 	frameLogInterval = 10 * time.Second
-	longWait         = requestMaxAge / 2
+	longWait         = wire.MaxCommandWait / 2
 )
 
 // Transport holds all connections of one process. Its methods are safe for concurrent use.
