--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"syscall"
 	"time"
 )
 
@@ -9,8 +10,8 @@
 
 func sameKind(int) string { return "a" }
 
-// playLateBeats kills the agent beside a worker, and has two of the worker's beats, sent some
-// seconds before, arrive after its restart.
+// playLateBeats stops and starts the agent beside a worker, as in a roll-out, and has two of the
+// worker's beats, sent some seconds before, arrive after that.
 func playLateBeats(p *play) {
 	p.begin(11, workerRoom, sameKind, nil)
 	stop := make(chan struct{})
@@ -52,8 +53,8 @@
 		})
 		time.Sleep(300 * time.Millisecond)
 	}
-	if p.does("kill") {
-		p.fleet.killAndRestart(p.fleet.find("agent", w.machine.name))
+	if p.does("restart") {
+		p.fleet.restart(p.fleet.find("agent", w.machine.name))
 		time.Sleep(200 * time.Millisecond)
 	}
 	if p.does("late") {
@@ -155,7 +156,7 @@
 		p.mu.Unlock()
 		for _, w := range p.workers {
 			if w.id == lost && p.does("loss") {
-				p.fleet.kill(p.fleet.find("agent", w.machine.name))
+				p.fleet.end(p.fleet.find("agent", w.machine.name), syscall.SIGKILL)
 				w.crash()
 			}
 		}
