--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/standin"
 mkdir -p ../bin
-GOWORK=off GOFLAGS= GOPROXY=off go build -o ../bin/standin .
+GOWORK=off GOFLAGS= GOPROXY=off go build -buildvcs=false -o ../bin/standin .
