--- a/tool/sim/agent_worker.go
+++ b/tool/sim/agent_worker.go
@@ -175,7 +175,8 @@
 // report is what the worker says in a call.
 func (w *simAgentWorker) report() agent.Call {
 	report := agent.Call{
-		Worker: w.name(), Number: w.callNumber, SentAt: w.localTime(w.scenario.world.Now), Address: w.machine.address, Service: w.machine.service,
+		Worker: w.name(), Number: w.callNumber, SentAt: w.localTime(w.scenario.world.Now),
+		Address: w.machine.address, Service: w.machine.service,
 		Zone: w.machine.zone, Rack: w.machine.rack, Labels: w.machine.labels,
 		Free:    w.machine.capacity.Add(w.machine.overstated),
 		Leaving: w.leavesAt > 0 && !w.concealsLeaving,
