A job keeps the class it was accepted in when the configuration leaves that out

Cause: the policy for lost workers was looked up in the configuration in force by the job's class, which is named after the route. A class that is gone gave the empty policy, which means hold until somebody vouches for the worker. Its share, priority, quickness and run limit were lost in the same way.

Change: the state keeps a class that a configuration leaves out while jobs of it have not ended (formerClasses in the metadata), as it does with the limits of tenants; Store.Class is the one lookup. New jobs, and who may see a job, go by the configuration in force alone.

--- a/core/config/config.go
+++ b/core/config/config.go
@@ -140,11 +140,3 @@
 	}
 	return best, found
 }
-
-// RunLimit returns how long an attempt of a class may run unless its task says so.
-func (c Config) RunLimit(service, class string) time.Duration {
-	if limit := c.Services[service].Classes[class].RunLimit.Duration; limit > 0 {
-		return limit
-	}
-	return c.Limits.RunLimit.Duration
-}
--- a/core/goldentest/fill.go
+++ b/core/goldentest/fill.go
@@ -41,6 +41,7 @@
 	"urgent":             "a command on its way to the primary",
 	"question":           "a command on its way to the primary",
 	"formerLimits":       "the metadata of the state",
+	"formerClasses":      "the metadata of the state",
 }
 
 // filler gives values that depend on nothing but the path of encoded names, so that
--- a/core/state/added_fields_test.go
+++ b/core/state/added_fields_test.go
@@ -40,6 +40,11 @@
 			"metadata", metadata{FormerLimits: map[string]Resources{"t": {Slots: 1}}},
 			`{"position":{"epoch":0,"sequence":0},"at":0,"next":0,"formerLimits":{"t":{"slots":1}}}`,
 		},
+		{
+			"metadata with a former class",
+			metadata{FormerClasses: map[string]map[string]config.Class{"s": {"c": {Share: 3}}}},
+			`{"position":{"epoch":0,"sequence":0},"at":0,"next":0,"formerClasses":{"s":{"c":{"priority":0,"share":3}}}}`,
+		},
 		{
 			"metadata without", metadata{FormerLimits: map[string]Resources{}},
 			`{"position":{"epoch":0,"sequence":0},"at":0,"next":0}`,
--- a/core/state/configuration.go
+++ b/core/state/configuration.go
@@ -43,6 +43,7 @@
 	}
 	placementChanges := !samePlacement(s.config, next)
 	s.keepFormerLimits(next)
+	s.keepFormerClasses(next)
 	s.setConfig(next)
 	clear(s.serviceLoads)
 	s.audit.record(Decision{Kind: decisionChangeConfig, ConfigVersion: next.Version, Digest: digest(next)})
--- a/core/state/lease.go
+++ b/core/state/lease.go
@@ -87,15 +87,6 @@
 	return refs
 }
 
-// runLimit is how long an attempt of a task may run: its own limit, or its class's.
-func (s *Store) runLimit(ref taskRef) time.Duration {
-	spec := s.jobs[ref.job].Spec
-	if limit := spec.Tasks[ref.index].RunLimit.Duration; limit > 0 {
-		return limit
-	}
-	return s.config.RunLimit(spec.Service, spec.Class)
-}
-
 // returnLease takes a lease back without a failure, but for one that was stopped at
 // its run limit. The loss of its worker is counted if lost says so.
 func (s *Store) returnLease(ref taskRef, lost bool, reason string) {
@@ -178,7 +169,7 @@
 func (s *Store) heldForLostWorker(job *Job, i int) bool {
 	task, policy := job.Tasks[i], job.Spec.Tasks[i].LostWorkerPolicy
 	if policy == "" {
-		policy = s.config.Services[job.Spec.Service].Classes[job.Spec.Class].LostWorkerPolicy
+		policy = s.classOf(&job.Spec).LostWorkerPolicy
 	}
 	return task.Lease.Held() && !task.Terminal() && policy != config.RestartOnLostWorker &&
 		task.Lease.OrphanUntil == 0 && !s.workerRecord(task.Lease.Worker).ConfirmedDead
--- a/core/state/preempt.go
+++ b/core/state/preempt.go
@@ -34,13 +34,11 @@
 		return false
 	}
 	return lease.Borrowed ||
-		!s.isQuick(s.jobs[assignment.Job].Spec) && s.quickTaskWaits(preemptFor, assignment.Worker)
+		!s.isQuick(&s.jobs[assignment.Job].Spec) && s.quickTaskWaits(preemptFor, assignment.Worker)
 }
 
 // isQuick says whether the tasks of a job may preempt those of other classes.
-func (s *Store) isQuick(spec JobSpec) bool {
-	return s.config.Services[spec.Service].Classes[spec.Class].Quick
-}
+func (s *Store) isQuick(spec *JobSpec) bool { return s.classOf(spec).Quick }
 
 // quickTaskWaits says whether a quick task waits, within its class's share, that could
 // run on a worker.
@@ -50,7 +48,7 @@
 		return false
 	}
 	job := s.jobs[wanted.Job]
-	if !s.isQuick(job.Spec) {
+	if !s.isQuick(&job.Spec) {
 		return false
 	}
 	usedSlots, shareSlots := s.ClassUse(job.Spec.Service, job.Spec.Class)
--- a/core/state/share.go
+++ b/core/state/share.go
@@ -4,7 +4,7 @@
 
 // shareSlots is the share of a class, in slots, rounded up.
 func (s *Store) shareSlots(service, class string, totalSlots int) int {
-	return slotsOfShare(s.config.Services[service].Classes[class].Share, totalSlots)
+	return slotsOfShare(s.Class(service, class).Share, totalSlots)
 }
 
 // slotsOfShare is a share in percent of so many slots, rounded up.
--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -56,6 +56,8 @@
 	ZoneOrders map[string]uint64 `json:"orders,omitempty"`
 	// FormerLimits are the limits of tenants that the configuration has left out.
 	FormerLimits map[string]Resources `json:"formerLimits,omitempty"`
+	// FormerClasses are the classes that the configuration has left out, by service and name.
+	FormerClasses map[string]map[string]config.Class `json:"formerClasses,omitempty"`
 }
 
 // Snapshot takes the state between two commands.
@@ -69,6 +71,7 @@
 			LastDecisionIndex: s.audit.lastIndex,
 			ZoneOrders:        maps.Clone(s.zoneOrders),
 			FormerLimits:      maps.Clone(s.formerLimits),
+			FormerClasses:     s.formerClasses,
 		},
 		config:       s.config,
 		jobs:         maps.Clone(s.jobs),
@@ -87,6 +90,7 @@
 	s.forgottenUntil, s.audit.lastIndex = m.ForgottenUntil, m.LastDecisionIndex
 	maps.Copy(s.zoneOrders, m.ZoneOrders)
 	maps.Copy(s.formerLimits, m.FormerLimits)
+	s.formerClasses = m.FormerClasses
 }
 
 // Records is the whole state, encoded.
--- a/core/state/store.go
+++ b/core/state/store.go
@@ -50,9 +50,12 @@
 	// formerLimits are the limits of tenants that a configuration has left out while jobs
 	// of theirs had not ended.
 	formerLimits map[string]Resources
-	jobs         map[string]*Job
-	workers      map[string]*Worker
-	drainedZones map[string]bool
+	// formerClasses are the classes, by service and name, that a configuration has left out
+	// while jobs of theirs had not ended.
+	formerClasses map[string]map[string]config.Class
+	jobs          map[string]*Job
+	workers       map[string]*Worker
+	drainedZones  map[string]bool
 	// zoneOrders gives the log index of the last order to drain or refill each zone.
 	zoneOrders  map[string]uint64
 	leaderships map[string]Leadership
@@ -118,11 +121,6 @@
 // Config is the configuration in force.
 func (s *Store) Config() config.Config { return s.config }
 
-// Class is the configuration in force of a class, the zero value if there is none.
-func (s *Store) Class(service, class string) config.Class {
-	return s.config.Services[service].Classes[class]
-}
-
 // setConfig puts a configuration in force, with what is derived from it.
 func (s *Store) setConfig(c config.Config) {
 	s.config, s.policies, s.tenantsByKey = c, c.Compile(), c.TenantsByKey()
--- a/tool/scale/worker.go
+++ b/tool/scale/worker.go
@@ -65,7 +65,8 @@
 func (w *hollowWorker) report() agent.Call {
 	report := agent.Call{
 		Worker: w.name, Number: w.callNumber, SentAt: time.Since(w.bootedAt), Address: w.address,
-		Service: serviceName, Zone: w.zone, Rack: w.rack, Labels: []string{"a", w.rack}, Free: workerCapacity, Ended: w.unackedEnds,
+		Service: serviceName, Zone: w.zone, Rack: w.rack, Labels: []string{"a", w.rack},
+		Free: workerCapacity, Ended: w.unackedEnds,
 	}
 	for attempt := range w.running {
 		report.Running = append(report.Running, agent.Run{Attempt: attempt})
