The waiting count of a route has the jobs it took under another name

Cause: jobs were counted by the class that the route leads to now. Change: a job whose class is not configured any more counts for the route that its host and path lead to now. TestWaitingCountFollowsRenamedRoute fails without the change (0 jobs, not 2).

--- a/core/state/demand.go
+++ b/core/state/demand.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 
+	"sorrelloom/core/config"
 	"sorrelloom/core/status"
 )
 
@@ -58,19 +59,28 @@
 	return unmet
 }
 
-// waitingJobs counts the accepted jobs of a class of which no task has begun yet.
-func (s *Store) waitingJobs(service, class string) int {
+// waitingJobs counts the accepted jobs of a route of which no task has begun yet.
+func (s *Store) waitingJobs(route config.Route) int {
 	count := 0
 	for id := range s.activeJobs {
 		job := s.jobs[id]
-		isOfClass := job.Spec.Service == service && job.Spec.Class == class
-		if isOfClass && job.EndingState == "" && !anyHasBegun(job.Tasks) {
+		if job.EndingState == "" && s.isOfRoute(&job.Spec, route) && !anyHasBegun(job.Tasks) {
 			count++
 		}
 	}
 	return count
 }
 
+// isOfRoute says whether a job is of the class that a route leads to or, if its own is not
+// configured any more, was accepted where the route is now.
+func (s *Store) isOfRoute(spec *JobSpec, route config.Route) bool {
+	if _, configured := s.config.Services[spec.Service].Classes[spec.Class]; configured || spec.Host == "" {
+		return spec.Service == route.Service && spec.Class == route.Class
+	}
+	now, found := s.config.FindRoute(spec.Host, spec.Path)
+	return found && now == route
+}
+
 // anyHasBegun says whether a worker has ever begun one of the tasks.
 func anyHasBegun(tasks []*Task) bool {
 	for i := range tasks {
--- a/core/state/read.go
+++ b/core/state/read.go
@@ -25,7 +25,7 @@
 		return s.jobResult(cmd, status.OK, *job)
 	case KindReadWaitingCount:
 		route, _ := s.config.FindRoute(cmd.Host, cmd.Path)
-		return Result{Code: status.OK, WaitingCount: s.waitingJobs(route.Service, route.Class)}
+		return Result{Code: status.OK, WaitingCount: s.waitingJobs(route)}
 	case KindReadConfig:
 		if s.config.Version == 0 {
 			return Result{Code: status.OK}
--- a/core/state/waiting_jobs_test.go
+++ b/core/state/waiting_jobs_test.go
@@ -37,3 +37,24 @@
 	f.Apply(cancelJob("two"))
 	expect("cancelled", 0)
 }
+
+// TestWaitingCountFollowsRenamedRoute counts the jobs that a renamed route has accepted under
+// its former name.
+func TestWaitingCountFollowsRenamedRoute(t *testing.T) {
+	f := statetest.New(t)
+	f.MustApply(patchConfig(1, `{"entries":[{"name":"r","host":"h","prefix":"/q/","service":"tickets","class":"quick"}]}`))
+	for _, id := range []string{"one", "two"} {
+		spec := statetest.JobSpec(id, "", "a")
+		spec.Service, spec.Host, spec.Path = "", "h", "/q/"+id
+		f.MustApply(state.Command{Kind: state.KindAcceptJob, Job: spec})
+	}
+	f.MustApply(patchConfig(2, `{"services":{"tickets":{"classes":{"quick":null,"new":{"priority":1,"share":50}}}},`+
+		`"entries":[{"name":"r2","host":"h","prefix":"/q/","service":"tickets","class":"new"},`+
+		`{"name":"b","host":"h","prefix":"/b/","service":"tickets","class":"batch"}]}`))
+	for path, want := range map[string]int{"/q/": 2, "/b/": 0} {
+		read := state.Command{Kind: state.KindReadWaitingCount, Host: "h", Path: path}
+		if got := f.Store.Read(read).WaitingCount; got != want {
+			t.Errorf("%d jobs wait at %s, not %d", got, path, want)
+		}
+	}
+}
