Work that only an avoided worker could take waits for it for 2 s at most

Cause: each failure doubles a worker's pause, up to 30 s, and no task was asked whether another worker could take it. Related paths: a worker that fails is tried again only when it is empty, so beside a lasting task never; a slow one gets nothing beyond a part of its slots, which a lasting task may fill; a task does not go back to a worker where it failed as long as another one could run it when empty, though what lasts fills that.

Change: while under half of a service is in use, a task that has waited for 2 s may go to any worker with room, unless that has failed another in these 2 s; a lasting task always may. As long as other workers have room, nothing waits for 2 s.

--- a/core/dispatch/best_in_queue.go
+++ b/core/dispatch/best_in_queue.go
@@ -58,7 +58,8 @@
 	for _, group := range queue.groups {
 		isGang := group.key.isGang()
 		if gangsOnly && !isGang || pull.round.QuickOnly && !group.key.quick ||
-			isGang && d.gangsTriedUntil(pull, group) > 0 {
+			isGang && d.gangsTriedUntil(pull, group) > 0 ||
+			pull.avoided && !group.key.lasting && !d.underHalfUsed(pull.store, group.key.service) {
 			continue
 		}
 		if admitted, ownerTakes := d.admit(pull, group, &owner); admitted {
@@ -133,7 +134,7 @@
 		if !ok || pull.inFlight.Tasks[task.ref] || pull.skipped[task.ref] {
 			continue
 		}
-		if kept && !d.waitedInVain(pull.store, job, task.ref.Index) {
+		if (kept || pull.avoided) && !d.waitedInVain(pull.store, job, task.ref.Index) {
 			continue
 		}
 		if ownerTakes && pull.store.Now()-job.Tasks[task.ref.Index].ReadyAt < d.stealDelay() {
@@ -172,7 +173,7 @@
 	}
 	return d.waitsForRack(pull.store, job, task, pull.worker) ||
 		d.waitsForProof(pull.store, job, task.ref, pull.id) ||
-		d.failedOnWorker(pull.store, job, i, pull.worker)
+		d.failedOnWorker(pull.store, job, i, pull.worker) && !d.waitedInVain(pull.store, job, i)
 }
 
 // keptForGang reports whether a task of a number waits for an older gang, and so do all
--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -79,6 +79,7 @@
 	failureRate         float64
 	consecutiveFailures int
 	pausedUntil         time.Duration
+	lastFailureAt       time.Duration
 	// slowdown is a moving average of run times relative to the typical one; 0 is unknown.
 	slowdown float64
 }
@@ -124,6 +125,7 @@
 		pause := initialPause << min(health.consecutiveFailures, maxPauseDoubling)
 		health.pausedUntil = store.Now() + min(maxPause, pause)
 		health.consecutiveFailures++
+		health.lastFailureAt = store.Now()
 	default:
 		return
 	}
@@ -199,6 +201,12 @@
 	return usedSlots < max(1, int(float64(worker.Capacity.Slots)/health.slowdown))
 }
 
+// failedWithin reports whether an attempt has failed on a worker in the time until now.
+func (t *healthTracker) failedWithin(id string, now, within time.Duration) bool {
+	health := t.workers[id]
+	return health.consecutiveFailures > 0 && now < health.lastFailureAt+within
+}
+
 // failedOnWorker reports whether a task has failed on this worker and could run on
 // another where it has not.
 func (d *Dispatcher) failedOnWorker(store *state.Store, job *state.Job, i int, worker *state.Worker) bool {
--- a/core/dispatch/pull.go
+++ b/core/dispatch/pull.go
@@ -49,12 +49,16 @@
 	free     state.Resources
 	inFlight InFlight
 	round    PullRound
+	// avoided says that the worker's health forbids it to pull: it takes only what has waited
+	// in vain for another one.
+	avoided bool
 	// skipped are the gangs for which this pull found no resources.
 	skipped map[TaskRef]bool
 }
 
 // Pull proposes the next task for a worker in one round, for a gang with those of all
-// its members; nothing for a worker without a free slot or whose health forbids it.
+// its members; nothing for a worker without a free slot. One whose health forbids it to pull
+// gets what has waited in vain, unless it has failed a moment ago.
 func (d *Dispatcher) Pull(store *state.Store, worker string, inFlight InFlight, round PullRound) (Proposal, bool) {
 	w, ok := store.Worker(worker)
 	if !ok {
@@ -62,13 +66,17 @@
 	}
 	proposed := inFlight.Resources[worker]
 	free := store.FreeResources(worker).Sub(proposed)
-	if free.Slots < 1 || !d.queues.currentFloor().mayFit(&free, round.QuickOnly) ||
-		!d.health.mayPull(store, w, proposed.Slots) {
+	if free.Slots < 1 || !d.queues.currentFloor().mayFit(&free, round.QuickOnly) {
+		return Proposal{}, false
+	}
+	avoided := !d.health.mayPull(store, w, proposed.Slots)
+	if avoided && d.health.failedWithin(worker, store.Now(), maxIdleHold) {
 		return Proposal{}, false
 	}
 	d.pullCount++
 	pull := pullRequest{
 		number: d.pullCount, store: store, id: worker, worker: w, free: free, inFlight: inFlight, round: round,
+		avoided: avoided,
 	}
 	for {
 		best := d.bestForPull(&pull)
