Pulls of avoided workers look at nothing while nothing can have waited in vain

A worker whose health forbids it to pull returned at once before; since it may take what has waited in vain it looked through all queues, also while over half of the service is in use, when only a lasting task can have. The queues count these now.

--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -103,6 +103,11 @@
 		(job.Spec.Tasks[i].LongRunning || d.underHalfUsed(store, job.Spec.Service))
 }
 
+// mayWaitInVain reports whether some task of a service may have waited in vain.
+func (d *Dispatcher) mayWaitInVain(store *state.Store, service string) bool {
+	return d.queues.lastingCount > 0 || d.underHalfUsed(store, service)
+}
+
 // noteArrival takes note of a job of which a task is queued.
 func (d *Dispatcher) noteArrival(job *state.Job) {
 	d.serviceArrivals.note(job.Spec.Service, job.AcceptedAt)
--- a/core/dispatch/pull.go
+++ b/core/dispatch/pull.go
@@ -70,7 +70,7 @@
 		return Proposal{}, false
 	}
 	avoided := !d.health.mayPull(store, w, proposed.Slots)
-	if avoided && d.health.failedWithin(worker, store.Now(), maxIdleHold) {
+	if avoided && (d.health.failedWithin(worker, store.Now(), maxIdleHold) || !d.mayWaitInVain(store, w.Service)) {
 		return Proposal{}, false
 	}
 	d.pullCount++
--- a/core/dispatch/queues.go
+++ b/core/dispatch/queues.go
@@ -87,6 +87,8 @@
 	waiting waitingGroups
 	// floor is a lower bound of what the queued tasks need.
 	floor needFloor
+	// lastingCount is how many of the queued tasks run until their job is cancelled.
+	lastingCount int
 }
 
 // queuePosition is where a task is queued.
@@ -111,6 +113,7 @@
 	q.nonEmpty, q.withGangs = nil, nil
 	q.waiting = newWaitingGroups()
 	q.floor = needFloor{}
+	q.lastingCount = 0
 }
 
 // of returns the queue of a worker.
@@ -154,6 +157,9 @@
 	queue.version++
 	queue.length++
 	queue.slots += key.resources.Slots
+	if key.lasting {
+		q.lastingCount++
+	}
 	if queue.length == 1 {
 		q.nonEmpty.add(queue)
 	}
@@ -185,6 +191,9 @@
 		q.floor.stale = true
 	}
 	queue.slots -= group.key.resources.Slots
+	if group.key.lasting {
+		q.lastingCount--
+	}
 	if queue.length--; queue.length == 0 {
 		q.nonEmpty.remove(queue)
 	}
