Younger work of a gang's class waits everywhere until the class's share would do for the gang

A gang that waits for the share of its class got no nearer to it, since younger tasks of the class used the share up on the other workers. Change: until the share would do, younger tasks of the class are held back on every worker, bounded by the same window. Where borrowing is always allowed, as on the platform, nothing changes.

--- a/core/dispatch/reservation.go
+++ b/core/dispatch/reservation.go
@@ -150,14 +150,12 @@
 	if !ok || !reserved.holds || number <= reserved.number || key.quick || key.isGang() {
 		return false
 	}
-	room, reservedHere := reserved.room[pull.id]
-	if !reservedHere || pull.free.Sub(key.resources).Covers(room) {
-		return false
-	}
-	if key.class == reserved.job.Spec.Class {
-		return true
-	}
+	class := reserved.job.Spec.Class
 	slots := gangSlots(reserved.job, reserved.task)
-	allowed, _ := pull.store.CheckShare(state.ClassKey{Service: key.service, Class: reserved.job.Spec.Class}, slots, nil)
-	return allowed
+	if allowed, _ := pull.store.CheckShare(state.ClassKey{Service: key.service, Class: class}, slots, nil); !allowed {
+		// The gang waits for its class's share, of which younger tasks of the class would take more.
+		return key.class == class
+	}
+	room, reservedHere := reserved.room[pull.id]
+	return reservedHere && !pull.free.Sub(key.resources).Covers(room)
 }
