Two gangs that hold back the same work by turns leave it a moment in which neither does

Callers saw: one tenant's gang waited at its limit, another tenant's for workers, both behind tasks of 90 s.

Cause: the hold of a gang is bounded by a window, of the service or of the tenant. Each window has its pauses, and nothing made those of the two share a moment, so a task of the tenant was always held by one of them.

Change: where both gangs wait, the work of that tenant in that service has a window of its own.

--- a/core/dispatch/best_in_queue.go
+++ b/core/dispatch/best_in_queue.go
@@ -179,5 +179,8 @@
 // keptForGang reports whether a task of a number waits for an older gang, and so do all
 // younger ones of its group.
 func (d *Dispatcher) keptForGang(pull *pullRequest, key *groupKey, number uint64) bool {
+	if key.quick || d.options.WithoutReservation || d.releasedFromGangs(pull.store, key) {
+		return false
+	}
 	return d.keptForTenantsGang(pull.store, key, number) || d.reservedForGang(pull, key, number)
 }
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -75,9 +75,10 @@
 	rebuild        rebuildProgress
 
 	reservations reservationCache
-	// serviceWindows and tenantWindows bound how long gangs hold younger work back, and
-	// serviceArrivals and tenantArrivals say whether such work keeps coming.
+	// serviceWindows, tenantWindows and overlapWindows bound how long gangs hold younger work
+	// back, and serviceArrivals and tenantArrivals say whether such work keeps coming.
 	serviceWindows, tenantWindows   map[string]*holdWindow
+	overlapWindows                  map[heldWork]*overlapWindow
 	serviceArrivals, tenantArrivals arrivals
 	// usages are those of the services, as far as they were asked for.
 	usages map[string]serviceUsage
@@ -120,6 +121,7 @@
 		runTimes:       runTimes{},
 		queues:         newWorkerQueues(),
 		serviceWindows: map[string]*holdWindow{}, tenantWindows: map[string]*holdWindow{},
+		overlapWindows:  map[heldWork]*overlapWindow{},
 		serviceArrivals: arrivals{}, tenantArrivals: arrivals{},
 		usages: map[string]serviceUsage{},
 	}
--- a/core/dispatch/reservation.go
+++ b/core/dispatch/reservation.go
@@ -32,8 +32,9 @@
 	task   int
 	// room is what it keeps free of each worker.
 	room map[string]state.Resources
-	// holds says that it holds younger work back now.
-	holds bool
+	// holds says that it holds younger work back now, under these conditions.
+	holds      bool
+	conditions holdConditions
 }
 
 // reservationCache holds the reservations of all services, and the oldest gang of each
@@ -42,6 +43,8 @@
 	computedAt time.Duration
 	byService  map[string]reservation
 	byTenant   map[string]waitingGang
+	// released is the work that no gang holds back now, though two of them would by turns.
+	released map[heldWork]bool
 	// lasting is what tenants run that lasts until a job is cancelled; nil is unknown.
 	lasting *quota.Usage
 	// groups and room are memory that is used again.
@@ -65,6 +68,7 @@
 	}
 	if cache.byService == nil {
 		cache.byService, cache.byTenant = map[string]reservation{}, map[string]waitingGang{}
+		cache.released = map[heldWork]bool{}
 	}
 	cache.computedAt, cache.lasting = store.Now(), nil
 	clear(cache.byService)
@@ -85,16 +89,18 @@
 	cache.groups = groups
 	d.boundServiceHolds(store)
 	d.boundTenantHolds(store)
+	d.boundOverlaps(store)
 }
 
 // boundServiceHolds decides which reservations hold younger work back now.
 func (d *Dispatcher) boundServiceHolds(store *state.Store) {
 	forgetWindows(d.serviceWindows, d.reservations.byService)
 	for service, found := range d.reservations.byService {
-		found.holds = windowOf(d.serviceWindows, service).holds(store.Now(), holdConditions{
+		found.conditions = holdConditions{
 			idle:      d.underHalfUsed(store, service),
 			streaming: d.serviceArrivals.keepComing(store.Now(), service),
-		})
+		}
+		found.holds = windowOf(d.serviceWindows, service).holds(store.Now(), found.conditions)
 		d.reservations.byService[service] = found
 	}
 }
@@ -143,11 +149,8 @@
 // reservedForGang reports whether a gang's reservation keeps a worker from the task with this
 // key and number.
 func (d *Dispatcher) reservedForGang(pull *pullRequest, key *groupKey, number uint64) bool {
-	if d.options.WithoutReservation {
-		return false
-	}
 	reserved, ok := d.reservation(pull.store, key.service)
-	if !ok || !reserved.holds || number <= reserved.number || key.quick || key.isGang() {
+	if !ok || !reserved.holds || number <= reserved.number || key.isGang() {
 		return false
 	}
 	class := reserved.job.Spec.Class
--- a/core/dispatch/tenant_limit.go
+++ b/core/dispatch/tenant_limit.go
@@ -29,8 +29,9 @@
 	number uint64
 	// readyAt is since when it waits.
 	readyAt time.Duration
-	// holds says that it holds younger tasks of its tenant back now.
-	holds bool
+	// holds says that it holds younger tasks of its tenant back now, under these conditions.
+	holds      bool
+	conditions holdConditions
 }
 
 // tenantAllows reports whether a tenant may have so much more running, with what is under
@@ -61,7 +62,7 @@
 
 // keptForTenantsGang reports whether a task waits for an older gang of its tenant.
 func (d *Dispatcher) keptForTenantsGang(store *state.Store, key *groupKey, number uint64) bool {
-	if key.tenant == "" || d.options.WithoutReservation || key.quick {
+	if key.tenant == "" {
 		return false
 	}
 	d.refreshReservations(store)
@@ -75,13 +76,12 @@
 	forgetWindows(d.tenantWindows, d.reservations.byTenant)
 	for tenant, gang := range d.reservations.byTenant {
 		belowHalf := quota.BelowHalf(store.TenantLimit(tenant), store.TenantUsage(tenant))
-		if belowHalf && store.Now()-gang.readyAt < tenantGangPatience {
-			continue
-		}
-		gang.holds = windowOf(d.tenantWindows, tenant).holds(store.Now(), holdConditions{
+		gang.conditions = holdConditions{
 			idle:      belowHalf,
 			streaming: d.tenantArrivals.keepComing(store.Now(), tenant),
-		})
+		}
+		gang.holds = (!belowHalf || store.Now()-gang.readyAt >= tenantGangPatience) &&
+			windowOf(d.tenantWindows, tenant).holds(store.Now(), gang.conditions)
 		d.reservations.byTenant[tenant] = gang
 	}
 }
