The window of two gangs' holds outlasts a moment in which one of them does not wait

TestOverlapWindow plays the window by itself: holds by turns without a pause, with a short one, while more work comes, and with a pause that is long enough, in which nothing is released.

--- a/core/dispatch/overlap_test.go
+++ b/core/dispatch/overlap_test.go
@@ -99,3 +99,44 @@
 		})
 	}
 }
+
+// TestOverlapWindow has two gangs hold work back by turns, with some time between their holds, and
+// wants the work to be released where that time is short, within the bound of the holds.
+func TestOverlapWindow(t *testing.T) {
+	const step = 10 * time.Millisecond
+	for _, row := range []struct {
+		name string
+		// between is the time between two holds, which last for a second each.
+		between    time.Duration
+		conditions holdConditions
+		bound      time.Duration // 0: nothing is released
+	}{
+		{"one follows on the other", 0, holdConditions{idle: true}, maxIdleHold},
+		{"a short time between", minSharedPause - step, holdConditions{idle: true}, maxIdleHold + minSharedPause},
+		{
+			"and more comes", minSharedPause - step, holdConditions{idle: true, streaming: true},
+			maxStreamHold + minSharedPause,
+		},
+		{"a pause between", minSharedPause + step, holdConditions{idle: true}, 0},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			window, heldSince, released := &overlapWindow{}, time.Duration(0), 0
+			for now := time.Duration(0); now < 2*maxBusyHold; now += step {
+				held := now%(time.Second+row.between) < time.Second
+				switch {
+				case window.releases(now, held, row.conditions):
+					heldSince = now
+					released++
+				case window.isOver(now):
+					window, heldSince = &overlapWindow{}, now
+				}
+				if wait := now - heldSince; row.bound > 0 && wait > row.bound {
+					t.Fatalf("at %s the work was held back for %s", now, wait)
+				}
+			}
+			if row.bound == 0 && released > 0 {
+				t.Error("it was released though the holds have a pause")
+			}
+		})
+	}
+}
