--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -108,8 +108,8 @@
 
 // observeEnd takes the end of an attempt into the account of its worker. Ends that
 // are no fault of the worker change nothing, and neither does the success of an attempt
-// that is older than those that have shown the worker to be unhealthy. Usual is how long such a run takes, in seconds;
-// 0 is unknown.
+// that is older than those that have shown the worker to be unhealthy. Usual is how long such a
+// run takes, in seconds; 0 is unknown.
 func (t *healthTracker) observeEnd(store *state.Store, job *state.Job, i int, attempt runningAttempt, usual float64) {
 	task, health := job.Tasks[i], t.workers[attempt.worker]
 	before := health
